--- /dev/null
+++ b/hibiscustray/__init__.py
@@ -0,0 +1,3 @@
+"""Moves model weights to many VMs while requests keep being routed to them."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/hibiscustray/agent/process.py
@@ -0,0 +1,70 @@
+"""One agent: its servers and threads, started and stopped in order."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from hibiscustray.agent.deployer import Deployer
+from hibiscustray.agent.state import ServingState
+from hibiscustray.membership import Exchange, MemberView
+from hibiscustray.peers import PeerPool, PeerServer
+from hibiscustray.peers.messages import LEAVING, LEFT
+from hibiscustray.telemetry import Metrics
+from hibiscustray.web import HttpServer
+
+log = logging.getLogger(__name__)
+
+
+class AgentProcess:
+    """Owns everything that runs in an agent."""
+
+    def __init__(
+        self,
+        http: HttpServer,
+        peer_server: PeerServer,
+        exchange: Exchange,
+        view: MemberView,
+        peers: PeerPool,
+        deployer: Deployer,
+        state: ServingState,
+        metrics: Metrics,
+    ) -> None:
+        self.http = http
+        self.view = view
+        self.state = state
+        self.metrics = metrics
+        self._peer_server = peer_server
+        self._exchange = exchange
+        self._peers = peers
+        self._deployer = deployer
+
+    @property
+    def url(self) -> str:
+        """Return the URL of health and metrics."""
+        return self.http.url
+
+    def start(self, on_progress: Callable[[int, int], None] | None = None) -> None:
+        """Begin to serve."""
+        self._peer_server.start()
+        self.http.start()
+        self._exchange.start()
+        self._deployer.start(on_progress)
+        log.info("agent started", extra={"peer_address": self._peer_server.address})
+
+    def drain(self, timeout_s: float) -> bool:
+        """Tell the others, refuse new attempts and wait for the running ones."""
+        self.view.update_own(status=LEAVING)
+        self._exchange.announce()
+        self.state.leave()
+        return self.state.wait_until_idle(timeout_s)
+
+    def stop(self) -> None:
+        """End all servers and threads."""
+        self.view.update_own(status=LEFT)
+        self._deployer.stop()
+        self._exchange.stop()
+        self._peer_server.stop()
+        self.http.stop()
+        self._peers.close()
+        log.info("agent stopped")
--- /dev/null
+++ b/hibiscustray/agent/state.py
@@ -0,0 +1,66 @@
+"""What an agent serves now, shared by its threads."""
+
+from __future__ import annotations
+
+import threading
+
+
+class ServingState:
+    """The digest being served, the attempts running on it, and whether the agent is leaving."""
+
+    def __init__(self) -> None:
+        self._digest: str | None = None
+        self._running = 0
+        self._is_leaving = False
+        self._changed = threading.Condition()
+
+    @property
+    def digest(self) -> str | None:
+        """Return the digest served, empty for a plain service, None when nothing is."""
+        return self._digest
+
+    @property
+    def running(self) -> int:
+        """Return the number of running attempts."""
+        return self._running
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self._is_leaving
+
+    def leave(self) -> None:
+        """Refuse new attempts from now on."""
+        with self._changed:
+            self._is_leaving = True
+
+    def begin(self, digest: str) -> str:
+        """Take in an attempt for a digest; return why not, empty if it was taken."""
+        with self._changed:
+            if self._is_leaving:
+                return "leaving"
+            if self._digest is None or self._digest != digest:
+                return "version-not-served"
+            self._running += 1
+            return ""
+
+    def end(self) -> None:
+        """Note that an attempt has ended."""
+        with self._changed:
+            self._running -= 1
+            self._changed.notify_all()
+
+    def serve(self, digest: str) -> None:
+        """Take attempts for a digest from now on."""
+        with self._changed:
+            self._digest = digest
+
+    def suspend(self) -> None:
+        """Refuse new attempts until a digest is served again."""
+        with self._changed:
+            self._digest = None
+
+    def wait_until_idle(self, timeout_s: float) -> bool:
+        """Wait until no attempt runs; tell whether that was reached in time."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self._running == 0, timeout_s)
--- /dev/null
+++ b/hibiscustray/commands/demo.py
@@ -0,0 +1,204 @@
+"""The embedded demo: a whole site in one process, two versions and live requests."""
+
+from __future__ import annotations
+
+import random
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import msgspec
+from tqdm import tqdm
+
+from hibiscustray.deployments import Team
+from hibiscustray.operator import DeploymentPlan, Model, PlainService, ServicePlan
+from hibiscustray.standins.callers import Callers
+from hibiscustray.standins.site import TEAM, TEAM_KEY, Site, SiteShape
+
+MIB = 1024 * 1024
+DEFAULT_WEIGHTS_MIB = 64
+SERVING_TIMEOUT_S = 120.0
+LIVE_SECONDS = 2.0
+CALLER_THREADS = 12
+
+
+@dataclass(frozen=True)
+class DemoOptions:
+    """What the command line asked for."""
+
+    weights: Path | None
+    seed: int
+    is_json: bool
+    is_served: bool
+
+
+@dataclass(frozen=True)
+class DemoReport:
+    """What the demo counted; the last three from the engines' and services' own records."""
+
+    replicas_serving: int
+    seconds_to_n: float
+    seconds_to_roll: float
+    origin_copies: float
+    answered: int
+    not_run: int
+    unknown: int
+    cut: int
+    mixed: int
+    run_twice: int
+
+    def is_right(self, replicas: int) -> bool:
+        """Tell whether all replicas serve and no fault was counted."""
+        faults = self.cut + self.mixed + self.run_twice + self.unknown
+        return self.replicas_serving == replicas and faults == 0 and self.answered > 0
+
+
+class Progress:
+    """A bar per replica on a terminal, plain lines elsewhere."""
+
+    def __init__(self, is_shown: bool) -> None:
+        self._is_shown = is_shown
+        self._is_terminal = sys.stderr.isatty()
+        self._bars: dict[str, tqdm] = {}
+
+    def update(self, replica: str, held: int, count: int) -> None:
+        """Show how many chunks a replica holds."""
+        if not self._is_shown:
+            return
+        if not self._is_terminal:
+            if held == count:
+                click.echo(f"{replica}: {held} of {count} chunks verified", err=True)
+            return
+        if replica not in self._bars:
+            self._bars[replica] = tqdm(
+                total=count, desc=replica, unit="chunk", position=len(self._bars)
+            )
+        bar = self._bars[replica]
+        bar.n = held
+        bar.refresh()
+
+    def close(self) -> None:
+        """Leave the terminal as it was."""
+        for bar in self._bars.values():
+            bar.close()
+
+
+def run_demo(options: DemoOptions) -> int:
+    """Run the demo and return the exit code."""
+    shape = SiteShape()
+    site = Site(shape)
+    progress = Progress(not options.is_json)
+    site.start(progress.update)
+    try:
+        with tempfile.TemporaryDirectory(prefix="hibiscustray-weights-") as folder:
+            report = _run_versions(site, options, Path(folder))
+            progress.close()
+            _print_report(report, options.is_json)
+            if options.is_served:
+                _serve(site)
+    finally:
+        site.stop()
+    return 0 if report.is_right(shape.model_replicas) else 1
+
+
+def _run_versions(site: Site, options: DemoOptions, folder: Path) -> DemoReport:
+    first_file = options.weights or _make_weights(folder / "v1.bin", options.seed)
+    second_file = _make_weights(folder / "v2.bin", options.seed + 1, first_file.stat().st_size)
+    site.platform.add_file("guide/v1", first_file)
+    site.platform.add_file("guide/v2", second_file)
+    model = Model("guide")
+    first = model.version("guide-1", site.operator.publish(first_file, "guide/v1"))
+    second = model.version("guide-2", site.operator.publish(second_file, "guide/v2"))
+    plan = DeploymentPlan(
+        name="demo",
+        versions=(first,),
+        services=(
+            ServicePlan(site.shape.model_service, first, max_unavailable=2),
+            PlainService(site.shape.plain_service),
+        ),
+        teams=(Team(TEAM),),
+    )
+    site.operator.apply(plan)
+    seconds_to_n = site.wait_until_serving(first.manifest, SERVING_TIMEOUT_S)
+    site.wait_until_routable(SERVING_TIMEOUT_S)
+    copies = site.platform.origin_bytes / first_file.stat().st_size
+    callers = Callers(
+        [entry.url for entry in site.entries],
+        TEAM_KEY,
+        site.shape.model_service,
+        site.shape.plain_service,
+        options.seed,
+    )
+    callers.start(CALLER_THREADS)
+    time.sleep(LIVE_SECONDS)
+    rolled = DeploymentPlan(
+        name="demo",
+        versions=(first, second),
+        services=(
+            ServicePlan(site.shape.model_service, second, max_unavailable=2),
+            PlainService(site.shape.plain_service),
+        ),
+        teams=plan.teams,
+    )
+    site.operator.apply(rolled)
+    seconds_to_roll = site.wait_until_serving(second.manifest, SERVING_TIMEOUT_S)
+    time.sleep(LIVE_SECONDS)
+    callers.stop()
+    return _count(site, callers, second.manifest, seconds_to_n, seconds_to_roll, copies)
+
+
+def _count(site: Site, callers: Callers, digest, seconds_to_n, seconds_to_roll, copies):
+    outcomes = callers.count_outcomes()
+    records = {record.request_id for model in site.models for record in model.engine.records}
+    runs = [count for plain in site.plains for count in plain.service.runs.values()]
+    references = [ref for plain in site.plains for ref in plain.service.runs]
+    run_twice = sum(1 for count in runs if count > 1) + len(references) - len(set(references))
+    for result in callers.results:
+        if result.outcome != "answered" or result.is_wrong:
+            click.echo(f"{result.outcome}: {result.reference} {result.detail}", err=True)
+    click.echo(f"engines ran {len(records)} requests, services {len(references)}", err=True)
+    return DemoReport(
+        replicas_serving=site.count_serving(digest),
+        seconds_to_n=round(seconds_to_n or -1.0, 3),
+        seconds_to_roll=round(seconds_to_roll or -1.0, 3),
+        origin_copies=round(copies, 3),
+        answered=outcomes["answered"],
+        not_run=outcomes["not_run"],
+        unknown=outcomes["unknown"],
+        cut=sum(result.is_cut for result in callers.results),
+        mixed=sum(result.is_wrong for result in callers.results),
+        run_twice=run_twice,
+    )
+
+
+def _make_weights(path: Path, seed: int, size: int = DEFAULT_WEIGHTS_MIB * MIB) -> Path:
+    generator = random.Random(seed)
+    with path.open("wb") as out:
+        for start in range(0, size, MIB):
+            out.write(generator.randbytes(min(MIB, size - start)))
+    return path
+
+
+def _print_report(report: DemoReport, is_json: bool) -> None:
+    if is_json:
+        click.echo(msgspec.json.encode(report))
+        return
+    for name, value in msgspec.to_builtins(report).items():
+        click.echo(f"{name:<20} {value}")
+
+
+def _serve(site: Site) -> None:
+    click.echo(f"table    {site.platform.url}")
+    for entry in site.entries:
+        click.echo(f"entry    {entry.url}  metrics {entry.url}/metrics")
+    for replica in [*site.models, *site.plains]:
+        click.echo(f"agent    {replica.agent.url}  metrics {replica.agent.url}/metrics")
+    click.echo(f"team key {TEAM_KEY}; stop with Ctrl-C")
+    try:
+        while True:
+            time.sleep(1.0)
+    except KeyboardInterrupt:
+        return
--- /dev/null
+++ b/hibiscustray/deployments/configuration.py
@@ -0,0 +1,83 @@
+"""The configuration in force in one process; it only ever moves to a higher revision."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+from hibiscustray.deployments.ini import parse_deployment
+from hibiscustray.deployments.model import Deployment
+from hibiscustray.deployments.revisions import Revision
+from hibiscustray.exceptions import NoConfiguration, SettingsError
+
+log = logging.getLogger(__name__)
+
+Listener = Callable[[Revision, Deployment], None]
+
+
+class Configuration:
+    """Holds the highest accepted revision that this process has seen."""
+
+    def __init__(self) -> None:
+        self._revision: Revision | None = None
+        self._deployment: Deployment | None = None
+        self._confirmed_at = 0.0
+        self._changed = threading.Condition()
+        self._listeners: list[Listener] = []
+
+    @property
+    def number(self) -> int:
+        """Return the number of the revision in force, zero before the first."""
+        revision = self._revision
+        return revision.number if revision else 0
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force; raise `NoConfiguration` before the first."""
+        if self._revision is None:
+            raise NoConfiguration("no revision was received yet")
+        return self._revision
+
+    @property
+    def deployment(self) -> Deployment:
+        """Return the deployment in force; raise `NoConfiguration` before the first."""
+        if self._deployment is None:
+            raise NoConfiguration("no revision was received yet")
+        return self._deployment
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call a function after each change, in the thread that brought it."""
+        self._listeners.append(listener)
+
+    def adopt(self, revision: Revision) -> bool:
+        """Put a revision in force if it is newer; tell whether it was."""
+        try:
+            deployment = parse_deployment(revision.text, f"revision {revision.number}")
+        except SettingsError:
+            log.error("rejected an unreadable revision", extra={"revision": revision.number})
+            return False
+        with self._changed:
+            if revision.number <= self.number:
+                return False
+            self._revision = revision
+            self._deployment = deployment
+            self._changed.notify_all()
+        log.info("configuration in force", extra={"revision": revision.number})
+        for listener in self._listeners:
+            listener(revision, deployment)
+        return True
+
+    def confirm(self, at: float | None = None) -> None:
+        """Note that the revision in force was the newest at a time (monotonic seconds)."""
+        self._confirmed_at = max(self._confirmed_at, time.monotonic() if at is None else at)
+
+    def age(self) -> float:
+        """Return the seconds since the revision was last confirmed as the newest."""
+        return time.monotonic() - self._confirmed_at
+
+    def wait_for(self, number: int, timeout_s: float) -> bool:
+        """Wait until a revision or a higher one is in force."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self.number >= number, timeout_s)
--- /dev/null
+++ b/hibiscustray/deployments/model.py
@@ -0,0 +1,77 @@
+"""The aggregate that operators state: versions, services and teams, with their own rules."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from msgspec import Meta
+
+Percent = Annotated[float, Meta(ge=0.0, le=100.0)]
+Positive = Annotated[float, Meta(ge=0.001)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+@dataclass(frozen=True)
+class Version:
+    """One version of a model or adapter, named by its manifest's digest (hex SHA-256)."""
+
+    name: str
+    model: str
+    manifest: str
+    kind: Literal["model", "adapter"] = "model"
+    base: str = ""
+
+
+@dataclass(frozen=True)
+class Service:
+    """A service, the version it carries, where, and its service-level objectives."""
+
+    name: str
+    kind: Literal["model", "plain"] = "model"
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    availability_zones: tuple[str, ...] = ()
+    objective: Literal["time", "origin_bytes"] = "time"
+    max_unavailable: Count = 1
+    engines_check_fencing: bool = True
+    availability_percent: Percent = 99.9
+    first_token_ms: Positive = 980.0
+    answer_ms: Positive = 30000.0
+
+
+@dataclass(frozen=True)
+class Team:
+    """A team that calls services, with its share of contended capacity."""
+
+    name: str
+    weight: Positive = 1.0
+    priority: Annotated[int, Meta(ge=0, le=9)] = 5
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """A whole configuration, replaced as one."""
+
+    name: str
+    versions: tuple[Version, ...] = ()
+    services: tuple[Service, ...] = ()
+    teams: tuple[Team, ...] = ()
+
+    def find_service(self, name: str) -> Service | None:
+        """Return the service of that name."""
+        return next((service for service in self.services if service.name == name), None)
+
+    def find_version(self, name: str) -> Version | None:
+        """Return the version of that name."""
+        return next((version for version in self.versions if version.name == name), None)
+
+    def find_team(self, name: str) -> Team | None:
+        """Return the team of that name."""
+        return next((team for team in self.teams if team.name == name), None)
+
+    def find_digest(self, service: str) -> str:
+        """Return the manifest digest that a service carries, empty for a plain service."""
+        found = self.find_service(service)
+        version = self.find_version(found.version) if found else None
+        return version.manifest if version else ""
--- /dev/null
+++ b/hibiscustray/entry/watchdog.py
@@ -0,0 +1,80 @@
+"""Cancels calls whose connection went silent or whose deadline passed."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+SILENCE_LIMIT_S = 3.0
+TICK_S = 0.25
+
+
+class Watch:
+    """The watch on one call."""
+
+    def __init__(self, watchdog: Watchdog, cancel: Callable[[], None], deadline: float) -> None:
+        self._watchdog = watchdog
+        self._cancel = cancel
+        self._deadline = deadline
+        self._heard_at = time.monotonic()
+        self._silent = False
+
+    def touch(self) -> None:
+        """Note that something was heard."""
+        self._heard_at = time.monotonic()
+
+    def is_silent(self) -> bool:
+        """Tell whether the call was cancelled for silence."""
+        return self._silent
+
+    def check(self, now: float) -> None:
+        """Cancel the call if it is silent or late."""
+        if now - self._heard_at > SILENCE_LIMIT_S:
+            self._silent = True
+            self._cancel()
+        elif now > self._deadline:
+            self._cancel()
+
+    def close(self) -> None:
+        """End the watch."""
+        self._watchdog.forget(self)
+
+
+class Watchdog:
+    """One thread that watches all running calls of an entry."""
+
+    def __init__(self) -> None:
+        self._watches: set[Watch] = set()
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="watchdog", daemon=True)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop watching."""
+        self._stopping.set()
+        self._thread.join()
+
+    def watch(self, cancel: Callable[[], None], deadline: float) -> Watch:
+        """Watch a call until the watch is closed."""
+        watch = Watch(self, cancel, deadline)
+        with self._lock:
+            self._watches.add(watch)
+        return watch
+
+    def forget(self, watch: Watch) -> None:
+        """Drop a watch."""
+        with self._lock:
+            self._watches.discard(watch)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(TICK_S):
+            now = time.monotonic()
+            with self._lock:
+                watches = list(self._watches)
+            for watch in watches:
+                watch.check(now)
--- /dev/null
+++ b/hibiscustray/operator/client.py
@@ -0,0 +1,51 @@
+"""Puts deployments in force and shows what is."""
+
+from __future__ import annotations
+
+import uuid
+from pathlib import Path
+
+from hibiscustray.deployments import Revision, RevisionStore, parse_deployment
+from hibiscustray.operator.objects import DeploymentPlan
+from hibiscustray.platform import ObjectStore, Table
+from hibiscustray.weights import build_manifest, publish_weights
+from hibiscustray.weights.manifest import DEFAULT_CHUNK_B
+
+TIMEOUT_S = 5.0
+
+
+class Operator:
+    """One operator, who acts on the platform's table and object store."""
+
+    def __init__(self, name: str, table_url: str, object_url: str) -> None:
+        self.name = name
+        self._revisions = RevisionStore(Table(table_url, TIMEOUT_S))
+        self._objects = ObjectStore(object_url, TIMEOUT_S)
+
+    def publish(
+        self, file: Path, path: str, chunk_size: int = DEFAULT_CHUNK_B, base: str = ""
+    ) -> str:
+        """Hash a weights file that the origin serves and return the version's digest."""
+        return publish_weights(self._objects, build_manifest(file, path, chunk_size, base))
+
+    def read(self) -> Revision | None:
+        """Return the newest accepted revision."""
+        return self._revisions.read_head()
+
+    def read_history(self) -> list[Revision]:
+        """Return all accepted revisions, oldest first."""
+        return self._revisions.read_history()
+
+    def apply(self, plan: DeploymentPlan | str, expected: int | None = None) -> Revision:
+        """Put a deployment in force; the same text again changes nothing.
+
+        Raises `SettingsError`, `RevisionConflict`, `StoreUnavailable` or `StoreAnswerLost`.
+        """
+        text = str(plan)
+        parse_deployment(text)
+        head = self._revisions.read_head()
+        number = head.number if head else 0
+        if head is not None and head.text == text and expected in (None, number):
+            return head
+        base = number if expected is None else expected
+        return self._revisions.accept(text, self.name, base, uuid.uuid4().hex)
--- /dev/null
+++ b/hibiscustray/peers/__init__.py
@@ -0,0 +1,50 @@
+"""Messages and gRPC services between the system's own processes."""
+
+from hibiscustray.peers.client import PeerClient, PeerPool
+from hibiscustray.peers.messages import (
+    AttemptRequest,
+    Beat,
+    ChunkReply,
+    ChunkRequest,
+    Data,
+    End,
+    ExchangeMessage,
+    Failed,
+    Frame,
+    HoldingsReply,
+    HoldingsRequest,
+    ManifestReply,
+    ManifestRequest,
+    MemberRecord,
+    Refused,
+    RevisionReply,
+    RevisionRequest,
+    TicketReply,
+    TicketRequest,
+)
+from hibiscustray.peers.server import PeerServer
+
+__all__ = [
+    "AttemptRequest",
+    "Beat",
+    "ChunkReply",
+    "ChunkRequest",
+    "Data",
+    "End",
+    "ExchangeMessage",
+    "Failed",
+    "Frame",
+    "HoldingsReply",
+    "HoldingsRequest",
+    "ManifestReply",
+    "ManifestRequest",
+    "MemberRecord",
+    "PeerClient",
+    "PeerPool",
+    "PeerServer",
+    "Refused",
+    "RevisionReply",
+    "RevisionRequest",
+    "TicketReply",
+    "TicketRequest",
+]
--- /dev/null
+++ b/hibiscustray/peers/messages.py
@@ -0,0 +1,173 @@
+"""Messages between the system's processes, as frozen structs in MessagePack.
+
+Structs rather than data classes, since only structs carry the tag that tells frames apart.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from hibiscustray.deployments.revisions import Revision
+
+LIVE = "live"
+SUSPECT = "suspect"
+LEAVING = "leaving"
+LEFT = "left"
+DEAD = "dead"
+
+
+class Message(msgspec.Struct, frozen=True):
+    """Base of all messages; unknown fields of later versions are ignored."""
+
+
+class MemberRecord(Message, frozen=True):
+    """What one process says of itself, or others say of its status."""
+
+    id: str
+    role: str
+    region: str
+    availability_zone: str
+    peer_address: str
+    http_url: str
+    incarnation: int
+    sequence: int = 0
+    status: str = LIVE
+    service: str = ""
+    serving: str = ""
+    adapters: tuple[str, ...] = ()
+    revision: int = 0
+
+
+class ExchangeMessage(Message, frozen=True):
+    """A heartbeat: the sender's own record, recent changes and the revision in force."""
+
+    sender: MemberRecord
+    changes: tuple[MemberRecord, ...] = ()
+    revision: int = 0
+    confirmed_age_s: float = 0.0
+
+
+class RevisionRequest(Message, frozen=True):
+    """Asks for the revision in force at the receiver."""
+
+
+class RevisionReply(Message, frozen=True):
+    """The revision in force at the sender, if any."""
+
+    revision: Revision | None = None
+
+
+class ManifestRequest(Message, frozen=True):
+    """Asks for a manifest by its digest."""
+
+    digest: str
+
+
+class ManifestReply(Message, frozen=True):
+    """An encoded manifest, empty if the sender has none."""
+
+    body: bytes = b""
+
+
+class HoldingsRequest(Message, frozen=True):
+    """Asks which chunks of a version the receiver holds."""
+
+    digest: str
+
+
+class HoldingsReply(Message, frozen=True):
+    """A bitmap of the chunks held, most significant bit first, and the sender's upload queue."""
+
+    bitmap: bytes = b""
+    queued: int = 0
+
+
+class ChunkRequest(Message, frozen=True):
+    """Asks for one chunk of a version."""
+
+    digest: str
+    index: int
+
+
+class ChunkReply(Message, frozen=True):
+    """A chunk's bytes, or nothing when the sender does not hold it."""
+
+    data: bytes = b""
+    is_held: bool = True
+
+
+class TicketRequest(Message, frozen=True):
+    """Asks an agent for an idempotency key bound to its incarnation."""
+
+    team: str
+    service: str
+
+
+class TicketReply(Message, frozen=True):
+    """The key issued."""
+
+    key: str = ""
+
+
+class AttemptRequest(Message, frozen=True):
+    """One attempt of a caller's request at one agent.
+
+    `timeout_s` is the time left; `skip` counts payloads that the caller already has.
+    """
+
+    attempt_id: str
+    request_id: str
+    team: str
+    service: str
+    digest: str
+    path: str
+    body: bytes
+    timeout_s: float
+    is_idempotent: bool = True
+    key: str = ""
+    is_stream: bool = False
+    skip: int = 0
+    priority: int = 5
+    weight: float = 1.0
+
+
+class Data(Message, frozen=True, tag="data"):
+    """Payloads of an answer; `number` counts payloads before these."""
+
+    number: int
+    payloads: tuple[bytes, ...]
+
+
+class End(Message, frozen=True, tag="end"):
+    """The whole answer was sent: payload count, digest over all payloads, status and load."""
+
+    count: int
+    digest: str
+    status: int = 200
+    content_type: str = "application/json"
+    load: int = 0
+
+
+class Beat(Message, frozen=True, tag="beat"):
+    """The attempt is alive but has nothing to send."""
+
+    load: int = 0
+
+
+class Refused(Message, frozen=True, tag="refused"):
+    """The attempt did not run here and never will."""
+
+    kind: str
+    detail: str
+    retry_after_s: float = 0.0
+    load: int = 0
+
+
+class Failed(Message, frozen=True, tag="failed"):
+    """The attempt was started and its outcome is not known."""
+
+    kind: str
+    detail: str
+
+
+Frame = Data | End | Beat | Refused | Failed
--- /dev/null
+++ b/hibiscustray/platform/table.py
@@ -0,0 +1,160 @@
+"""Client of the transactional table service, in the DynamoDB JSON protocol.
+
+Source: Amazon DynamoDB API reference, version 2012-08-10 (GetItem, Query, TransactWriteItems).
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from hibiscustray.exceptions import (
+    PreconditionFailed,
+    StoreAnswerLost,
+    StoreUnavailable,
+    UpstreamConnectionLost,
+    UpstreamUnreachable,
+)
+from hibiscustray.web import HttpClient, HttpReply
+
+TABLE_NAME = "hibiscustray"
+TARGET_PREFIX = "DynamoDB_20120810."
+CONTENT_TYPE = "application/x-amz-json-1.0"
+ANY_VERSION = -1
+"""Expected version that accepts any row, present or absent."""
+
+
+@dataclass(frozen=True)
+class Row:
+    """One row: a partition key, a sort key, a version number and bytes."""
+
+    partition: str
+    sort: str
+    version: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Put:
+    """Write a row if the stored version is the expected one; 0 means that none is stored."""
+
+    row: Row
+    expected: int = ANY_VERSION
+
+
+@dataclass(frozen=True)
+class Delete:
+    """Remove a row if the stored version is the expected one."""
+
+    partition: str
+    sort: str
+    expected: int = ANY_VERSION
+
+
+class Table:
+    """Reads and conditional transactions on the platform's table."""
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._http = HttpClient(url, timeout_s)
+
+    def get(self, partition: str, sort: str) -> Row | None:
+        """Return a row by a consistent read; raise `StoreUnavailable`."""
+        key = {"pk": {"S": partition}, "sk": {"S": sort}}
+        answer = self._read("GetItem", {"Key": key, "ConsistentRead": True})
+        item = answer.get("Item")
+        return _decode_item(item) if item else None
+
+    def query(self, partition: str) -> list[Row]:
+        """Return all rows of a partition in the order of their sort keys."""
+        answer = self._read(
+            "Query",
+            {
+                "KeyConditionExpression": "pk = :pk",
+                "ExpressionAttributeValues": {":pk": {"S": partition}},
+                "ConsistentRead": True,
+            },
+        )
+        return [_decode_item(item) for item in answer.get("Items", [])]
+
+    def transact(self, change_id: str, writes: Iterable[Put | Delete]) -> None:
+        """Carry out all writes or none.
+
+        Raises `PreconditionFailed`, `StoreUnavailable` (no effect) or `StoreAnswerLost`.
+        """
+        body = {
+            "ClientRequestToken": change_id,
+            "TransactItems": [_encode_write(write) for write in writes],
+        }
+        try:
+            reply = self._send("TransactWriteItems", body)
+        except UpstreamUnreachable as error:
+            raise StoreUnavailable(str(error)) from error
+        except UpstreamConnectionLost as error:
+            raise StoreAnswerLost(str(error)) from error
+        if reply.status == 400 and b"TransactionCanceled" in reply.body:
+            raise PreconditionFailed("the row was changed by another writer")
+        if reply.status >= 500:
+            raise StoreAnswerLost(f"table answered {reply.status}")
+        if reply.status != 200:
+            raise StoreUnavailable(f"table answered {reply.status}: {reply.body[:200]!r}")
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._http.close()
+
+    def _read(self, operation: str, body: dict[str, Any]) -> dict[str, Any]:
+        try:
+            reply = self._send(operation, body)
+        except (UpstreamUnreachable, UpstreamConnectionLost) as error:
+            raise StoreUnavailable(str(error)) from error
+        if reply.status != 200:
+            raise StoreUnavailable(f"table answered {reply.status}")
+        try:
+            return msgspec.json.decode(reply.body)
+        except msgspec.DecodeError as error:
+            raise StoreUnavailable(f"table answered with broken JSON: {error}") from error
+
+    def _send(self, operation: str, body: dict[str, Any]) -> HttpReply:
+        headers = {"X-Amz-Target": TARGET_PREFIX + operation, "Content-Type": CONTENT_TYPE}
+        return self._http.call(
+            "POST", "/", msgspec.json.encode({"TableName": TABLE_NAME, **body}), headers
+        )
+
+
+def _encode_write(write: Put | Delete) -> dict[str, Any]:
+    match write:
+        case Put(row=row, expected=expected):
+            item = {
+                "pk": {"S": row.partition},
+                "sk": {"S": row.sort},
+                "version": {"N": str(row.version)},
+                "body": {"B": base64.b64encode(row.body).decode()},
+            }
+            return {"Put": {"TableName": TABLE_NAME, "Item": item, **_encode_condition(expected)}}
+        case Delete(partition=partition, sort=sort, expected=expected):
+            key = {"pk": {"S": partition}, "sk": {"S": sort}}
+            return {"Delete": {"TableName": TABLE_NAME, "Key": key, **_encode_condition(expected)}}
+
+
+def _encode_condition(expected: int) -> dict[str, Any]:
+    if expected == ANY_VERSION:
+        return {}
+    if expected == 0:
+        return {"ConditionExpression": "attribute_not_exists(pk)"}
+    return {
+        "ConditionExpression": "version = :expected",
+        "ExpressionAttributeValues": {":expected": {"N": str(expected)}},
+    }
+
+
+def _decode_item(item: dict[str, Any]) -> Row:
+    return Row(
+        item["pk"]["S"],
+        item["sk"]["S"],
+        int(item["version"]["N"]),
+        base64.b64decode(item["body"]["B"]),
+    )
--- /dev/null
+++ b/hibiscustray/requests/__init__.py
@@ -0,0 +1,16 @@
+"""Callers' requests: their facts, whole answers, and running at most once."""
+
+from hibiscustray.requests.answer import AnswerDigest, AnswerReader
+from hibiscustray.requests.ledger import Fresh, Ledger, Mismatch, Repeat, Running
+from hibiscustray.requests.request import CallerRequest
+
+__all__ = [
+    "AnswerDigest",
+    "AnswerReader",
+    "CallerRequest",
+    "Fresh",
+    "Ledger",
+    "Mismatch",
+    "Repeat",
+    "Running",
+]
--- /dev/null
+++ b/hibiscustray/requests/request.py
@@ -0,0 +1,27 @@
+"""A caller's request as the entry understood it."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """Facts of one request; `deadline` is in monotonic seconds."""
+
+    id: str
+    team: str
+    service: str
+    path: str
+    body: bytes
+    deadline: float
+    is_idempotent: bool
+    is_stream: bool
+    key: str = ""
+    priority: int = 5
+    weight: float = 1.0
+
+    def time_left(self) -> float:
+        """Return the seconds until the deadline, negative once past."""
+        return self.deadline - time.monotonic()
--- /dev/null
+++ b/hibiscustray/routing/__init__.py
@@ -0,0 +1,5 @@
+"""Choice of the replica for an attempt."""
+
+from hibiscustray.routing.choice import Choice, ReplicaChooser
+
+__all__ = ["Choice", "ReplicaChooser"]
--- /dev/null
+++ b/hibiscustray/standins/callers.py
@@ -0,0 +1,155 @@
+"""Callers' stand-in: sends requests through entries and judges every answer."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import threading
+import uuid
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+
+from hibiscustray.exceptions import UpstreamError
+from hibiscustray.standins.tokens import make_text
+from hibiscustray.web import HttpClient
+
+DEADLINE_MS = 20_000
+EVENT_PREFIX = b"data: "
+
+
+@dataclass(frozen=True)
+class CallerResult:
+    """One request as its caller saw it; `is_wrong` marks an answer that is not its own."""
+
+    reference: str
+    outcome: str
+    digests: frozenset[str] = frozenset()
+    is_wrong: bool = False
+    is_cut: bool = False
+    detail: str = ""
+
+
+class Callers:
+    """A bounded number of threads that send requests until stopped."""
+
+    def __init__(
+        self, urls: list[str], key: str, model_service: str, plain_service: str, seed: int
+    ) -> None:
+        self.results: list[CallerResult] = []
+        self._clients = [HttpClient(url, 60.0) for url in urls]
+        self._key = key
+        self._model_service = model_service
+        self._plain_service = plain_service
+        self._random = random.Random(seed)
+        self._numbers = itertools.count()
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._threads: list[threading.Thread] = []
+
+    def start(self, threads: int) -> None:
+        """Begin to send."""
+        self._threads = [
+            threading.Thread(target=self._run, args=(index,), daemon=True)
+            for index in range(threads)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Finish the requests under way and stop."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def count_outcomes(self) -> Counter[str]:
+        """Return the number of requests by outcome."""
+        return Counter(result.outcome for result in self.results)
+
+    def chat(self, client: HttpClient, is_stream: bool) -> CallerResult:
+        """Send one chat request and judge its answer."""
+        prompt = f"prompt {next(self._numbers)} {uuid.uuid4().hex[:8]}"
+        count = 8 + next(self._numbers) % 24
+        body = {
+            "model": self._model_service,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": count,
+            "stream": is_stream,
+        }
+        stream = client.open(
+            "POST", "/v1/chat/completions", msgspec.json.encode(body), self._headers()
+        )
+        try:
+            if stream.status != 200:
+                return _read_refusal(prompt, stream.read_all())
+            if is_stream:
+                return self._judge_stream(stream, prompt, count)
+            answer = msgspec.json.decode(stream.read_all())
+            text = answer["choices"][0]["message"]["content"]
+            return _judge_text(prompt, count, text, {answer["system_fingerprint"]})
+        finally:
+            stream.close()
+
+    def book(self, client: HttpClient) -> CallerResult:
+        """Send one booking that must run at most once."""
+        reference = uuid.uuid4().hex
+        headers = self._headers() | {"Idempotency-Key": reference}
+        body = msgspec.json.encode({"reference": reference})
+        reply = client.call("POST", f"/v1/services/{self._plain_service}", body, headers)
+        answer = msgspec.json.decode(reply.body)
+        if reply.status != 200:
+            return _read_refusal(reference, reply.body)
+        is_own = answer["reference"] == reference and answer["run"] == 1
+        return CallerResult(reference, "answered", is_wrong=not is_own)
+
+    def _run(self, index: int) -> None:
+        turn = itertools.count(index)
+        while not self._stopping.is_set():
+            number = next(turn)
+            client = self._clients[number % len(self._clients)]
+            try:
+                match number % 3:
+                    case 0:
+                        result = self.book(client)
+                    case 1:
+                        result = self.chat(client, is_stream=True)
+                    case _:
+                        result = self.chat(client, is_stream=False)
+            except UpstreamError as error:
+                result = CallerResult("", "unknown", is_cut=True, detail=str(error))
+            with self._lock:
+                self.results.append(result)
+
+    def _judge_stream(self, stream, prompt: str, count: int) -> CallerResult:
+        text, digests = "", set()
+        for line in stream.read_lines():
+            if not line.startswith(EVENT_PREFIX):
+                continue
+            payload = line[len(EVENT_PREFIX) :].strip()
+            if payload == b"[DONE]":
+                stream.read_all()
+                return _judge_text(prompt, count, text, digests)
+            event = msgspec.json.decode(payload)
+            if "error" in event:
+                return _read_refusal(prompt, msgspec.json.encode(event["error"]))
+            text += event["choices"][0]["delta"]["content"]
+            digests.add(event["system_fingerprint"])
+        return CallerResult(prompt, "unknown", frozenset(digests), is_cut=True)
+
+    def _headers(self) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {self._key}",
+            "Hibiscustray-Deadline-Ms": str(DEADLINE_MS),
+            "Content-Type": "application/json",
+        }
+
+
+def _judge_text(prompt: str, count: int, text: str, digests: set[str]) -> CallerResult:
+    is_right = len(digests) == 1 and text == make_text(next(iter(digests)), prompt, count)
+    return CallerResult(prompt, "answered", frozenset(digests), is_wrong=not is_right)
+
+
+def _read_refusal(reference: str, body: bytes) -> CallerResult:
+    problem = msgspec.json.decode(body)
+    return CallerResult(reference, problem["outcome"], detail=problem["detail"])
--- /dev/null
+++ b/hibiscustray/standins/platform.py
@@ -0,0 +1,201 @@
+"""The platform's stand-in: table, object store, VM list and a rate-limited origin."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from hibiscustray.platform.machines import PEER_KEY, RUNNING
+from hibiscustray.platform.objects import BUCKET
+from hibiscustray.platform.table import TARGET_PREFIX
+from hibiscustray.web import HttpServer, Request, Response, Router
+from hibiscustray.weights import LinkBudget
+
+OCTETS = "application/octet-stream"
+THREADS = 48
+
+
+@dataclass(frozen=True)
+class Faults:
+    """What is wrong with the platform now."""
+
+    is_store_down: bool = False
+    is_origin_down: bool = False
+    loses_answers: bool = False
+    delay_s: float = 0.0
+
+
+class PlatformStandIn:
+    """Serves the table, the object store and the VM list on one port, the origin on another."""
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        origin_port: int,
+        origin_mbit_s: float,
+        files: dict[str, Path],
+    ) -> None:
+        self.faults = Faults()
+        self.origin_bytes = 0
+        self.table_reads = 0
+        self.table_writes = 0
+        self._files = files
+        self._origin_link = LinkBudget(origin_mbit_s)
+        self._rows: dict[tuple[str, str], dict[str, Any]] = {}
+        self._tokens: set[str] = set()
+        self._objects: dict[str, bytes] = {}
+        self._machines: dict[str, dict[str, Any]] = {}
+        self._lock = threading.Lock()
+        router = Router(_describe_error)
+        router.add("POST", "/", self._serve_table)
+        router.add("GET", f"/{BUCKET}/{{key+}}", self._serve_get_object)
+        router.add("PUT", f"/{BUCKET}/{{key+}}", self._serve_put_object)
+        router.add("GET", "/instances", self._serve_machines)
+        origin = Router(_describe_error)
+        origin.add("GET", "/{path+}", self._serve_origin)
+        self._http = HttpServer(router, address, port, THREADS)
+        self._origin = HttpServer(origin, address, origin_port, THREADS)
+
+    @property
+    def url(self) -> str:
+        """Return the URL of table, object store and VM list."""
+        return self._http.url
+
+    @property
+    def origin_url(self) -> str:
+        """Return the URL of the origin."""
+        return self._origin.url
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._http.start()
+        self._origin.start()
+
+    def stop(self) -> None:
+        """End the servers."""
+        self._http.stop()
+        self._origin.stop()
+
+    def set_faults(self, **changes: Any) -> None:
+        """Change what is wrong."""
+        self.faults = replace(self.faults, **changes)
+
+    def add_file(self, path: str, file: Path) -> None:
+        """Put a file at the origin."""
+        self._files[path] = file
+
+    def add_machine(self, name: str, zone: str, peer_address: str, status: str = RUNNING) -> None:
+        """List a VM."""
+        metadata = {"items": [{"key": PEER_KEY, "value": peer_address}]}
+        self._machines[name] = {"name": name, "zone": zone, "status": status, "metadata": metadata}
+
+    def remove_machine(self, name: str) -> None:
+        """Take a VM off the list."""
+        self._machines.pop(name, None)
+
+    def _serve_machines(self, request: Request) -> Response:
+        if self.faults.is_store_down:
+            return Response.json({}, 503)
+        return Response.json({"items": list(self._machines.values())})
+
+    def _serve_get_object(self, request: Request) -> Response:
+        if self.faults.is_store_down:
+            return Response.json({}, 503)
+        body = self._objects.get(request.groups["key"])
+        if body is None:
+            return Response(404)
+        return Response(200, body, OCTETS)
+
+    def _serve_put_object(self, request: Request) -> Response:
+        if self.faults.is_store_down:
+            return Response.json({}, 503)
+        self._objects[request.groups["key"]] = request.body
+        return Response(200)
+
+    def _serve_origin(self, request: Request) -> Response:
+        file = self._files.get(request.groups["path"])
+        if self.faults.is_origin_down:
+            return Response(503)
+        if file is None:
+            return Response(404)
+        start, end = request.headers["range"].removeprefix("bytes=").split("-")
+        with file.open("rb") as source:
+            source.seek(int(start))
+            data = source.read(int(end) - int(start) + 1)
+        self._origin_link.take(len(data))
+        with self._lock:
+            self.origin_bytes += len(data)
+        return Response(206, data, OCTETS)
+
+    def _serve_table(self, request: Request) -> Response:
+        operation = request.headers["x-amz-target"].removeprefix(TARGET_PREFIX)
+        if self.faults.delay_s:
+            time.sleep(self.faults.delay_s)
+        if self.faults.is_store_down:
+            return Response.json({"__type": "ServiceUnavailable"}, 503)
+        body = msgspec.json.decode(request.body)
+        match operation:
+            case "GetItem":
+                return self._get_item(body)
+            case "Query":
+                return self._query(body)
+            case "TransactWriteItems":
+                return self._transact(body)
+        return Response.json({"__type": "UnknownOperationException"}, 400)
+
+    def _get_item(self, body: dict[str, Any]) -> Response:
+        self.table_reads += 1
+        item = self._rows.get(_key_of(body["Key"]))
+        return Response.json({"Item": item} if item else {})
+
+    def _query(self, body: dict[str, Any]) -> Response:
+        self.table_reads += 1
+        partition = body["ExpressionAttributeValues"][":pk"]["S"]
+        with self._lock:
+            items = [self._rows[key] for key in sorted(self._rows) if key[0] == partition]
+        return Response.json({"Items": items, "Count": len(items)})
+
+    def _transact(self, body: dict[str, Any]) -> Response:
+        with self._lock:
+            self.table_writes += 1
+            if body["ClientRequestToken"] not in self._tokens:
+                if not all(self._holds(item) for item in body["TransactItems"]):
+                    return Response.json({"__type": "TransactionCanceledException"}, 400)
+                for item in body["TransactItems"]:
+                    self._apply(item)
+                self._tokens.add(body["ClientRequestToken"])
+        if self.faults.loses_answers:
+            return Response.json({"__type": "InternalServerError"}, 500)
+        return Response.json({})
+
+    def _holds(self, item: dict[str, Any]) -> bool:
+        write = item.get("Put") or item["Delete"]
+        condition = write.get("ConditionExpression", "")
+        stored = self._rows.get(_key_of(write.get("Item") or write["Key"]))
+        if condition == "attribute_not_exists(pk)":
+            return stored is None
+        if condition == "version = :expected":
+            expected = write["ExpressionAttributeValues"][":expected"]
+            return stored is not None and stored["version"] == expected
+        return True
+
+    def _apply(self, item: dict[str, Any]) -> None:
+        if "Put" in item:
+            row = item["Put"]["Item"]
+            self._rows[_key_of(row)] = row
+        else:
+            self._rows.pop(_key_of(item["Delete"]["Key"]), None)
+
+
+def _key_of(item: dict[str, Any]) -> tuple[str, str]:
+    return item["pk"]["S"], item["sk"]["S"]
+
+
+def _describe_error(error: Exception) -> Response:
+    return Response.json({"__type": type(error).__name__, "message": str(error)}, 500)
--- /dev/null
+++ b/hibiscustray/standins/service.py
@@ -0,0 +1,48 @@
+"""A plain service's stand-in that books: it counts how often each reference was run."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+
+import msgspec
+
+from hibiscustray.web import HttpServer, Request, Response, Router
+
+THREADS = 32
+
+
+class ServiceStandIn:
+    """Runs every call that reaches it and records its reference."""
+
+    def __init__(self, address: str, port: int, delay_s: float = 0.005) -> None:
+        self.runs: Counter[str] = Counter()
+        self.delay_s = delay_s
+        self._lock = threading.Lock()
+        router = Router(lambda error: Response.json({"error": str(error)}, 500))
+        router.add("POST", "/", self._serve_call)
+        router.add("GET", "/records", lambda _: Response.json(dict(self.runs)))
+        router.add("GET", "/load", lambda _: Response.json({"running": 0, "waiting": 0}))
+        self._http = HttpServer(router, address, port, THREADS)
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return self._http.url
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._http.start()
+
+    def stop(self) -> None:
+        """End the server."""
+        self._http.stop()
+
+    def _serve_call(self, request: Request) -> Response:
+        reference = msgspec.json.decode(request.body)["reference"]
+        time.sleep(self.delay_s)
+        with self._lock:
+            self.runs[reference] += 1
+            run = self.runs[reference]
+        return Response.json({"reference": reference, "confirmed": True, "run": run})
--- /dev/null
+++ b/hibiscustray/telemetry/__init__.py
@@ -0,0 +1,6 @@
+"""Logs and metrics."""
+
+from hibiscustray.telemetry.logs import configure_logs
+from hibiscustray.telemetry.metrics import Metrics
+
+__all__ = ["Metrics", "configure_logs"]
--- /dev/null
+++ b/hibiscustray/telemetry/metrics.py
@@ -0,0 +1,57 @@
+"""Metrics of one process, rendered in the Prometheus text format."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Mapping
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.98, 2.0, 5.0, 10.0, 30.0)
+
+
+class Metrics:
+    """The counters, gauges and histograms of one process, created on first use."""
+
+    def __init__(self, process_id: str) -> None:
+        self._labels = {"process": process_id}
+        self._registry = Registry()
+        self._known: dict[str, Counter | Gauge | Histogram] = {}
+        self._lock = threading.Lock()
+
+    def count(self, name: str, labels: Mapping[str, str] | None = None, amount: float = 1) -> None:
+        """Add an amount to a counter."""
+        with self._lock:
+            self._collector(Counter, name).add(dict(labels or {}), amount)
+
+    def gauge(self, name: str, value: float, labels: Mapping[str, str] | None = None) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._collector(Gauge, name).set(dict(labels or {}), value)
+
+    def observe(self, name: str, value: float, labels: Mapping[str, str] | None = None) -> None:
+        """Record a duration in seconds in a histogram."""
+        with self._lock:
+            self._collector(Histogram, name).observe(dict(labels or {}), value)
+
+    def read(self, name: str, labels: Mapping[str, str] | None = None) -> float:
+        """Return the value of a counter or gauge, zero where none was recorded."""
+        with self._lock:
+            collector = self._known.get(name)
+            if collector is None:
+                return 0.0
+            return collector.values.get(dict(labels or {})) or 0.0
+
+    def render_text(self) -> tuple[bytes, str]:
+        """Return the exposition text and its content type."""
+        with self._lock:
+            body, headers = render(self._registry, ["text/plain"])
+        return body, headers["Content-Type"]
+
+    def _collector(self, kind, name: str):
+        if name not in self._known:
+            options = {"const_labels": self._labels, "registry": self._registry}
+            if kind is Histogram:
+                options["buckets"] = list(LATENCY_BUCKETS_S)
+            self._known[name] = kind(f"hibiscustray_{name}", name.replace("_", " "), **options)
+        return self._known[name]
--- /dev/null
+++ b/hibiscustray/web/server.py
@@ -0,0 +1,182 @@
+"""A small WSGI layer served by waitress in a thread of this process."""
+
+from __future__ import annotations
+
+import logging
+import re
+import socket
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from waitress import wasyncore
+from waitress.server import create_server
+
+log = logging.getLogger(__name__)
+
+JSON = "application/json"
+LOOP_TIMEOUT_S = 0.5
+REASONS = {
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@dataclass(frozen=True)
+class Request:
+    """One HTTP request; `groups` holds the parts of the path named in its route."""
+
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    body: bytes
+    groups: Mapping[str, str]
+    is_disconnected: Callable[[], bool]
+
+
+@dataclass(frozen=True)
+class Response:
+    """An answer; a body that is not bytes is sent block by block as it is produced."""
+
+    status: int = 200
+    body: bytes | Iterable[bytes] = b""
+    content_type: str = JSON
+    headers: tuple[tuple[str, str], ...] = field(default_factory=tuple)
+
+    @classmethod
+    def json(cls, value: Any, status: int = 200, headers=()) -> Response:
+        """Encode a value as JSON."""
+        return cls(status, msgspec.json.encode(value), JSON, tuple(headers))
+
+
+Handler = Callable[[Request], Response]
+
+
+class Router:
+    """Chooses a handler by method and path pattern, as in ``/v1/services/{service}``."""
+
+    def __init__(self, on_error: Callable[[Exception], Response]) -> None:
+        self._routes: list[tuple[str, re.Pattern[str], Handler]] = []
+        self._on_error = on_error
+
+    def add(self, method: str, pattern: str, handler: Handler) -> None:
+        """Register a handler; a name in braces matches one path part, ``{name+}`` several."""
+        regex = re.sub(r"\{(\w+)\+\}", r"(?P<\1>.+)", pattern)
+        regex = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", regex)
+        self._routes.append((method, re.compile(f"^{regex}$"), handler))
+
+    def __call__(self, environ: dict[str, Any], start_response) -> Iterable[bytes]:
+        """Serve one WSGI request."""
+        response = self._answer(environ)
+        headers = [("Content-Type", response.content_type), *response.headers]
+        if isinstance(response.body, bytes):
+            headers.append(("Content-Length", str(len(response.body))))
+        status = f"{response.status} {REASONS.get(response.status, 'Status')}"
+        start_response(status, headers)
+        return [response.body] if isinstance(response.body, bytes) else response.body
+
+    def _answer(self, environ: dict[str, Any]) -> Response:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        allowed = False
+        for route_method, pattern, handler in self._routes:
+            found = pattern.match(path)
+            if found is None:
+                continue
+            if route_method != method:
+                allowed = True
+                continue
+            try:
+                return handler(_read_request(environ, found.groupdict()))
+            except Exception as error:
+                return self._on_error(error)
+        status = 405 if allowed else 404
+        return Response.json({"title": REASONS[status], "status": status}, status)
+
+
+class HttpServer:
+    """A waitress server on its own thread, with a pool of worker threads."""
+
+    def __init__(
+        self, app, address: str, port: int, threads: int, max_body_b: int = 1 << 30
+    ) -> None:
+        self._server = create_server(
+            app,
+            map={},
+            sockets=[_listen(address, port)],
+            threads=threads,
+            channel_request_lookahead=1,
+            max_request_body_size=max_body_b,
+            asyncore_use_poll=True,
+            connection_limit=4096,
+            clear_untrusted_proxy_headers=True,
+            ident=None,
+            expose_tracebacks=False,
+        )
+        self._map = self._server._map
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
+        self.address = address
+        self.port: int = self._server.socket.getsockname()[1]
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://{self.address}:{self.port}"
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting, end the workers and close all connections."""
+        self._stopping.set()
+        self._server.pull_trigger()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=1)
+        wasyncore.close_all(self._map)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            wasyncore.loop(timeout=LOOP_TIMEOUT_S, use_poll=True, map=self._map, count=1)
+
+
+def _listen(address: str, port: int) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address, port))
+    return listener
+
+
+def _read_request(environ: dict[str, Any], groups: dict[str, str]) -> Request:
+    headers = {
+        key[5:].replace("_", "-").lower(): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    return Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=environ.get("QUERY_STRING", ""),
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+        groups=groups,
+        is_disconnected=environ.get("waitress.client_disconnected", lambda: False),
+    )
--- /dev/null
+++ b/hibiscustray/weights/__init__.py
@@ -0,0 +1,19 @@
+"""Weights as manifests and verified chunks, fetched from the origin and from peers."""
+
+from hibiscustray.weights.budget import LinkBudget
+from hibiscustray.weights.cache import ChunkCache
+from hibiscustray.weights.manifest import Manifest, build_manifest, decode_manifest
+from hibiscustray.weights.publishing import manifest_key, publish_weights
+from hibiscustray.weights.transfer import Transfer, TransferEnvironment
+
+__all__ = [
+    "ChunkCache",
+    "LinkBudget",
+    "Manifest",
+    "Transfer",
+    "TransferEnvironment",
+    "build_manifest",
+    "decode_manifest",
+    "manifest_key",
+    "publish_weights",
+]
