--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -49,6 +49,21 @@
     sys.exit(run_demo(DemoOptions(weights, seed, is_json, is_served)))
 
 
+@cli.group()
+def bench() -> None:
+    """Measure one part of the system on this machine."""
+
+
+@cli.group()
+def report() -> None:
+    """Report on a running system."""
+
+
+@cli.group()
+def standin() -> None:
+    """Run a stand-in of the platform, an engine or a plain service."""
+
+
 def main() -> None:
     """Run the command line; a failure ends with its type's exit code."""
     try:
