--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from pathlib import Path
 
@@ -10,6 +11,8 @@
 from hibiscustray import __version__
 from hibiscustray.exceptions import HibiscustrayError
 
+os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
+
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
@@ -64,6 +67,128 @@
     """Run a stand-in of the platform, an engine or a plain service."""
 
 
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
+def platform(settings: Path) -> None:
+    """Run the platform's stand-in: table, object store, VM list and origin."""
+    from hibiscustray.commands.standing import run_platform
+
+    run_platform(settings)
+
+
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
+def engine(settings: Path) -> None:
+    """Run a model engine's stand-in."""
+    from hibiscustray.commands.standing import run_engine
+
+    run_engine(settings)
+
+
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
+def service(settings: Path) -> None:
+    """Run a plain service's stand-in."""
+    from hibiscustray.commands.standing import run_service
+
+    run_service(settings)
+
+
+OPERATOR = click.option("--settings", type=FILE, required=True, help="INI file of the operator.")
+ARGUMENTS = click.argument("arguments", nargs=-1)
+
+
+@cli.command()
+@OPERATOR
+@click.option("--expected", type=int, help="Revision that must still be the newest.")
+@click.option("--wait", "wait_s", type=float, default=0.0, help="Seconds to wait until in force.")
+@click.argument("file", type=FILE)
+@ARGUMENTS
+def apply(
+    settings: Path, expected: int | None, wait_s: float, file: Path, arguments: tuple[str, ...]
+) -> None:
+    """Put FILE in force: INI, or a Python program (with its arguments) that prints it."""
+    from hibiscustray.commands.operating import apply_deployment
+
+    sys.exit(apply_deployment(settings, file, arguments, expected, wait_s))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--revision", type=int, default=0, help="Number of the revision; the newest if 0.")
+def show(settings: Path, revision: int) -> None:
+    """Print the INI text of a revision."""
+    from hibiscustray.commands.operating import show_deployment
+
+    sys.exit(show_deployment(settings, revision))
+
+
+@cli.command()
+@OPERATOR
+@click.argument("file", type=FILE)
+@ARGUMENTS
+def diff(settings: Path, file: Path, arguments: tuple[str, ...]) -> None:
+    """Print what applying FILE would change; exit 1 if anything."""
+    from hibiscustray.commands.operating import show_difference
+
+    sys.exit(show_difference(settings, file, arguments))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def status(settings: Path, is_json: bool) -> None:
+    """Compare the newest revision with what each process follows; exit 1 on drift."""
+    from hibiscustray.commands.operating import show_status
+
+    sys.exit(show_status(settings, is_json))
+
+
+@cli.command()
+@OPERATOR
+def history(settings: Path) -> None:
+    """Print all accepted revisions."""
+    from hibiscustray.commands.operating import show_history
+
+    sys.exit(show_history(settings))
+
+
+@cli.command()
+@OPERATOR
+@click.argument("revision", type=int)
+def rollback(settings: Path, revision: int) -> None:
+    """Put the text of an earlier REVISION in force as a new revision."""
+    from hibiscustray.commands.operating import roll_back
+
+    sys.exit(roll_back(settings, revision))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--path", required=True, help="Path under which the origin serves the file.")
+@click.option("--chunk-kib", type=int, default=0, help="Chunk size in KiB; the default if 0.")
+@click.option("--base", default="", help="Digest of the model that an adapter fits.")
+@click.argument("file", type=FILE)
+def publish(settings: Path, path: str, chunk_kib: int, base: str, file: Path) -> None:
+    """Hash a weights FILE, store its manifest and print the version's digest."""
+    from hibiscustray.commands.operating import publish_file
+
+    sys.exit(publish_file(settings, file, path, chunk_kib, base))
+
+
+KINDS = ("entry", "agent", "operator", "deployment", "platform", "engine", "service")
+
+
+@cli.command()
+@click.option("--kind", type=click.Choice(KINDS), required=True, help="What the files are.")
+@click.argument("files", nargs=-1, type=FILE, required=True)
+def check(kind: str, files: tuple[Path, ...]) -> None:
+    """Check settings or deployment FILES without the network."""
+    from hibiscustray.commands.checking import check_files
+
+    sys.exit(check_files(kind, files))
+
+
 def main() -> None:
     """Run the command line; a failure ends with its type's exit code."""
     try:
--- a/hibiscustray/commands/demo.py
+++ b/hibiscustray/commands/demo.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import sys
 import tempfile
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import click
@@ -16,13 +17,16 @@
 from hibiscustray.deployments import Team
 from hibiscustray.operator import DeploymentPlan, Model, PlainService, ServicePlan
 from hibiscustray.standins.callers import Callers
+from hibiscustray.standins.judging import FaultCounts, count_faults
 from hibiscustray.standins.site import TEAM, TEAM_KEY, Site, SiteShape
 
 MIB = 1024 * 1024
 DEFAULT_WEIGHTS_MIB = 64
 SERVING_TIMEOUT_S = 120.0
-LIVE_SECONDS = 2.0
-CALLER_THREADS = 12
+LIVE_SECONDS = 1.5
+CALLER_THREADS = 8
+THINK_S = 0.1
+NOT_REACHED = -1.0
 
 
 @dataclass(frozen=True)
@@ -51,7 +55,7 @@
     run_twice: int
 
     def is_right(self, replicas: int) -> bool:
-        """Tell whether all replicas serve and no fault was counted."""
+        """Tell whether all replicas serve, requests were answered and no fault was counted."""
         faults = self.cut + self.mixed + self.run_twice + self.unknown
         return self.replicas_serving == replicas and faults == 0 and self.answered > 0
 
@@ -125,53 +129,50 @@
     seconds_to_n = site.wait_until_serving(first.manifest, SERVING_TIMEOUT_S)
     site.wait_until_routable(SERVING_TIMEOUT_S)
     copies = site.platform.origin_bytes / first_file.stat().st_size
-    callers = Callers(
-        [entry.url for entry in site.entries],
-        TEAM_KEY,
-        site.shape.model_service,
-        site.shape.plain_service,
-        options.seed,
-    )
-    callers.start(CALLER_THREADS)
+    callers = _start_callers(site, options.seed)
     time.sleep(LIVE_SECONDS)
-    rolled = DeploymentPlan(
-        name="demo",
+    rolled = replace(
+        plan,
         versions=(first, second),
         services=(
             ServicePlan(site.shape.model_service, second, max_unavailable=2),
             PlainService(site.shape.plain_service),
         ),
-        teams=plan.teams,
     )
     site.operator.apply(rolled)
     seconds_to_roll = site.wait_until_serving(second.manifest, SERVING_TIMEOUT_S)
     time.sleep(LIVE_SECONDS)
     callers.stop()
-    return _count(site, callers, second.manifest, seconds_to_n, seconds_to_roll, copies)
+    faults = _count(site, callers)
+    return DemoReport(
+        replicas_serving=site.count_serving(second.manifest),
+        seconds_to_n=round(seconds_to_n or NOT_REACHED, 3),
+        seconds_to_roll=round(seconds_to_roll or NOT_REACHED, 3),
+        origin_copies=round(copies, 3),
+        **dataclasses.asdict(faults),
+    )
 
 
-def _count(site: Site, callers: Callers, digest, seconds_to_n, seconds_to_roll, copies):
-    outcomes = callers.count_outcomes()
-    records = {record.request_id for model in site.models for record in model.engine.records}
-    runs = [count for plain in site.plains for count in plain.service.runs.values()]
-    references = [ref for plain in site.plains for ref in plain.service.runs]
-    run_twice = sum(1 for count in runs if count > 1) + len(references) - len(set(references))
+def _start_callers(site: Site, seed: int) -> Callers:
+    callers = Callers(
+        [entry.url for entry in site.entries],
+        TEAM_KEY,
+        site.shape.model_service,
+        site.shape.plain_service,
+        seed,
+        THINK_S,
+    )
+    callers.start(CALLER_THREADS)
+    return callers
+
+
+def _count(site: Site, callers: Callers) -> FaultCounts:
     for result in callers.results:
         if result.outcome != "answered" or result.is_wrong:
             click.echo(f"{result.outcome}: {result.reference} {result.detail}", err=True)
-    click.echo(f"engines ran {len(records)} requests, services {len(references)}", err=True)
-    return DemoReport(
-        replicas_serving=site.count_serving(digest),
-        seconds_to_n=round(seconds_to_n or -1.0, 3),
-        seconds_to_roll=round(seconds_to_roll or -1.0, 3),
-        origin_copies=round(copies, 3),
-        answered=outcomes["answered"],
-        not_run=outcomes["not_run"],
-        unknown=outcomes["unknown"],
-        cut=sum(result.is_cut for result in callers.results),
-        mixed=sum(result.is_wrong for result in callers.results),
-        run_twice=run_twice,
-    )
+    records = [record for model in site.models for record in model.engine.records]
+    runs = [plain.service.runs for plain in site.plains]
+    return count_faults(callers.results, records, runs)
 
 
 def _make_weights(path: Path, seed: int, size: int = DEFAULT_WEIGHTS_MIB * MIB) -> Path:
@@ -186,12 +187,14 @@
     if is_json:
         click.echo(msgspec.json.encode(report))
         return
+    click.echo()
     for name, value in msgspec.to_builtins(report).items():
-        click.echo(f"{name:<20} {value}")
+        click.echo(f"{name.replace('_', ' '):<20} {value:>10}")
 
 
 def _serve(site: Site) -> None:
     click.echo(f"table    {site.platform.url}")
+    click.echo(f"origin   {site.platform.origin_url}")
     for entry in site.entries:
         click.echo(f"entry    {entry.url}  metrics {entry.url}/metrics")
     for replica in [*site.models, *site.plains]:
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -4,30 +4,35 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
 from hibiscustray.agent.state import ServingState
-from hibiscustray.deployments import Configuration, RevisionStore
+from hibiscustray.deployments import Configuration, RevisionStore, load_operator_keys
 from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.membership import Exchange, MemberView
-from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply
-from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION
+from hibiscustray.operator import Operator, SiteStatus, read_status
+from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply, StatusReply
+from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION, STATUS
+from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.requests import Ledger
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
 from hibiscustray.routing import ReplicaChooser
-from hibiscustray.settings import Settings
+from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
-from hibiscustray.web import HttpServer, Response, Router
+from hibiscustray.web import HttpServer, Response, Router, make_server_context
 from hibiscustray.weights import ChunkCache, LinkBudget, TransferEnvironment
 
 AGENT_HTTP_THREADS = 4
+AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
-MIB = 1024 * 1024
+KIB = 1024
+MIB = 1024 * KIB
 MS_PER_S = 1000
 
 
@@ -39,6 +44,27 @@
     table: Table
     configuration: Configuration
     peers: PeerPool
+    credentials: PeerCredentials
+
+
+def build_operator(settings: OperatorSettings) -> Operator:
+    """Wire an operator's client."""
+    platform = settings.platform
+    return Operator(
+        settings.operator.name,
+        platform.table_url,
+        platform.object_url,
+        settings.key,
+        platform.timeout_s,
+    )
+
+
+def build_status_reader(settings: OperatorSettings) -> Callable[[], SiteStatus]:
+    """Wire the reading of a site's status."""
+    operator = build_operator(settings)
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    peers = PeerPool(load_peer_credentials(settings.security).channel)
+    return lambda: read_status(operator.read(), machines, peers)
 
 
 def build_entry(settings: Settings) -> EntryProcess:
@@ -50,11 +76,10 @@
         settings.process.peer_port,
         exchange_slot.handlers(),
         ENTRY_PEER_THREADS,
+        core.credentials.server,
     )
     router = _LateRouter()
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, settings.limits.threads
-    )
+    http = _build_http(settings, router, settings.limits.threads, settings.limits.body_kib * KIB)
     view = MemberView(_make_record(settings, "entry", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
@@ -93,11 +118,10 @@
         settings.process.peer_port,
         handlers,
         settings.upstream.concurrency + AGENT_PEER_EXTRA_THREADS,
+        core.credentials.server,
     )
     router = _build_agent_router(core, chunks, state)
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, AGENT_HTTP_THREADS
-    )
+    http = _build_http(settings, router, AGENT_HTTP_THREADS, AGENT_BODY_KIB * KIB)
     view = MemberView(_make_record(settings, "agent", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
@@ -143,12 +167,20 @@
         self._configuration = configuration
 
     def handlers(self):
-        return {EXCHANGE.name: self._serve_exchange, REVISION.name: self._serve_revision}
+        return {
+            EXCHANGE.name: self._serve_exchange,
+            REVISION.name: self._serve_revision,
+            STATUS.name: self._serve_status,
+        }
 
     def _serve_exchange(self, message, context):
         assert self.exchange is not None
         return self.exchange.serve(message)
 
+    def _serve_status(self, message, context) -> StatusReply:
+        assert self.exchange is not None
+        return StatusReply(self.exchange.own)
+
     def _serve_revision(self, message, context) -> RevisionReply:
         held = self._configuration.number > 0
         return RevisionReply(self._configuration.revision if held else None)
@@ -165,12 +197,21 @@
         return self.target(environ, start_response)
 
 
+def _build_http(settings: Settings, app, threads: int, max_body_b: int) -> HttpServer:
+    security = settings.security
+    context = make_server_context(security.http_certificate, security.http_key)
+    process = settings.process
+    return HttpServer(app, process.address, process.http_port, threads, max_body_b, context)
+
+
 def _build_core(settings: Settings) -> Core:
+    credentials = load_peer_credentials(settings.security)
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
-        configuration=Configuration(),
-        peers=PeerPool(),
+        configuration=Configuration(load_operator_keys(settings.security.operators)),
+        peers=PeerPool(credentials.channel),
+        credentials=credentials,
     )
 
 
--- a/hibiscustray/deployments/__init__.py
+++ b/hibiscustray/deployments/__init__.py
@@ -4,15 +4,19 @@
 from hibiscustray.deployments.ini import parse_deployment, render_deployment
 from hibiscustray.deployments.model import Deployment, Service, Team, Version
 from hibiscustray.deployments.revisions import Revision, RevisionStore
+from hibiscustray.deployments.signing import OperatorKeys, load_operator_keys, sign_change
 
 __all__ = [
     "Configuration",
     "Deployment",
+    "OperatorKeys",
     "Revision",
     "RevisionStore",
     "Service",
     "Team",
     "Version",
+    "load_operator_keys",
     "parse_deployment",
     "render_deployment",
+    "sign_change",
 ]
--- a/hibiscustray/deployments/configuration.py
+++ b/hibiscustray/deployments/configuration.py
@@ -10,6 +10,7 @@
 from hibiscustray.deployments.ini import parse_deployment
 from hibiscustray.deployments.model import Deployment
 from hibiscustray.deployments.revisions import Revision
+from hibiscustray.deployments.signing import OperatorKeys
 from hibiscustray.exceptions import NoConfiguration, SettingsError
 
 log = logging.getLogger(__name__)
@@ -20,7 +21,8 @@
 class Configuration:
     """Holds the highest accepted revision that this process has seen."""
 
-    def __init__(self) -> None:
+    def __init__(self, keys: OperatorKeys | None = None) -> None:
+        self._keys = keys
         self._revision: Revision | None = None
         self._deployment: Deployment | None = None
         self._confirmed_at = 0.0
@@ -53,6 +55,9 @@
 
     def adopt(self, revision: Revision) -> bool:
         """Put a revision in force if it is newer; tell whether it was."""
+        if self._keys is not None and not self._keys.has_signed(revision):
+            log.error("rejected an unsigned revision", extra={"revision": revision.number})
+            return False
         try:
             deployment = parse_deployment(revision.text, f"revision {revision.number}")
         except SettingsError:
--- a/hibiscustray/deployments/revisions.py
+++ b/hibiscustray/deployments/revisions.py
@@ -9,6 +9,7 @@
 import msgspec
 from tenacity import Retrying, retry_if_exception_type, stop_after_delay, wait_random_exponential
 
+from hibiscustray.deployments.signing import sign_change
 from hibiscustray.exceptions import (
     NoConfiguration,
     PreconditionFailed,
@@ -34,6 +35,7 @@
     operator: str
     change_id: str
     accepted_at: float
+    signature: str = ""
 
     @property
     def digest(self) -> str:
@@ -65,13 +67,18 @@
         rows = self._table.query(HISTORY_PARTITION)
         return [msgspec.msgpack.decode(row.body, type=Revision) for row in rows]
 
-    def accept(self, text: str, operator: str, expected: int, change_id: str) -> Revision:
+    def accept(
+        self, text: str, operator: str, expected: int, change_id: str, key: bytes = b""
+    ) -> Revision:
         """Replace the configuration if the head is still the expected revision.
 
         Raises `RevisionConflict` when another change came first, `StoreUnavailable` when this
         one took no effect, `StoreAnswerLost` when that could not be found out in time.
         """
         revision = Revision(expected + 1, text, operator, change_id, time.time())
+        if key:
+            signature = sign_change(key, operator, revision.digest)
+            revision = msgspec.structs.replace(revision, signature=signature)
         body = msgspec.msgpack.encode(revision)
         head = Row(HEAD_PARTITION, HEAD_SORT, revision.number, body)
         past = Row(HISTORY_PARTITION, _history_sort(revision.number), revision.number, body)
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -93,6 +93,12 @@
         self.operator = operator
 
 
+class ProgramFailed(ConfigurationError):
+    """An operator program ended with an error or printed nothing."""
+
+    exit_code = 6
+
+
 class NoConfiguration(ConfigurationError):
     """This process holds no configuration that it can justify."""
 
--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -51,6 +51,11 @@
             threading.Thread(target=self._run_platform, name="platform-poll", daemon=True),
         ]
 
+    @property
+    def own(self) -> MemberRecord:
+        """Return this process's own record."""
+        return self._view.own
+
     def start(self) -> None:
         """Begin to exchange heartbeats and to poll the platform."""
         for thread in self._threads:
--- a/hibiscustray/operator/__init__.py
+++ b/hibiscustray/operator/__init__.py
@@ -2,5 +2,18 @@
 
 from hibiscustray.operator.client import Operator
 from hibiscustray.operator.objects import Adapter, DeploymentPlan, Model, PlainService, ServicePlan
+from hibiscustray.operator.programs import read_deployment_text
+from hibiscustray.operator.status import ProcessStatus, SiteStatus, read_status
 
-__all__ = ["Adapter", "DeploymentPlan", "Model", "Operator", "PlainService", "ServicePlan"]
+__all__ = [
+    "Adapter",
+    "DeploymentPlan",
+    "Model",
+    "Operator",
+    "PlainService",
+    "ProcessStatus",
+    "ServicePlan",
+    "SiteStatus",
+    "read_deployment_text",
+    "read_status",
+]
--- a/hibiscustray/operator/client.py
+++ b/hibiscustray/operator/client.py
@@ -17,10 +17,18 @@
 class Operator:
     """One operator, who acts on the platform's table and object store."""
 
-    def __init__(self, name: str, table_url: str, object_url: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        table_url: str,
+        object_url: str,
+        key: bytes = b"",
+        timeout_s: float = TIMEOUT_S,
+    ) -> None:
         self.name = name
-        self._revisions = RevisionStore(Table(table_url, TIMEOUT_S))
-        self._objects = ObjectStore(object_url, TIMEOUT_S)
+        self._key = key
+        self._revisions = RevisionStore(Table(table_url, timeout_s))
+        self._objects = ObjectStore(object_url, timeout_s)
 
     def publish(
         self, file: Path, path: str, chunk_size: int = DEFAULT_CHUNK_B, base: str = ""
@@ -28,9 +36,9 @@
         """Hash a weights file that the origin serves and return the version's digest."""
         return publish_weights(self._objects, build_manifest(file, path, chunk_size, base))
 
-    def read(self) -> Revision | None:
-        """Return the newest accepted revision."""
-        return self._revisions.read_head()
+    def read(self, number: int = 0) -> Revision | None:
+        """Return one accepted revision, the newest when no number is given."""
+        return self._revisions.read(number) if number else self._revisions.read_head()
 
     def read_history(self) -> list[Revision]:
         """Return all accepted revisions, oldest first."""
@@ -48,4 +56,8 @@
         if head is not None and head.text == text and expected in (None, number):
             return head
         base = number if expected is None else expected
-        return self._revisions.accept(text, self.name, base, uuid.uuid4().hex)
+        return self._revisions.accept(text, self.name, base, uuid.uuid4().hex, self._key)
+
+    def roll_back(self, number: int) -> Revision:
+        """Put the text of an earlier revision in force as a new revision."""
+        return self.apply(self._revisions.read(number).text)
--- a/hibiscustray/peers/__init__.py
+++ b/hibiscustray/peers/__init__.py
@@ -19,6 +19,8 @@
     Refused,
     RevisionReply,
     RevisionRequest,
+    StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -45,6 +47,8 @@
     "Refused",
     "RevisionReply",
     "RevisionRequest",
+    "StatusReply",
+    "StatusRequest",
     "TicketReply",
     "TicketRequest",
 ]
--- a/hibiscustray/peers/client.py
+++ b/hibiscustray/peers/client.py
@@ -17,6 +17,7 @@
     MANIFEST,
     METHODS,
     REVISION,
+    STATUS,
     TICKET,
     encode_message,
     make_decoder,
@@ -33,6 +34,8 @@
     ManifestRequest,
     RevisionReply,
     RevisionRequest,
+    StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -99,6 +102,10 @@
         """Return the peer's revision in force."""
         return self._call(REVISION.name, RevisionRequest(), timeout_s)
 
+    def read_status(self, timeout_s: float) -> StatusReply:
+        """Return the peer's own record."""
+        return self._call(STATUS.name, StatusRequest(), timeout_s)
+
     def read_manifest(self, digest: str, timeout_s: float) -> ManifestReply:
         """Return an encoded manifest, empty if the peer has none."""
         return self._call(MANIFEST.name, ManifestRequest(digest), timeout_s)
--- a/hibiscustray/peers/codec.py
+++ b/hibiscustray/peers/codec.py
@@ -21,6 +21,8 @@
     ManifestRequest,
     RevisionReply,
     RevisionRequest,
+    StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -45,12 +47,13 @@
 
 EXCHANGE = Method("Exchange", ExchangeMessage, ExchangeMessage)
 REVISION = Method("Revision", RevisionRequest, RevisionReply)
+STATUS = Method("Status", StatusRequest, StatusReply)
 MANIFEST = Method("Manifest", ManifestRequest, ManifestReply)
 HOLDINGS = Method("Holdings", HoldingsRequest, HoldingsReply)
 CHUNK = Method("Chunk", ChunkRequest, ChunkReply)
 TICKET = Method("Ticket", TicketRequest, TicketReply)
 ATTEMPT = Method("Attempt", AttemptRequest, Frame, is_stream=True)
-METHODS = (EXCHANGE, REVISION, MANIFEST, HOLDINGS, CHUNK, TICKET, ATTEMPT)
+METHODS = (EXCHANGE, REVISION, STATUS, MANIFEST, HOLDINGS, CHUNK, TICKET, ATTEMPT)
 
 encode_message: Callable[[Any], bytes] = msgspec.msgpack.Encoder().encode
 
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -57,6 +57,16 @@
     revision: Revision | None = None
 
 
+class StatusRequest(Message, frozen=True):
+    """Asks a process for its own record."""
+
+
+class StatusReply(Message, frozen=True):
+    """The sender's own record."""
+
+    member: MemberRecord
+
+
 class ManifestRequest(Message, frozen=True):
     """Asks for a manifest by its digest."""
 
--- a/hibiscustray/settings/__init__.py
+++ b/hibiscustray/settings/__init__.py
@@ -11,9 +11,27 @@
     Settings,
     UpstreamSettings,
 )
-from hibiscustray.settings.reading import load_settings, parse_settings
+from hibiscustray.settings.operator import OperatorSettings, load_operator_settings
+from hibiscustray.settings.reading import load_settings, parse_settings, read_text
+from hibiscustray.settings.standins import (
+    EngineStandInSettings,
+    PlatformStandInFile,
+    ServiceStandInSettings,
+    load_engine_standin,
+    load_platform_standin,
+    load_service_standin,
+)
 
 __all__ = [
+    "EngineStandInSettings",
+    "OperatorSettings",
+    "PlatformStandInFile",
+    "ServiceStandInSettings",
+    "load_engine_standin",
+    "load_operator_settings",
+    "load_platform_standin",
+    "load_service_standin",
+    "read_text",
     "IniFile",
     "LimitSettings",
     "LinkSettings",
--- a/hibiscustray/settings/ini.py
+++ b/hibiscustray/settings/ini.py
@@ -99,13 +99,10 @@
         case msgspec.inspect.BoolType():
             return bool
         case msgspec.inspect.IntType(ge=ge, le=le):
-
             return Annotated[int, msgspec.Meta(ge=ge, le=le)]
         case msgspec.inspect.FloatType(ge=ge, le=le):
-
             return Annotated[float, msgspec.Meta(ge=ge, le=le)]
         case msgspec.inspect.LiteralType(values=values):
-
             return Literal[tuple(values)]
     return str
 
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -85,6 +85,7 @@
     http_certificate: str = ""
     http_key: str = ""
     teams: str = ""
+    operators: str = ""
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/settings/reading.py
+++ b/hibiscustray/settings/reading.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 from pathlib import Path
+from typing import TypeVar
 
 from hibiscustray.exceptions import SettingsError
-from hibiscustray.settings.ini import read_ini
+from hibiscustray.settings.ini import IniFile, read_ini
 from hibiscustray.settings.model import (
     LimitSettings,
     LinkSettings,
@@ -17,6 +19,8 @@
     UpstreamSettings,
 )
 
+Section = TypeVar("Section")
+
 SECTIONS = {
     "process": ProcessSettings,
     "platform": PlatformSettings,
@@ -31,11 +35,28 @@
 
 def load_settings(path: Path, role: str) -> Settings:
     """Read the settings of an ``entry`` or ``agent``, or raise `SettingsError`."""
+    settings = parse_settings(read_text(path), str(path), role)
+    return dataclasses.replace(settings, security=resolve_files(settings.security, path.parent))
+
+
+def resolve_files(section: Section, folder: Path) -> Section:
+    """Return a section of file names taken relative to the folder of its settings file."""
+    names = [field.name for field in dataclasses.fields(section)]
+    given = {name: getattr(section, name) for name in names if getattr(section, name)}
+    return dataclasses.replace(section, **{k: str(folder / v) for k, v in given.items()})
+
+
+def read_settings_file(path: Path) -> IniFile:
+    """Split an INI file into sections, or raise `SettingsError`."""
+    return read_ini(read_text(path), str(path))
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a file, or raise `SettingsError`."""
     try:
-        text = path.read_text()
+        return path.read_text()
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError((f"{path}: cannot be read: {error}",)) from error
-    return parse_settings(text, str(path), role)
 
 
 def parse_settings(text: str, name: str, role: str) -> Settings:
--- /dev/null
+++ b/hibiscustray/settings/standins.py
@@ -0,0 +1,105 @@
+"""Settings of the stand-in processes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from hibiscustray.settings.ini import IniFile
+from hibiscustray.settings.model import Count, Port, Positive
+from hibiscustray.settings.reading import read_settings_file
+
+
+@dataclass(frozen=True)
+class PlatformStandInSettings:
+    """Where the platform's stand-in listens and how fast its origin is."""
+
+    address: str = "127.0.0.1"
+    port: Port = 0
+    origin_port: Port = 0
+    origin_mbit_s: Positive = 1000.0
+
+
+@dataclass(frozen=True)
+class OriginFile:
+    """A weights file that the origin serves under the path that names its section."""
+
+    path: str
+    file: str
+
+
+@dataclass(frozen=True)
+class ListedMachine:
+    """A VM on the platform's list."""
+
+    name: str
+    availability_zone: str
+    peer_address: str
+
+
+@dataclass(frozen=True)
+class PlatformStandInFile:
+    """Everything that the platform's stand-in is told."""
+
+    platform: PlatformStandInSettings
+    files: tuple[OriginFile, ...]
+    machines: tuple[ListedMachine, ...]
+
+
+@dataclass(frozen=True)
+class EngineStandInSettings:
+    """Where an engine's stand-in listens, its step time and its batch."""
+
+    address: str = "127.0.0.1"
+    port: Port = 0
+    step_ms: Positive = 10.0
+    max_batch: Count = 16
+    checks_fencing: bool = True
+    http_authority: str = ""
+
+
+@dataclass(frozen=True)
+class ServiceStandInSettings:
+    """Where a plain service's stand-in listens and how long a call takes."""
+
+    address: str = "127.0.0.1"
+    port: Port = 0
+    delay_ms: Positive = 5.0
+
+
+def load_platform_standin(path: Path) -> PlatformStandInFile:
+    """Read ``[standin]``, ``[file PATH]`` and ``[machine NAME]``, or raise `SettingsError`."""
+    ini = read_settings_file(path)
+    ini.reject_unknown_sections({"standin"}, {"file", "machine"})
+    platform = ini.read("standin", PlatformStandInSettings)
+    files = [
+        ini.read(title, OriginFile, path=name) for name, title in ini.named_sections("file").items()
+    ]
+    machines = [
+        ini.read(title, ListedMachine, name=name)
+        for name, title in ini.named_sections("machine").items()
+    ]
+    for file in filter(None, files):
+        if not (path.parent / file.file).is_file():
+            ini.add_problem(f"file {file.path}", "file", file.file, "a file that exists")
+    ini.raise_problems()
+    return PlatformStandInFile(platform, tuple(files), tuple(machines))
+
+
+def load_engine_standin(path: Path) -> EngineStandInSettings:
+    """Read ``[standin]`` of an engine, or raise `SettingsError`."""
+    settings = _load_single(read_settings_file(path), EngineStandInSettings)
+    authority = settings.http_authority
+    return replace(settings, http_authority=str(path.parent / authority) if authority else "")
+
+
+def load_service_standin(path: Path) -> ServiceStandInSettings:
+    """Read ``[standin]`` of a plain service, or raise `SettingsError`."""
+    return _load_single(read_settings_file(path), ServiceStandInSettings)
+
+
+def _load_single(ini: IniFile, kind: type):
+    ini.reject_unknown_sections({"standin"}, set())
+    settings = ini.read("standin", kind)
+    ini.raise_problems()
+    return settings
--- a/hibiscustray/standins/callers.py
+++ b/hibiscustray/standins/callers.py
@@ -4,9 +4,11 @@
 
 import itertools
 import random
+import ssl
 import threading
 import uuid
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -16,6 +18,7 @@
 from hibiscustray.web import HttpClient
 
 DEADLINE_MS = 20_000
+SEED_STRIDE = 1000
 EVENT_PREFIX = b"data: "
 
 
@@ -25,6 +28,7 @@
 
     reference: str
     outcome: str
+    tokens: int = 0
     digests: frozenset[str] = frozenset()
     is_wrong: bool = False
     is_cut: bool = False
@@ -35,14 +39,24 @@
     """A bounded number of threads that send requests until stopped."""
 
     def __init__(
-        self, urls: list[str], key: str, model_service: str, plain_service: str, seed: int
+        self,
+        urls: Sequence[str],
+        keys: Sequence[str] | str,
+        model_service: str,
+        plain_services: Sequence[str] | str,
+        seed: int,
+        think_s: float = 0.0,
+        context: ssl.SSLContext | None = None,
     ) -> None:
         self.results: list[CallerResult] = []
-        self._clients = [HttpClient(url, 60.0) for url in urls]
-        self._key = key
+        self._clients = [HttpClient(url, 60.0, context) for url in urls]
+        self._keys = [keys] if isinstance(keys, str) else list(keys)
         self._model_service = model_service
-        self._plain_service = plain_service
-        self._random = random.Random(seed)
+        self._plain_services = (
+            [plain_services] if isinstance(plain_services, str) else list(plain_services)
+        )
+        self._seed = seed
+        self._think_s = think_s
         self._numbers = itertools.count()
         self._stopping = threading.Event()
         self._lock = threading.Lock()
@@ -67,7 +81,7 @@
         """Return the number of requests by outcome."""
         return Counter(result.outcome for result in self.results)
 
-    def chat(self, client: HttpClient, is_stream: bool) -> CallerResult:
+    def chat(self, client: HttpClient, key: str, is_stream: bool) -> CallerResult:
         """Send one chat request and judge its answer."""
         prompt = f"prompt {next(self._numbers)} {uuid.uuid4().hex[:8]}"
         count = 8 + next(self._numbers) % 24
@@ -78,7 +92,7 @@
             "stream": is_stream,
         }
         stream = client.open(
-            "POST", "/v1/chat/completions", msgspec.json.encode(body), self._headers()
+            "POST", "/v1/chat/completions", msgspec.json.encode(body), _make_headers(key)
         )
         try:
             if stream.status != 200:
@@ -91,12 +105,12 @@
         finally:
             stream.close()
 
-    def book(self, client: HttpClient) -> CallerResult:
+    def book(self, client: HttpClient, key: str, service: str) -> CallerResult:
         """Send one booking that must run at most once."""
         reference = uuid.uuid4().hex
-        headers = self._headers() | {"Idempotency-Key": reference}
+        headers = _make_headers(key) | {"Idempotency-Key": reference}
         body = msgspec.json.encode({"reference": reference})
-        reply = client.call("POST", f"/v1/services/{self._plain_service}", body, headers)
+        reply = client.call("POST", f"/v1/services/{service}", body, headers)
         answer = msgspec.json.decode(reply.body)
         if reply.status != 200:
             return _read_refusal(reference, reply.body)
@@ -104,23 +118,26 @@
         return CallerResult(reference, "answered", is_wrong=not is_own)
 
     def _run(self, index: int) -> None:
-        turn = itertools.count(index)
-        while not self._stopping.is_set():
-            number = next(turn)
-            client = self._clients[number % len(self._clients)]
-            try:
-                match number % 3:
-                    case 0:
-                        result = self.book(client)
-                    case 1:
-                        result = self.chat(client, is_stream=True)
-                    case _:
-                        result = self.chat(client, is_stream=False)
-            except UpstreamError as error:
-                result = CallerResult("", "unknown", is_cut=True, detail=str(error))
+        choices = random.Random(self._seed * SEED_STRIDE + index)
+        key = self._keys[index % len(self._keys)]
+        while not self._stopping.wait(choices.uniform(0.0, 2 * self._think_s)):
+            result = self._send(choices, key)
             with self._lock:
                 self.results.append(result)
 
+    def _send(self, choices: random.Random, key: str) -> CallerResult:
+        client = choices.choice(self._clients)
+        try:
+            match choices.randrange(3):
+                case 0:
+                    return self.book(client, key, choices.choice(self._plain_services))
+                case 1:
+                    return self.chat(client, key, is_stream=True)
+                case _:
+                    return self.chat(client, key, is_stream=False)
+        except UpstreamError as error:
+            return CallerResult("", "unknown", is_cut=True, detail=str(error))
+
     def _judge_stream(self, stream, prompt: str, count: int) -> CallerResult:
         text, digests = "", set()
         for line in stream.read_lines():
@@ -135,19 +152,20 @@
                 return _read_refusal(prompt, msgspec.json.encode(event["error"]))
             text += event["choices"][0]["delta"]["content"]
             digests.add(event["system_fingerprint"])
-        return CallerResult(prompt, "unknown", frozenset(digests), is_cut=True)
+        return CallerResult(prompt, "unknown", count, frozenset(digests), is_cut=True)
 
-    def _headers(self) -> dict[str, str]:
-        return {
-            "Authorization": f"Bearer {self._key}",
-            "Hibiscustray-Deadline-Ms": str(DEADLINE_MS),
-            "Content-Type": "application/json",
-        }
+
+def _make_headers(key: str) -> dict[str, str]:
+    return {
+        "Authorization": f"Bearer {key}",
+        "Hibiscustray-Deadline-Ms": str(DEADLINE_MS),
+        "Content-Type": "application/json",
+    }
 
 
 def _judge_text(prompt: str, count: int, text: str, digests: set[str]) -> CallerResult:
     is_right = len(digests) == 1 and text == make_text(next(iter(digests)), prompt, count)
-    return CallerResult(prompt, "answered", frozenset(digests), is_wrong=not is_right)
+    return CallerResult(prompt, "answered", count, frozenset(digests), is_wrong=not is_right)
 
 
 def _read_refusal(reference: str, body: bytes) -> CallerResult:
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import queue
+import ssl
 import threading
 import time
 from collections import deque
@@ -57,7 +58,9 @@
         step_s: float = 0.01,
         max_batch: int = 16,
         checks_fencing: bool = True,
+        context: ssl.SSLContext | None = None,
     ) -> None:
+        self._context = context
         self.step_s = step_s
         self.records: list[EngineRecord] = []
         self.orders: list[LoadOrder] = []
@@ -106,7 +109,7 @@
             if is_stale and self._checks_fencing:
                 return Response.json({"fencing": self.weights.fencing}, 409)
             self.stale_orders_taken += is_stale
-        digest = _read_weights(order.weights_url)
+        digest = _read_weights(order.weights_url, self._context)
         with self._lock:
             self.orders.append(order)
             self.weights = EngineWeights(digest, order.adapters, order.fencing)
@@ -179,9 +182,9 @@
         sequence.tokens.put(None)
 
 
-def _read_weights(url: str) -> str:
+def _read_weights(url: str, context: ssl.SSLContext | None) -> str:
     """Read all chunks and return the digest that the bytes themselves give."""
-    client = HttpClient(url, 60.0)
+    client = HttpClient(url, 60.0, context)
     layout = msgspec.json.decode(client.call("GET", "").body)
     chunks = []
     for index in range(layout["count"]):
--- a/hibiscustray/web/__init__.py
+++ b/hibiscustray/web/__init__.py
@@ -2,5 +2,15 @@
 
 from hibiscustray.web.client import HttpClient, HttpReply
 from hibiscustray.web.server import HttpServer, Request, Response, Router
+from hibiscustray.web.tls import make_client_context, make_server_context
 
-__all__ = ["HttpClient", "HttpReply", "HttpServer", "Request", "Response", "Router"]
+__all__ = [
+    "HttpClient",
+    "HttpReply",
+    "HttpServer",
+    "Request",
+    "Response",
+    "Router",
+    "make_client_context",
+    "make_server_context",
+]
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import http.client
+import select
 import socket
+import ssl
 import threading
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -84,13 +86,17 @@
 class HttpClient:
     """Keeps idle connections to one server; one request at a time on each."""
 
-    def __init__(self, base_url: str, timeout_s: float = 5.0) -> None:
+    def __init__(
+        self, base_url: str, timeout_s: float = 5.0, context: ssl.SSLContext | None = None
+    ) -> None:
         parts = urlsplit(base_url)
         self.base_url = base_url.rstrip("/")
         self._host = parts.hostname or ""
         self._port = parts.port
         self._prefix = parts.path.rstrip("/")
         self._timeout_s = timeout_s
+        self._is_secure = parts.scheme == "https"
+        self._context = context
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
 
@@ -160,7 +166,7 @@
             connection.close()
 
     def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
-        connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout_s)
+        connection = self._make_connection(timeout_s)
         try:
             connection.connect()
         except OSError as error:
@@ -168,16 +174,18 @@
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
+    def _make_connection(self, timeout_s: float) -> http.client.HTTPConnection:
+        if not self._is_secure:
+            return http.client.HTTPConnection(self._host, self._port, timeout=timeout_s)
+        return http.client.HTTPSConnection(
+            self._host, self._port, timeout=timeout_s, context=self._context
+        )
+
 
 def _is_usable(connection: http.client.HTTPConnection) -> bool:
     """Tell whether an idle connection is open with nothing waiting to be read."""
     if connection.sock is None:
         return False
-    connection.sock.setblocking(False)
-    try:
-        connection.sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
+    poller = select.poll()
+    poller.register(connection.sock, select.POLLIN)
+    return not poller.poll(0)
--- /dev/null
+++ b/hibiscustray/web/problem.py
@@ -0,0 +1,25 @@
+"""Problem bodies (RFC 9457) for requests that never reached a handler."""
+
+from __future__ import annotations
+
+import uuid
+
+import msgspec
+
+PROBLEM_JSON = "application/problem+json"
+SERVER_ERROR = 500
+
+
+def make_problem(status: int, reason: str) -> bytes:
+    """Return a problem body; a failure of the server itself has an unknown outcome."""
+    kind = reason.lower().replace(" ", "-")
+    return msgspec.json.encode(
+        {
+            "type": f"urn:hibiscustray:problem:{kind}",
+            "title": reason,
+            "status": status,
+            "detail": reason,
+            "outcome": "unknown" if status == SERVER_ERROR else "not_run",
+            "request_id": uuid.uuid4().hex,
+        }
+    )
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -5,6 +5,7 @@
 import logging
 import re
 import socket
+import ssl
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -12,12 +13,23 @@
 
 import msgspec
 from waitress import wasyncore
-from waitress.server import create_server
+from waitress.adjustments import Adjustments
+from waitress.channel import HTTPChannel
+from waitress.server import TcpWSGIServer
+from waitress.task import ErrorTask, ThreadedTaskDispatcher
+
+from hibiscustray.web.problem import PROBLEM_JSON, make_problem
+from hibiscustray.web.tls import TlsTerminator
 
 log = logging.getLogger(__name__)
 
 JSON = "application/json"
 LOOP_TIMEOUT_S = 0.5
+IDLE_TIMEOUT_S = 30
+CLEANUP_INTERVAL_S = 5
+CONNECTION_LIMIT = 4096
+MAX_HEADERS_B = 64 * 1024
+MEMORY_ONLY_B = 1 << 40
 REASONS = {
     200: "OK",
     201: "Created",
@@ -29,6 +41,7 @@
     409: "Conflict",
     412: "Precondition Failed",
     413: "Content Too Large",
+    431: "Request Header Fields Too Large",
     422: "Unprocessable Content",
     429: "Too Many Requests",
     500: "Internal Server Error",
@@ -107,29 +120,69 @@
             except Exception as error:
                 return self._on_error(error)
         status = 405 if allowed else 404
-        return Response.json({"title": REASONS[status], "status": status}, status)
+        return Response(status, make_problem(status, REASONS[status]), PROBLEM_JSON)
+
+
+class ProblemTask(ErrorTask):
+    """Answers a request that waitress could not read, or whose handler failed, as a problem."""
+
+    def execute(self) -> None:
+        """Write the answer and close the connection."""
+        status, headers, _ = self.request.error.to_response(None)
+        code, reason = status.split(" ", 1)
+        body = make_problem(int(code), reason)
+        self.status = status
+        self.response_headers.extend(h for h in headers if h[0].lower() != "content-type")
+        self.response_headers.append(("Content-Type", PROBLEM_JSON))
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
+class ProblemChannel(HTTPChannel):
+    """A connection whose error pages are problems."""
+
+    error_task_class = ProblemTask
+
+
+class Listener(TcpWSGIServer):
+    """Accepts connections for waitress, with TLS in front when it is given a terminator."""
+
+    channel_class = ProblemChannel
+    terminator: TlsTerminator | None = None
+
+    def handle_accept(self) -> None:
+        """Accept one connection."""
+        if self.terminator is None:
+            super().handle_accept()
+            return
+        accepted = self.accept()
+        if accepted is not None:
+            self.terminator.serve(*accepted)
+
+    def take(self, connection: socket.socket, address: tuple[str, int]) -> None:
+        """Serve the decrypted end of a connection, from any thread."""
+        self.channel_class(self, connection, address, self.adj, map=self._map)
+        self.pull_trigger()
 
 
 class HttpServer:
     """A waitress server on its own thread, with a pool of worker threads."""
 
     def __init__(
-        self, app, address: str, port: int, threads: int, max_body_b: int = 1 << 30
+        self,
+        app,
+        address: str,
+        port: int,
+        threads: int,
+        max_body_b: int = 1 << 30,
+        context: ssl.SSLContext | None = None,
     ) -> None:
-        self._server = create_server(
-            app,
-            map={},
-            sockets=[_listen(address, port)],
-            threads=threads,
-            channel_request_lookahead=1,
-            max_request_body_size=max_body_b,
-            asyncore_use_poll=True,
-            connection_limit=4096,
-            clear_untrusted_proxy_headers=True,
-            ident=None,
-            expose_tracebacks=False,
-        )
-        self._map = self._server._map
+        self._map: dict[int, Any] = {}
+        self._server = _make_listener(app, _listen(address, port), self._map, threads, max_body_b)
+        if context is not None:
+            self._server.terminator = TlsTerminator(context, self._server.take)
+        self._scheme = "https" if context is not None else "http"
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
         self.address = address
@@ -138,7 +191,7 @@
     @property
     def url(self) -> str:
         """Return the base URL."""
-        return f"http://{self.address}:{self.port}"
+        return f"{self._scheme}://{self.address}:{self.port}"
 
     def start(self) -> None:
         """Begin to serve."""
@@ -150,6 +203,8 @@
         self._server.pull_trigger()
         if self._thread.is_alive():
             self._thread.join()
+        if self._server.terminator is not None:
+            self._server.terminator.close()
         self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=1)
         wasyncore.close_all(self._map)
 
@@ -158,6 +213,41 @@
             wasyncore.loop(timeout=LOOP_TIMEOUT_S, use_poll=True, map=self._map, count=1)
 
 
+def _make_listener(
+    app, listener: socket.socket, sockets: dict[int, Any], threads: int, max_body_b: int
+) -> Listener:
+    """Return a server that keeps bodies in memory, since VMs have no disks to spill them to."""
+    settings = Adjustments(
+        sockets=[listener],
+        threads=threads,
+        channel_request_lookahead=1,
+        channel_timeout=IDLE_TIMEOUT_S,
+        cleanup_interval=CLEANUP_INTERVAL_S,
+        max_request_body_size=max_body_b + 1,
+        max_request_header_size=MAX_HEADERS_B,
+        inbuf_overflow=MEMORY_ONLY_B,
+        outbuf_overflow=MEMORY_ONLY_B,
+        asyncore_use_poll=True,
+        connection_limit=CONNECTION_LIMIT,
+        clear_untrusted_proxy_headers=True,
+        ident=None,
+        expose_tracebacks=False,
+    )
+    dispatcher = ThreadedTaskDispatcher()
+    dispatcher.set_thread_count(threads)
+    information = (listener.family, listener.type, listener.proto, listener.getsockname())
+    return Listener(
+        app,
+        sockets,
+        True,
+        listener,
+        dispatcher=dispatcher,
+        adj=settings,
+        sockinfo=information,
+        bind_socket=False,
+    )
+
+
 def _listen(address: str, port: int) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
