--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -94,6 +94,15 @@
     run_service(settings)
 
 
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of the callers.")
+def callers(settings: Path) -> None:
+    """Send requests until a signal, then count faults; exit 1 if there is any."""
+    from hibiscustray.commands.calling import run_callers
+
+    sys.exit(run_callers(settings))
+
+
 OPERATOR = click.option("--settings", type=FILE, required=True, help="INI file of the operator.")
 ARGUMENTS = click.argument("arguments", nargs=-1)
 
@@ -176,7 +185,7 @@
     sys.exit(publish_file(settings, file, path, chunk_kib, base))
 
 
-KINDS = ("entry", "agent", "operator", "deployment", "platform", "engine", "service")
+KINDS = ("entry", "agent", "operator", "deployment", "platform", "engine", "service", "callers")
 
 
 @cli.command()
--- /dev/null
+++ b/hibiscustray/commands/calling.py
@@ -0,0 +1,75 @@
+"""Callers as a process of their own, judged by the records of engines and services."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from hibiscustray.commands.serving import wait_for_signal
+from hibiscustray.settings import CallersSettings, load_callers, load_team_keys
+from hibiscustray.standins.callers import Callers
+from hibiscustray.standins.engine import EngineRecord
+from hibiscustray.standins.judging import FaultCounts, count_faults
+from hibiscustray.standins.platform import PlatformRecords
+from hibiscustray.web import HttpClient, make_client_context
+
+RECORDS_TIMEOUT_S = 10.0
+LARGE_TEAM_SHARE = 3
+SHOWN_FAILURES = 20
+
+
+@dataclass(frozen=True)
+class CallersReport:
+    """The fault counts, with what was drawn from the origin meanwhile."""
+
+    faults: FaultCounts
+    platform: PlatformRecords
+
+
+def run_callers(path: Path) -> int:
+    """Send requests until a signal; print the counts and return 1 on a fault."""
+    settings = load_callers(path)
+    callers = Callers(
+        settings.entries,
+        _list_keys(settings),
+        settings.model_service,
+        settings.plain_services,
+        settings.seed,
+        settings.think_ms / 1000.0,
+        make_client_context(settings.http_authority),
+    )
+    callers.start(settings.threads)
+    wait_for_signal(settings.longest_s)
+    callers.stop()
+    for result in [r for r in callers.results if r.outcome != "answered"][:SHOWN_FAILURES]:
+        click.echo(f"{result.outcome}: {result.reference} {result.detail}", err=True)
+    report = _read_report(settings, callers)
+    click.echo(msgspec.json.encode(report))
+    return 0 if report.faults.is_right else 1
+
+
+def _list_keys(settings: CallersSettings) -> list[str]:
+    """Return the teams' keys, those of large teams several times."""
+    keys: list[str] = []
+    for team, key in load_team_keys(Path(settings.keys)).items():
+        keys += [key] * (LARGE_TEAM_SHARE if team in settings.large_teams else 1)
+    return keys
+
+
+def _read_report(settings: CallersSettings, callers: Callers) -> CallersReport:
+    records = [record for url in settings.engines for record in _read(url, list[EngineRecord])]
+    runs = [_read(url, dict[str, int]) for url in settings.services]
+    faults = count_faults(callers.results, records, runs)
+    return CallersReport(faults, _read(settings.platform, PlatformRecords))
+
+
+def _read(url: str, kind: Any) -> Any:
+    client = HttpClient(url, RECORDS_TIMEOUT_S)
+    try:
+        return msgspec.json.decode(client.call("GET", "/records").body, type=kind)
+    finally:
+        client.close()
--- a/hibiscustray/commands/checking.py
+++ b/hibiscustray/commands/checking.py
@@ -12,6 +12,7 @@
 from hibiscustray.exceptions import HibiscustrayError, SettingsError
 from hibiscustray.operator import read_deployment_text
 from hibiscustray.settings import (
+    load_callers,
     load_engine_standin,
     load_operator_settings,
     load_platform_standin,
@@ -27,6 +28,7 @@
     "platform": load_platform_standin,
     "engine": load_engine_standin,
     "service": load_service_standin,
+    "callers": load_callers,
 }
 
 
--- a/hibiscustray/commands/demo.py
+++ b/hibiscustray/commands/demo.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-import random
+import hashlib
 import sys
 import tempfile
 import time
@@ -176,10 +176,10 @@
 
 
 def _make_weights(path: Path, seed: int, size: int = DEFAULT_WEIGHTS_MIB * MIB) -> Path:
-    generator = random.Random(seed)
     with path.open("wb") as out:
         for start in range(0, size, MIB):
-            out.write(generator.randbytes(min(MIB, size - start)))
+            block = hashlib.shake_128(f"{seed}/{start}".encode())
+            out.write(block.digest(min(MIB, size - start)))
     return path
 
 
--- a/hibiscustray/commands/serving.py
+++ b/hibiscustray/commands/serving.py
@@ -23,12 +23,12 @@
     _run_until_signal(build_agent(settings), settings)
 
 
-def wait_for_signal() -> None:
-    """Block until SIGTERM or SIGINT."""
+def wait_for_signal(longest_s: float | None = None) -> None:
+    """Block until SIGTERM or SIGINT, or until the longest time has passed."""
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
-    stopping.wait()
+    stopping.wait(longest_s)
 
 
 def _prepare(path: Path, role: str) -> Settings:
--- a/hibiscustray/settings/__init__.py
+++ b/hibiscustray/settings/__init__.py
@@ -14,23 +14,29 @@
 from hibiscustray.settings.operator import OperatorSettings, load_operator_settings
 from hibiscustray.settings.reading import load_settings, parse_settings, read_text
 from hibiscustray.settings.standins import (
+    CallersSettings,
     EngineStandInSettings,
     PlatformStandInFile,
     ServiceStandInSettings,
+    load_callers,
     load_engine_standin,
     load_platform_standin,
     load_service_standin,
+    load_team_keys,
 )
 
 __all__ = [
+    "CallersSettings",
     "EngineStandInSettings",
     "OperatorSettings",
     "PlatformStandInFile",
     "ServiceStandInSettings",
+    "load_callers",
     "load_engine_standin",
     "load_operator_settings",
     "load_platform_standin",
     "load_service_standin",
+    "load_team_keys",
     "read_text",
     "IniFile",
     "LimitSettings",
--- a/hibiscustray/settings/standins.py
+++ b/hibiscustray/settings/standins.py
@@ -5,10 +5,11 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from hibiscustray.settings.ini import IniFile
 from hibiscustray.settings.model import Count, Port, Positive
 from hibiscustray.settings.reading import read_settings_file
 
+FILE_KEYS = ("keys", "http_authority")
+
 
 @dataclass(frozen=True)
 class PlatformStandInSettings:
@@ -67,6 +68,25 @@
     delay_ms: Positive = 5.0
 
 
+@dataclass(frozen=True)
+class CallersSettings:
+    """Where callers send requests, as which teams, and where the records are read afterwards."""
+
+    entries: tuple[str, ...]
+    keys: str
+    model_service: str
+    plain_services: tuple[str, ...]
+    engines: tuple[str, ...]
+    services: tuple[str, ...]
+    platform: str
+    large_teams: tuple[str, ...] = ()
+    threads: Count = 16
+    think_ms: Positive = 100.0
+    longest_s: Positive = 120.0
+    seed: int = 1
+    http_authority: str = ""
+
+
 def load_platform_standin(path: Path) -> PlatformStandInFile:
     """Read ``[standin]``, ``[file PATH]`` and ``[machine NAME]``, or raise `SettingsError`."""
     ini = read_settings_file(path)
@@ -88,18 +108,37 @@
 
 def load_engine_standin(path: Path) -> EngineStandInSettings:
     """Read ``[standin]`` of an engine, or raise `SettingsError`."""
-    settings = _load_single(read_settings_file(path), EngineStandInSettings)
-    authority = settings.http_authority
-    return replace(settings, http_authority=str(path.parent / authority) if authority else "")
+    return _load_single(path, EngineStandInSettings)
 
 
 def load_service_standin(path: Path) -> ServiceStandInSettings:
     """Read ``[standin]`` of a plain service, or raise `SettingsError`."""
-    return _load_single(read_settings_file(path), ServiceStandInSettings)
+    return _load_single(path, ServiceStandInSettings)
+
 
+def load_callers(path: Path) -> CallersSettings:
+    """Read ``[standin]`` of the callers, or raise `SettingsError`."""
+    return _load_single(path, CallersSettings)
 
-def _load_single(ini: IniFile, kind: type):
+
+def load_team_keys(path: Path) -> dict[str, str]:
+    """Read ``[keys]`` with one ``team = key`` line each, or raise `SettingsError`."""
+    ini = read_settings_file(path)
+    ini.reject_unknown_sections({"keys"}, set())
+    if not ini.sections.get("keys"):
+        ini.add_problem("keys", "section", "nothing", "one team = key line for each team")
+    ini.raise_problems()
+    return dict(ini.sections["keys"])
+
+
+def _load_single(path: Path, kind: type):
+    ini = read_settings_file(path)
     ini.reject_unknown_sections({"standin"}, set())
     settings = ini.read("standin", kind)
     ini.raise_problems()
-    return settings
+    files = {
+        name: str(path.parent / getattr(settings, name))
+        for name in FILE_KEYS
+        if getattr(settings, name, "")
+    }
+    return replace(settings, **files)
--- a/hibiscustray/standins/platform.py
+++ b/hibiscustray/standins/platform.py
@@ -30,6 +30,15 @@
     delay_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class PlatformRecords:
+    """What was drawn from the origin and done on the table."""
+
+    origin_bytes: int
+    table_reads: int
+    table_writes: int
+
+
 class PlatformStandIn:
     """Serves the table, the object store and the VM list on one port, the origin on another."""
 
@@ -57,6 +66,7 @@
         router.add("GET", f"/{BUCKET}/{{key+}}", self._serve_get_object)
         router.add("PUT", f"/{BUCKET}/{{key+}}", self._serve_put_object)
         router.add("GET", "/instances", self._serve_machines)
+        router.add("GET", "/records", lambda _: Response.json(self.records))
         origin = Router(_describe_error)
         origin.add("GET", "/{path+}", self._serve_origin)
         self._http = HttpServer(router, address, port, THREADS)
@@ -72,6 +82,11 @@
         """Return the URL of the origin."""
         return self._origin.url
 
+    @property
+    def records(self) -> PlatformRecords:
+        """Return what was drawn and written so far."""
+        return PlatformRecords(self.origin_bytes, self.table_reads, self.table_writes)
+
     def start(self) -> None:
         """Begin to serve."""
         self._http.start()
