Adds the service-level burn report

Cause: operators had counters but could not see error budgets. Entries record each ended request once, write a sample of their counters to the table each minute (VMs keep nothing), and report burn compares the newest counters with those at each window's start. Ruled out: keeping windows in the entry's memory, which dies with the VM, and one object per process with its whole ring, which at 390 entries writes hundreds of kilobytes a minute each. Before: no report. After: its outcomes equal the callers' own records through a real site (tests/reports/test_report_burn.py). Conclusion: kept; samples cost one write a minute an entry.

--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -59,6 +59,22 @@
     """Report on a running system."""
 
 
+@report.command("burn")
+@click.option("--table-url", required=True, help="URL of the platform's table.")
+@click.option("--entry-url", "entry_urls", multiple=True, help="Entry to ask; may be repeated.")
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+@click.option(
+    "--html", "page", type=click.Path(dir_okay=False, path_type=Path), help="Write a page."
+)
+def report_burn(
+    table_url: str, entry_urls: tuple[str, ...], is_json: bool, page: Path | None
+) -> None:
+    """Show error budgets and how fast they burn; exit 10 on a slow, 11 on a fast burn."""
+    from hibiscustray.commands.report_burn import BurnOptions, run_burn_report
+
+    sys.exit(run_burn_report(BurnOptions(table_url, entry_urls, is_json, page)))
+
+
 @cli.group()
 def standin() -> None:
     """Run a stand-in of the platform, an engine or a plain service."""
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -10,12 +10,14 @@
 from hibiscustray.agent.state import ServingState
 from hibiscustray.deployments import Configuration, RevisionStore
 from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
+from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.membership import Exchange, MemberView
 from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply
 from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
+from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import Ledger
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
 from hibiscustray.routing import ReplicaChooser
@@ -67,9 +69,14 @@
         load_teams(settings.security.teams),
         settings.limits,
         core.metrics,
+        ServiceLevelRecorder(core.configuration, core.metrics),
+        ProcessIdentity(view.own.id, view.own.incarnation),
     )
+    sampler = Sampler(SampleStore(core.table), core.metrics, view.own.id, view.own.incarnation)
     router.target = application.router
-    return EntryProcess(application, http, peer_server, exchange, view, core.peers, watchdog)
+    return EntryProcess(
+        application, http, peer_server, exchange, view, core.peers, watchdog, sampler
+    )
 
 
 def build_agent(settings: Settings) -> AgentProcess:
--- a/hibiscustray/deployments/model.py
+++ b/hibiscustray/deployments/model.py
@@ -42,11 +42,15 @@
 
 @dataclass(frozen=True)
 class Team:
-    """A team that calls services, with its share of contended capacity."""
+    """A team that calls services, with its share of contended capacity.
+
+    An availability of zero stands for each service's own objective.
+    """
 
     name: str
     weight: Positive = 1.0
     priority: Annotated[int, Meta(ge=0, le=9)] = 5
+    availability_percent: Percent = 0.0
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 from collections.abc import Iterator
+from dataclasses import dataclass
 from itertools import chain
 
 import msgspec
@@ -17,12 +18,13 @@
 from hibiscustray.exceptions import (
     DeadlineInvalid,
     HibiscustrayError,
-    NotRun,
     RequestMalformed,
     RequestTooLarge,
     ServiceUnknown,
 )
 from hibiscustray.peers import End
+from hibiscustray.reports import ServiceLevelEvent, ServiceLevelRecorder
+from hibiscustray.reports.recorder import ABANDONED, ANSWERED
 from hibiscustray.requests import CallerRequest
 from hibiscustray.settings import LimitSettings
 from hibiscustray.telemetry import Metrics
@@ -38,6 +40,33 @@
 KIB = 1024
 
 
+@dataclass(frozen=True)
+class ProcessIdentity:
+    """Which incarnation of which process answers."""
+
+    process: str
+    incarnation: int
+
+
+@dataclass(frozen=True)
+class Health:
+    """The body of the health answer; `ready` is what the balancer follows."""
+
+    ready: bool
+    process: str
+    incarnation: int
+
+
+@dataclass
+class Progress:
+    """What is known of a request while it is served."""
+
+    started: float
+    team: str = "unknown"
+    service: str = "unknown"
+    first_payload_s: float | None = None
+
+
 class EntryApplication:
     """Reads callers' requests, hands them to the dispatcher and writes answers."""
 
@@ -48,7 +77,11 @@
         credentials: TeamCredentials,
         limits: LimitSettings,
         metrics: Metrics,
+        recorder: ServiceLevelRecorder,
+        identity: ProcessIdentity,
     ) -> None:
+        self._recorder = recorder
+        self._identity = identity
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._credentials = credentials
@@ -74,7 +107,8 @@
 
     def _serve_health(self, request: Request) -> Response:
         is_ready = self._configuration.number > 0 and not self._is_leaving
-        return Response.json({"ready": is_ready}, 200 if is_ready else 503)
+        health = Health(is_ready, self._identity.process, self._identity.incarnation)
+        return Response.json(health, 200 if is_ready else 503)
 
     def _serve_metrics(self, request: Request) -> Response:
         body, content_type = self._metrics.render_text()
@@ -88,25 +122,27 @@
 
     def _serve(self, request: Request, name_service, path: str) -> Response:
         request_id = uuid.uuid4().hex
-        started = time.monotonic()
-        team = "unknown"
+        progress = Progress(time.monotonic())
         self._change_running(1)
         try:
-            team = self._credentials.identify(request.headers.get("authorization", ""))
-            caller, service = self._read_request(request, request_id, team, name_service, path)
+            progress.team = self._credentials.identify(request.headers.get("authorization", ""))
+            caller, service = self._read_request(request, request_id, progress, name_service, path)
             answer = self._dispatcher.run(caller, service)
             first = next(answer)
         except HibiscustrayError as error:
-            self._count(team, describe_problem(error, request_id).outcome, started)
+            self._record_failure(progress, error, request_id)
             return make_problem_response(error, request_id)
-        answer = self._record(chain([first], answer), team, started)
+        progress.first_payload_s = time.monotonic() - progress.started
+        answer = self._record(chain([first], answer), progress, request_id)
         headers = (("Hibiscustray-Request-Id", request_id),)
         if caller.is_stream:
             body = self._stream_events(answer, request, request_id)
             return Response(200, body, EVENT_STREAM, headers)
         return self._collect(answer, request_id, headers)
 
-    def _read_request(self, request: Request, request_id: str, team: str, name_service, path):
+    def _read_request(
+        self, request: Request, request_id: str, progress: Progress, name_service, path: str
+    ) -> tuple[CallerRequest, Service]:
         if len(request.body) > self._limits.body_kib * KIB:
             raise RequestTooLarge(f"the body is over {self._limits.body_kib} KiB")
         body = _decode_body(request.body)
@@ -114,10 +150,11 @@
         service = self._configuration.deployment.find_service(name)
         if service is None:
             raise ServiceUnknown(f"there is no service {name!r}")
-        known_team = self._configuration.deployment.find_team(team)
+        progress.service = service.name
+        known_team = self._configuration.deployment.find_team(progress.team)
         caller = CallerRequest(
             id=request_id,
-            team=team,
+            team=progress.team,
             service=service.name,
             path=path or (CHAT_PATH if service.kind == "model" else "/"),
             body=request.body,
@@ -143,31 +180,40 @@
             raise DeadlineInvalid(f"the deadline must be from 1 to {longest} ms")
         return seconds
 
-    def _record(self, answer: Iterator[bytes | End], team: str, started: float):
-        """Pass an answer on while counting its outcome and first payload."""
-        outcome = "unknown"
+    def _record(self, answer: Iterator[bytes | End], progress: Progress, request_id: str):
+        """Pass an answer on and record how it ended, once."""
         try:
-            first = next(answer)
-            self._metrics.observe("first_payload_seconds", time.monotonic() - started)
-            yield first
             yield from answer
-            outcome = "answered"
-        except NotRun:
-            outcome = "not_run"
+        except HibiscustrayError as error:
+            self._record_failure(progress, error, request_id)
+            raise
+        except GeneratorExit:
+            self._record_end(progress, ABANDONED, "caller-left")
             raise
-        finally:
-            self._count(team, outcome, started)
+        self._record_end(progress, ANSWERED, "")
+
+    def _record_failure(self, progress: Progress, error: Exception, request_id: str) -> None:
+        problem = describe_problem(error, request_id)
+        self._record_end(progress, problem.outcome, problem.type.rsplit(":", 1)[1])
+
+    def _record_end(self, progress: Progress, outcome: str, kind: str) -> None:
+        self._change_running(-1)
+        self._recorder.record(
+            ServiceLevelEvent(
+                progress.service,
+                progress.team,
+                outcome,
+                kind,
+                progress.first_payload_s,
+                time.monotonic() - progress.started,
+            )
+        )
 
     def _change_running(self, change: int) -> None:
         with self._idle:
             self._running += change
             self._idle.notify_all()
 
-    def _count(self, team: str, outcome: str, started: float) -> None:
-        self._change_running(-1)
-        self._metrics.count("requests_total", {"team": team, "outcome": outcome})
-        self._metrics.observe("answer_seconds", time.monotonic() - started)
-
     def _collect(self, answer: Iterator[bytes | End], request_id: str, headers) -> Response:
         parts: list[bytes] = []
         try:
--- a/hibiscustray/entry/process.py
+++ b/hibiscustray/entry/process.py
@@ -9,6 +9,7 @@
 from hibiscustray.membership import Exchange, MemberView
 from hibiscustray.peers import PeerPool, PeerServer
 from hibiscustray.peers.messages import LEAVING, LEFT
+from hibiscustray.reports import Sampler
 from hibiscustray.web import HttpServer
 
 log = logging.getLogger(__name__)
@@ -26,6 +27,7 @@
         view: MemberView,
         peers: PeerPool,
         watchdog: Watchdog,
+        sampler: Sampler,
     ) -> None:
         self.application = application
         self.http = http
@@ -34,6 +36,7 @@
         self._exchange = exchange
         self._peers = peers
         self._watchdog = watchdog
+        self._sampler = sampler
 
     @property
     def url(self) -> str:
@@ -46,6 +49,7 @@
         self._peer_server.start()
         self._exchange.start()
         self.http.start()
+        self._sampler.start()
         log.info("entry started", extra={"url": self.url})
 
     def drain(self, timeout_s: float) -> bool:
@@ -59,6 +63,7 @@
         """End all servers and threads."""
         self.view.update_own(status=LEFT)
         self.http.stop()
+        self._sampler.stop()
         self._exchange.stop()
         self._peer_server.stop()
         self._watchdog.stop()
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -250,5 +250,11 @@
     kind = "deadline-passed-running"
 
 
+class MetricsUnreadable(HibiscustrayError):
+    """A process's metrics could not be read."""
+
+    exit_code = 6
+
+
 class ShareExhausted(HibiscustrayError):
     """A bounded resource has no room left."""
--- /dev/null
+++ b/hibiscustray/reports/samples.py
@@ -0,0 +1,146 @@
+"""Samples of the service-level counters, kept in the table since VMs keep nothing.
+
+Each entry writes its counters once a minute. A minute's row stays while a window can start there:
+every minute for the last hour, every half hour for three days.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+import uuid
+from collections.abc import Callable
+
+import msgspec
+import xxhash
+
+from hibiscustray.exceptions import MetricsUnreadable, PlatformError
+from hibiscustray.platform import Delete, Put, Row, Table
+from hibiscustray.reports.series import Series, parse_exposition
+from hibiscustray.telemetry import Metrics
+
+log = logging.getLogger(__name__)
+
+SLOT_S = 60.0
+FINE_SLOTS = 62
+COARSE_STEP_SLOTS = 30
+COARSE_SLOTS = 3 * 24 * 60 + COARSE_STEP_SLOTS
+LAST_PARTITION = "sample-last"
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """The counters of one incarnation of a process at a time (wall-clock seconds)."""
+
+    process: str
+    incarnation: int
+    at: float
+    series: tuple[Series, ...]
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what tells the source of the counters."""
+        return self.process, self.incarnation
+
+
+class SampleStore:
+    """Writes and reads samples by slot."""
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+
+    def write(self, sample: Sample) -> None:
+        """Keep a sample as the newest and as its slot's, and drop what no window needs."""
+        slot = find_slot(sample.at)
+        body = msgspec.msgpack.encode(sample)
+        source = f"{sample.process}/{sample.incarnation}"
+        writes: list[Put | Delete] = [
+            Put(Row(_partition(slot), source, 1, body)),
+            Put(Row(LAST_PARTITION, source, 1, body)),
+        ]
+        writes += [Delete(_partition(old), source) for old in expired_slots(slot)]
+        self._table.transact(uuid.uuid4().hex, writes)
+
+    def read_last(self) -> list[Sample]:
+        """Return the newest sample of every incarnation."""
+        return self._read(LAST_PARTITION)
+
+    def read_start(self, at: float) -> list[Sample]:
+        """Return the samples with which a window that starts at a time begins.
+
+        A process that could not write in that slot is read from the one after it.
+        """
+        slot, step = find_slot(at), 1
+        if find_slot(time.time()) - slot > FINE_SLOTS - 1:
+            slot, step = slot - slot % COARSE_STEP_SLOTS, COARSE_STEP_SLOTS
+        found = {sample.key: sample for sample in self._read(_partition(slot + step))}
+        found.update({sample.key: sample for sample in self._read(_partition(slot))})
+        return list(found.values())
+
+    def _read(self, partition: str) -> list[Sample]:
+        samples = []
+        for row in self._table.query(partition):
+            try:
+                samples.append(msgspec.msgpack.decode(row.body, type=Sample))
+            except msgspec.DecodeError:
+                log.warning("skipped an unreadable sample", extra={"source": row.sort})
+        return samples
+
+
+class Sampler:
+    """The thread of an entry that writes its samples."""
+
+    def __init__(
+        self, store: SampleStore, metrics: Metrics, process: str, incarnation: int
+    ) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._process = process
+        self._incarnation = incarnation
+        self._offset_s = xxhash.xxh32_intdigest(process.encode()) % int(SLOT_S)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="sampler", daemon=True)
+
+    def start(self) -> None:
+        """Begin to write a sample a minute."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Write a last sample and stop."""
+        self._stopping.set()
+        self._thread.join()
+        self.write()
+
+    def write(self, now: Callable[[], float] = time.time) -> None:
+        """Write one sample; a store that is down is counted and tried at the next minute."""
+        try:
+            body, _ = self._metrics.render_text()
+            series = parse_exposition(body.decode())
+            self._store.write(Sample(self._process, self._incarnation, now(), series))
+        except (PlatformError, MetricsUnreadable) as error:
+            self._metrics.count("samples_failed_total", {"kind": type(error).__name__})
+
+    def _run(self) -> None:
+        while not self._stopping.wait(self._find_delay(time.time())):
+            self.write()
+
+    def _find_delay(self, now: float) -> float:
+        """Return the seconds to this process's own second of the next slot."""
+        return SLOT_S - (now - self._offset_s) % SLOT_S
+
+
+def find_slot(at: float) -> int:
+    """Return the number of the minute that a time lies in."""
+    return int(at // SLOT_S)
+
+
+def expired_slots(slot: int) -> list[int]:
+    """Return the slots that no window can start in once a slot was written."""
+    fine = slot - FINE_SLOTS
+    coarse = slot - COARSE_SLOTS
+    expired = [] if fine % COARSE_STEP_SLOTS == 0 else [fine]
+    return expired + ([coarse] if coarse % COARSE_STEP_SLOTS == 0 else [])
+
+
+def _partition(slot: int) -> str:
+    return f"sample/{slot}"
--- a/hibiscustray/standins/callers.py
+++ b/hibiscustray/standins/callers.py
@@ -38,7 +38,7 @@
         self, urls: list[str], key: str, model_service: str, plain_service: str, seed: int
     ) -> None:
         self.results: list[CallerResult] = []
-        self._clients = [HttpClient(url, 60.0) for url in urls]
+        self.clients = [HttpClient(url, 60.0) for url in urls]
         self._key = key
         self._model_service = model_service
         self._plain_service = plain_service
@@ -107,7 +107,7 @@
         turn = itertools.count(index)
         while not self._stopping.is_set():
             number = next(turn)
-            client = self._clients[number % len(self._clients)]
+            client = self.clients[number % len(self.clients)]
             try:
                 match number % 3:
                     case 0:
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -145,7 +145,9 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop accepting, end the workers and close all connections."""
+        """Stop accepting, end the workers and close all connections; a second call does nothing."""
+        if self._stopping.is_set():
+            return
         self._stopping.set()
         self._server.pull_trigger()
         if self._thread.is_alive():
