Counts a collected answer as answered

Cause: the collector of plain answers returned at the end frame without exhausting the recording generator, so its close was recorded as a caller that left (12 abandoned of 12 answered, seen by tests/reports/test_report_burn.py). Ruled out: a fault in the report's sums; the streams were right. Conclusion: the whole answer is read before it is sent.

--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -215,15 +215,11 @@
             self._idle.notify_all()
 
     def _collect(self, answer: Iterator[bytes | End], request_id: str, headers) -> Response:
-        parts: list[bytes] = []
         try:
-            for item in answer:
-                if isinstance(item, End):
-                    return Response(item.status, b"".join(parts), item.content_type, headers)
-                parts.append(item)
+            *parts, end = answer
         except HibiscustrayError as error:
             return make_problem_response(error, request_id)
-        return make_problem_response(RequestMalformed("no answer"), request_id)
+        return Response(end.status, b"".join(parts), end.content_type, headers)
 
     def _stream_events(self, answer, request: Request, request_id: str) -> Iterator[bytes]:
         try:
