--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -10,6 +10,17 @@
 from hibiscustray import __version__
 from hibiscustray.exceptions import HibiscustrayError
 
+WEIGHTS_FAULTS = (
+    "none",
+    "corrupt",
+    "stall",
+    "die",
+    "churn",
+    "origin_outage",
+    "store_outage",
+    "version_change",
+    "all",
+)
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
@@ -54,6 +65,24 @@
     """Measure one part of the system on this machine."""
 
 
+@bench.command("weights")
+@click.option("--replicas", type=click.IntRange(1), default=14, show_default=True)
+@click.option("--zones", type=click.IntRange(1), default=1, show_default=True)
+@click.option("--regions", type=click.IntRange(1), default=1, show_default=True)
+@click.option("--model-mib", type=click.IntRange(1), default=8, show_default=True)
+@click.option("--objective", type=click.Choice(["time", "origin_bytes"]), default="time")
+@click.option("--faults", type=click.Choice(WEIGHTS_FAULTS), default="none", show_default=True)
+@click.option("--threads", is_flag=True, help="Run all agents in this process (the only way yet).")
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of all choices.")
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="PNG or SVG file.")
+def bench_weights(plot: Path | None, is_json: bool, threads: bool, **shape) -> None:
+    """Bring one version to N replicas behind shaped links and measure it."""
+    from hibiscustray.commands.bench_weights import WeightsOptions, run_bench_weights
+
+    sys.exit(run_bench_weights(WeightsOptions(is_json=is_json, plot=plot, **shape)))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
--- a/hibiscustray/agent/chunks.py
+++ b/hibiscustray/agent/chunks.py
@@ -15,16 +15,22 @@
 )
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import Request, Response, Router
-from hibiscustray.weights import ChunkCache, LinkBudget
+from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry
+from hibiscustray.weights.cache import encode_bitmap
 
 OCTETS = "application/octet-stream"
+MS_PER_S = 1000
+UPLOADS_WAITING = 3
 
 
 class ChunkServer:
-    """Reads from the chunk cache; uploads to peers are paced by the link budget."""
+    """Reads from the chunk cache; uploads to peers take turns on the link, and few may wait."""
 
-    def __init__(self, cache: ChunkCache, uplink: LinkBudget, metrics: Metrics) -> None:
+    def __init__(
+        self, cache: ChunkCache, swarms: SwarmRegistry, uplink: LinkBudget, metrics: Metrics
+    ) -> None:
         self._cache = cache
+        self._swarms = swarms
         self._uplink = uplink
         self._metrics = metrics
 
@@ -34,23 +40,39 @@
         return ManifestReply(manifest.encode() if manifest else b"")
 
     def serve_holdings(self, request: HoldingsRequest, context) -> HoldingsReply:
-        """Return a bitmap of the chunks held."""
-        return HoldingsReply(self._cache.bitmap(request.digest))
+        """Return the chunks held, those being drawn and what is known of others."""
+        swarm = self._swarms.get(request.digest)
+        held = encode_bitmap(self._cache.held(request.digest))
+        if swarm is None:
+            return HoldingsReply(held)
+        swarm.learn(request.have)
+        drawing = encode_bitmap(swarm.find_drawing())
+        queued_ms = int(self._uplink.backlog() * MS_PER_S)
+        return HoldingsReply(held, queued_ms, drawing, swarm.describe())
 
     def serve_chunk(self, request: ChunkRequest, context) -> ChunkReply:
-        """Return a chunk after its turn on the uplink."""
+        """Return a chunk at its turn on the uplink, or say that too many wait."""
+        swarm = self._swarms.get(request.digest)
+        if swarm is not None:
+            swarm.learn(request.have)
+        have = swarm.describe() if swarm is not None else ()
         try:
             data = self._cache.get(request.digest, request.index)
         except ChunkMissing:
-            return ChunkReply(is_held=False)
-        self._uplink.take(len(data))
+            return ChunkReply(is_held=False, have=have)
+        busy_s = self._uplink.backlog()
+        chunk_s = self._uplink.duration(len(data))
+        if busy_s > UPLOADS_WAITING * chunk_s:
+            self._metrics.count("chunk_requests_refused_total")
+            return ChunkReply(is_busy=True, busy_s=busy_s, have=have)
+        self._uplink.wait_for_turn(len(data))
         self._metrics.count("peer_bytes_total", amount=len(data))
-        return ChunkReply(data)
+        return ChunkReply(data, busy_s=self._uplink.backlog(), have=have)
 
     def add_routes(self, router: Router) -> None:
         """Register the engine's routes."""
         router.add("GET", "/weights/{digest}", self._serve_layout)
-        router.add("GET", "/weights/{digest}/{index}", self._serve_engine_chunk)
+        router.add("GET", "/weights/{digest}/{span}", self._serve_engine_chunks)
 
     def _serve_layout(self, request: Request) -> Response:
         digest = request.groups["digest"]
@@ -66,9 +88,11 @@
         }
         return Response(200, msgspec.json.encode(layout))
 
-    def _serve_engine_chunk(self, request: Request) -> Response:
+    def _serve_engine_chunks(self, request: Request) -> Response:
+        digest = request.groups["digest"]
         try:
-            data = self._cache.get(request.groups["digest"], int(request.groups["index"]))
+            first, last = (int(part) for part in request.groups["span"].split("-"))
+            data = b"".join(self._cache.get(digest, i) for i in range(first, last + 1))
         except (ChunkMissing, ValueError):
             return Response.json({"title": "not held"}, 404)
         return Response(200, data, OCTETS)
--- a/hibiscustray/agent/deployer.py
+++ b/hibiscustray/agent/deployer.py
@@ -13,7 +13,13 @@
 from hibiscustray.rollout import Activation
 from hibiscustray.rollout.activation import Target
 from hibiscustray.telemetry import Metrics
-from hibiscustray.weights import ChunkCache, Transfer, TransferEnvironment
+from hibiscustray.weights import (
+    Carriers,
+    ChunkCache,
+    Transfer,
+    TransferEnvironment,
+    TransferOrder,
+)
 
 log = logging.getLogger(__name__)
 
@@ -101,7 +107,7 @@
         if self._state.digest == target.digest:
             return
         if target.digest:
-            self._transfer = Transfer(self._environment, service.name, target.digest)
+            self._transfer = Transfer(self._environment, _order_transfer(service, target.digest))
             self._transfer.run(self._progress)
             self._activate(target)
         self._serve(target.digest)
@@ -133,3 +139,8 @@
             self._state.suspend()
             self._view.update_own(serving="-")
             self._exchange.announce()
+
+
+def _order_transfer(service: Service, digest: str) -> TransferOrder:
+    carriers = Carriers(service.name, service.availability_zones)
+    return TransferOrder(digest, carriers, service.objective)
--- /dev/null
+++ b/hibiscustray/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that run real agents over loopback behind shaped links."""
--- /dev/null
+++ b/hibiscustray/benchmarks/fleet.py
@@ -0,0 +1,191 @@
+"""A fleet of real agents with engine stand-ins behind shaped links, in this process."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from hibiscustray.agent import AgentProcess
+from hibiscustray.composition import build_agent
+from hibiscustray.operator import DeploymentPlan, Model, Operator, ServicePlan
+from hibiscustray.settings import (
+    LinkSettings,
+    MembershipSettings,
+    PlatformSettings,
+    ProcessSettings,
+    Settings,
+    UpstreamSettings,
+)
+from hibiscustray.standins.engine import EngineStandIn
+from hibiscustray.standins.links import LinkShape, ShapedLinks
+from hibiscustray.standins.platform import PlatformStandIn
+
+ADDRESS = "127.0.0.1"
+SERVICE = "guide-llm"
+MIB = 1024 * 1024
+MEGABIT_B = 125_000
+WINDOW_S = 40.0
+ORIGIN_COPIES_A_WINDOW = 4
+VM_COPIES_A_WINDOW = 2
+REGION_COPIES_A_WINDOW = 0.5
+CACHE_COPIES = 3
+ENGINE_THREADS = 2
+AGENT_CONCURRENCY = 8
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.05
+MEMBERSHIP = MembershipSettings(heartbeat_s=1.0, poll_interval_s=0.25)
+
+
+@dataclass(frozen=True)
+class FleetShape:
+    """Sizes of a fleet."""
+
+    replicas: int
+    zones: int
+    regions: int
+    model_mib: int
+    objective: str
+    seed: int
+
+    @property
+    def model_b(self) -> int:
+        """Return the model's size in bytes."""
+        return self.model_mib * MIB
+
+    @property
+    def copy_mbit_s(self) -> float:
+        """Return the rate that carries one copy in a window."""
+        return self.model_b / MEGABIT_B / WINDOW_S
+
+    @property
+    def region_mbit_s(self) -> float:
+        """Return the rate of each region pair, scaled so that it is the narrowest link."""
+        return REGION_COPIES_A_WINDOW * self.copy_mbit_s
+
+    def place(self, index: int) -> tuple[str, str]:
+        """Return the availability zone and region of a replica."""
+        zone = index % self.zones
+        return f"zone-{zone}", f"region-{zone % self.regions}"
+
+
+@dataclass
+class Replica:
+    """An agent with its engine."""
+
+    agent: AgentProcess
+    engine: EngineStandIn
+    is_alive: bool = True
+
+    def is_serving(self, digest: str) -> bool:
+        """Tell whether agent and engine both serve a digest, by the engine's own hash."""
+        return self.agent.state.digest == digest and self.engine.weights.digest == digest
+
+    def kill(self) -> None:
+        """End agent and engine without a word to the others."""
+        self.is_alive = False
+        self.agent.stop()
+        self.engine.stop()
+
+
+class Fleet:
+    """Builds replicas, publishes versions and counts who serves."""
+
+    def __init__(self, shape: FleetShape) -> None:
+        self.shape = shape
+        self._folder = tempfile.TemporaryDirectory(prefix="hibiscustray-bench-")
+        self._random = random.Random(shape.seed)
+        origin_mbit_s = ORIGIN_COPIES_A_WINDOW * shape.copy_mbit_s
+        self.platform = PlatformStandIn(ADDRESS, 0, 0, origin_mbit_s, {})
+        self._vm_mbit_s = VM_COPIES_A_WINDOW * shape.copy_mbit_s
+        self.links = ShapedLinks(LinkShape(self._vm_mbit_s, shape.region_mbit_s), "region-0")
+        self.operator = Operator("bench", self.platform.url, self.platform.url)
+        self.replicas: dict[str, Replica] = {}
+        self.published: list[str] = []
+
+    def start(self) -> None:
+        """Start the platform and all replicas, and wait until they know each other."""
+        self.platform.start()
+        for index in range(self.shape.replicas):
+            self.add_replica(index)
+        self._wait_for(lambda: all(self._knows_all(r) for r in self.alive()))
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for replica in self.alive():
+            replica.kill()
+        self.platform.stop()
+        self._folder.cleanup()
+
+    def add_replica(self, index: int) -> None:
+        """Start a replica with an empty cache, in place of a dead one of that index."""
+        name = f"{SERVICE}-{index}"
+        zone, region = self.shape.place(index)
+        engine = EngineStandIn(ADDRESS, 0, threads=ENGINE_THREADS)
+        wrappers = self.links.add_vm(name, region)
+        agent = build_agent(self._make_settings(name, zone, region, engine.url), wrappers)
+        address = agent.view.own.peer_address
+        self.links.add_address(name, address)
+        self.replicas[name] = Replica(agent, engine)
+        self.platform.add_machine(name, zone, address)
+        engine.start()
+        agent.start()
+
+    def kill_replica(self, index: int) -> None:
+        """Cut a replica off, then end it; the platform's list lags."""
+        name = f"{SERVICE}-{index}"
+        self.replicas[name].is_alive = False
+        self.links.stalled.add(name)
+        self.replicas[name].kill()
+        self.links.stalled.discard(name)
+
+    def alive(self) -> list[Replica]:
+        """Return the replicas that live."""
+        return [replica for replica in self.replicas.values() if replica.is_alive]
+
+    def write_model(self, path: str) -> Path:
+        """Put new random weights at the origin under a path."""
+        file = Path(self._folder.name) / f"weights-{self._random.randrange(1 << 32):08x}"
+        file.write_bytes(self._random.randbytes(self.shape.model_b))
+        self.platform.add_file(path, file)
+        return file
+
+    def publish(self, file: Path, path: str) -> str:
+        """Publish a version and return its digest."""
+        digest = self.operator.publish(file, path)
+        self.published.append(digest)
+        return digest
+
+    def apply(self, digest: str) -> None:
+        """Put a version in force."""
+        version = Model("guide").version(f"guide-{len(self.published)}", digest)
+        service = ServicePlan(
+            SERVICE, version, objective=self.shape.objective, max_unavailable=self.shape.replicas
+        )
+        self.operator.apply(DeploymentPlan(name="bench", versions=(version,), services=(service,)))
+
+    def count_serving(self, digest: str) -> int:
+        """Return how many living replicas serve a digest."""
+        return sum(replica.is_serving(digest) for replica in self.alive())
+
+    def _knows_all(self, replica: Replica) -> bool:
+        return len(replica.agent.view.replicas(SERVICE)) == len(self.alive())
+
+    def _wait_for(self, is_reached: Callable[[], bool]) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not is_reached() and time.monotonic() < deadline:
+            time.sleep(POLL_S)
+
+    def _make_settings(self, name: str, zone: str, region: str, engine_url: str) -> Settings:
+        url = self.platform.url
+        cache_mib = CACHE_COPIES * self.shape.model_mib
+        return Settings(
+            process=ProcessSettings(name, zone, region, ADDRESS),
+            platform=PlatformSettings(url, url, url, self.platform.origin_url, "region-0"),
+            upstream=UpstreamSettings(engine_url, SERVICE, AGENT_CONCURRENCY),
+            links=LinkSettings(self._vm_mbit_s, self._vm_mbit_s, cache_mib),
+            membership=MEMBERSHIP,
+        )
--- /dev/null
+++ b/hibiscustray/benchmarks/weights.py
@@ -0,0 +1,213 @@
+"""The weights benchmark: one version to N replicas, measured against floors and baselines."""
+
+from __future__ import annotations
+
+import resource
+import sys
+import time
+from dataclasses import dataclass
+
+from hibiscustray.benchmarks.baselines import run_origin_baseline, run_tree_baseline
+from hibiscustray.benchmarks.faults import FaultSchedule, Target
+from hibiscustray.benchmarks.fleet import (
+    VM_COPIES_A_WINDOW,
+    WINDOW_S,
+    Fleet,
+    FleetShape,
+)
+from hibiscustray.weights.manifest import choose_chunk_size
+
+PATH = "guide/weights"
+SAMPLE_S = 0.05
+GIB = 1 << 30
+KIB = 1 << 10
+TIMEOUT_WINDOWS = 2.0
+
+
+@dataclass(frozen=True)
+class Sample:
+    """How many replicas served at a time after the version was put in force."""
+
+    seconds: float
+    serving: int
+
+
+@dataclass(frozen=True)
+class WeightsReport:
+    """What one run measured; `-1` where a number of replicas was not reached."""
+
+    replicas: int
+    zones: int
+    regions: int
+    model_mib: int
+    chunks: int
+    objective: str
+    faults: str
+    seed: int
+    window_seconds: float
+    region_mbit_s: float
+    floor_seconds: float
+    floor_regions_seconds: float
+    seconds_to_first: float
+    seconds_to_half: float
+    seconds_to_n: float
+    ratio_to_floor: float
+    ratio_to_window: float
+    origin_copies: float
+    origin_copies_with_overtaken: float
+    cross_region_copies: dict[str, float]
+    baseline_seconds_to_n: dict[str, float]
+    baseline_origin_copies: dict[str, float]
+    baseline_model_share: dict[str, float]
+    agent_cpu_seconds_per_gib: float
+    messages_per_vm_per_second: float
+    cpu_seconds: float
+    peak_rss_mib: float
+    chunks_corrupt: int
+    draw_fallbacks: int
+    repeated_chunks: int
+    refused_requests: int
+    survivors: int
+    mixed_served: int
+    corrupt_served: int
+    unfinished: int
+
+    def is_right(self) -> bool:
+        """Tell whether every surviving replica serves whole and verified weights."""
+        return self.mixed_served == self.corrupt_served == self.unfinished == 0
+
+
+class WeightsRun:
+    """One run over a fleet."""
+
+    def __init__(self, shape: FleetShape, faults: str) -> None:
+        self._shape = shape
+        self._faults = faults
+        self._fleet = Fleet(shape)
+        self._mixed: set[str] = set()
+        self._corrupt: set[str] = set()
+        self.samples: list[Sample] = []
+
+    def measure(self) -> WeightsReport:
+        """Run fleet and baselines and return the report."""
+        self._fleet.start()
+        try:
+            report = self._measure_fleet()
+        finally:
+            self._fleet.stop()
+        return report
+
+    def _measure_fleet(self) -> WeightsReport:
+        fleet = self._fleet
+        digest = fleet.publish(fleet.write_model(PATH), PATH)
+        target = Target(digest, PATH)
+        schedule = FaultSchedule(fleet, self._faults, target, self._shape.seed)
+        cpu, messages, started = time.process_time(), fleet.links.messages, time.monotonic()
+        fleet.apply(digest)
+        schedule.start()
+        self._watch(schedule, target, started)
+        seconds = self.samples[-1].seconds
+        cpu_s = time.process_time() - cpu
+        messages = fleet.links.messages - messages
+        schedule.finish()
+        return self._make_report(target, cpu_s, messages / seconds / self._shape.replicas)
+
+    def _watch(self, schedule: FaultSchedule, target: Target, started: float) -> None:
+        while True:
+            with target.lock:
+                serving = self._fleet.count_serving(target.digest)
+            self.samples.append(Sample(time.monotonic() - started, serving))
+            self._check_engines()
+            if schedule.is_over() and serving == len(self._fleet.alive()):
+                return
+            if self.samples[-1].seconds > TIMEOUT_WINDOWS * WINDOW_S:
+                return
+            time.sleep(SAMPLE_S)
+
+    def _check_engines(self) -> None:
+        for name, replica in list(self._fleet.replicas.items()):
+            loaded = replica.engine.weights.digest
+            served = replica.agent.state.digest
+            if loaded and loaded not in self._fleet.published:
+                self._corrupt.add(name)
+            if served and replica.engine.weights.digest != served == replica.agent.state.digest:
+                self._mixed.add(name)
+
+    def _make_report(self, target: Target, cpu_s: float, messages: float) -> WeightsReport:
+        shape, fleet = self._shape, self._fleet
+        alive = fleet.alive()
+        final = target.digest
+        serving = fleet.count_serving(final)
+        seconds_to_n = self._seconds_to(len(alive))
+        floor_s = WINDOW_S / VM_COPIES_A_WINDOW
+        regions_floor_s = _find_regions_floor(shape)
+        origin_b = fleet.platform.origin_bytes
+        baselines = {
+            "origin": run_origin_baseline(shape, WINDOW_S),
+            "relay_tree": run_tree_baseline(shape, WINDOW_S),
+        }
+        moved_gib = shape.model_b * len(alive) / GIB
+        floor = max(floor_s, regions_floor_s)
+        return WeightsReport(
+            replicas=shape.replicas,
+            zones=shape.zones,
+            regions=shape.regions,
+            model_mib=shape.model_mib,
+            chunks=-(-shape.model_b // choose_chunk_size(shape.model_b)),
+            objective=shape.objective,
+            faults=self._faults,
+            seed=shape.seed,
+            window_seconds=WINDOW_S,
+            region_mbit_s=round(shape.region_mbit_s, 4),
+            floor_seconds=floor_s,
+            floor_regions_seconds=round(regions_floor_s, 3),
+            seconds_to_first=self._seconds_to(1),
+            seconds_to_half=self._seconds_to(-(-len(alive) // 2)),
+            seconds_to_n=seconds_to_n,
+            ratio_to_floor=round(seconds_to_n / floor, 3),
+            ratio_to_window=round(seconds_to_n / WINDOW_S, 3),
+            origin_copies=round((origin_b - target.origin_b_before) / shape.model_b, 3),
+            origin_copies_with_overtaken=round(origin_b / shape.model_b, 3),
+            cross_region_copies=self._count_crossings(),
+            baseline_seconds_to_n={k: round(b.seconds_to_n, 2) for k, b in baselines.items()},
+            baseline_origin_copies={k: round(b.origin_copies, 3) for k, b in baselines.items()},
+            baseline_model_share={k: round(b.model_share, 4) for k, b in baselines.items()},
+            agent_cpu_seconds_per_gib=round(cpu_s / moved_gib, 2),
+            messages_per_vm_per_second=round(messages, 2),
+            cpu_seconds=round(cpu_s, 2),
+            peak_rss_mib=round(_read_peak_rss_mib(), 1),
+            chunks_corrupt=self._sum("chunks_corrupt_total"),
+            draw_fallbacks=self._sum("draw_fallbacks_total"),
+            repeated_chunks=self._sum("chunks_repeated_total"),
+            refused_requests=self._sum("chunk_requests_refused_total"),
+            survivors=len(alive),
+            mixed_served=len(self._mixed),
+            corrupt_served=len(self._corrupt),
+            unfinished=len(alive) - serving,
+        )
+
+    def _seconds_to(self, count: int) -> float:
+        reached = (s.seconds for s in self.samples if s.serving >= count)
+        return round(next(reached, -1.0), 3)
+
+    def _count_crossings(self) -> dict[str, float]:
+        return {
+            f"{sender}>{receiver}": round(size / self._shape.model_b, 4)
+            for (sender, receiver), size in sorted(self._fleet.links.region_bytes.items())
+        }
+
+    def _sum(self, name: str) -> int:
+        return sum(int(r.agent.metrics.total(name)) for r in self._fleet.replicas.values())
+
+
+def _find_regions_floor(shape: FleetShape) -> float:
+    """Return the seconds of one copy over the links into a remote region, all used at once."""
+    if shape.regions < 2:
+        return 0.0
+    copy_s = shape.copy_mbit_s * WINDOW_S / shape.region_mbit_s
+    return copy_s / (shape.regions - 1)
+
+
+def _read_peak_rss_mib() -> float:
+    peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return peak_kib / KIB if sys.platform != "darwin" else peak_kib / KIB / KIB
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
@@ -22,7 +23,7 @@
 from hibiscustray.settings import Settings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import HttpServer, Response, Router
-from hibiscustray.weights import ChunkCache, LinkBudget, TransferEnvironment
+from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry, TransferEnvironment
 
 AGENT_HTTP_THREADS = 4
 ENTRY_PEER_THREADS = 4
@@ -41,6 +42,21 @@
     peers: PeerPool
 
 
+def _keep(part):
+    return part
+
+
+@dataclass(frozen=True)
+class Wrappers:
+    """Functions that stand between an agent and its links, for stand-ins that shape them."""
+
+    peers: Callable[[PeerPool], PeerPool] = _keep
+    origin: Callable[[Origin], Origin] = _keep
+
+
+UNSHAPED = Wrappers()
+
+
 def build_entry(settings: Settings) -> EntryProcess:
     """Wire an entry."""
     core = _build_core(settings)
@@ -72,13 +88,15 @@
     return EntryProcess(application, http, peer_server, exchange, view, core.peers, watchdog)
 
 
-def build_agent(settings: Settings) -> AgentProcess:
+def build_agent(settings: Settings, wrappers: Wrappers = UNSHAPED) -> AgentProcess:
     """Wire an agent."""
     assert settings.upstream is not None
-    core = _build_core(settings)
+    core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    chunks = ChunkServer(cache, LinkBudget(settings.links.up_mbit_s), core.metrics)
     state = ServingState()
+    swarms = SwarmRegistry()
+    uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
+    chunks = ChunkServer(cache, swarms, uplink, core.metrics)
     engine = EngineClient(settings.upstream.url)
     attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
     exchange_slot = _ExchangeSlot(core.configuration)
@@ -114,9 +132,11 @@
         view=view,
         peers=core.peers,
         objects=ObjectStore(settings.platform.object_url, settings.platform.timeout_s),
-        origin=Origin(settings.platform.origin_url),
+        origin=wrappers.origin(Origin(settings.platform.origin_url)),
         cache=cache,
+        swarms=swarms,
         metrics=core.metrics,
+        origin_region=settings.platform.origin_region,
     )
     deployer = Deployer(
         settings.upstream.service,
@@ -165,12 +185,12 @@
         return self.target(environ, start_response)
 
 
-def _build_core(settings: Settings) -> Core:
+def _build_core(settings: Settings, wrappers: Wrappers = UNSHAPED) -> Core:
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
         configuration=Configuration(),
-        peers=PeerPool(),
+        peers=wrappers.peers(PeerPool()),
     )
 
 
--- a/hibiscustray/operator/client.py
+++ b/hibiscustray/operator/client.py
@@ -9,7 +9,6 @@
 from hibiscustray.operator.objects import DeploymentPlan
 from hibiscustray.platform import ObjectStore, Table
 from hibiscustray.weights import build_manifest, publish_weights
-from hibiscustray.weights.manifest import DEFAULT_CHUNK_B
 
 TIMEOUT_S = 5.0
 
@@ -22,9 +21,7 @@
         self._revisions = RevisionStore(Table(table_url, TIMEOUT_S))
         self._objects = ObjectStore(object_url, TIMEOUT_S)
 
-    def publish(
-        self, file: Path, path: str, chunk_size: int = DEFAULT_CHUNK_B, base: str = ""
-    ) -> str:
+    def publish(self, file: Path, path: str, chunk_size: int | None = None, base: str = "") -> str:
         """Hash a weights file that the origin serves and return the version's digest."""
         return publish_weights(self._objects, build_manifest(file, path, chunk_size, base))
 
--- a/hibiscustray/peers/client.py
+++ b/hibiscustray/peers/client.py
@@ -103,13 +103,13 @@
         """Return an encoded manifest, empty if the peer has none."""
         return self._call(MANIFEST.name, ManifestRequest(digest), timeout_s)
 
-    def read_holdings(self, digest: str, timeout_s: float) -> HoldingsReply:
+    def read_holdings(self, request: HoldingsRequest, timeout_s: float) -> HoldingsReply:
         """Return which chunks of a version the peer holds."""
-        return self._call(HOLDINGS.name, HoldingsRequest(digest), timeout_s)
+        return self._call(HOLDINGS.name, request, timeout_s)
 
-    def read_chunk(self, digest: str, index: int, timeout_s: float) -> ChunkReply:
-        """Return a chunk's bytes, unverified."""
-        return self._call(CHUNK.name, ChunkRequest(digest, index), timeout_s)
+    def read_chunk(self, request: ChunkRequest, timeout_s: float) -> ChunkReply:
+        """Return a chunk's bytes, unverified, or why there are none."""
+        return self._call(CHUNK.name, request, timeout_s)
 
     def issue_ticket(self, team: str, service: str, timeout_s: float) -> TicketReply:
         """Return an idempotency key bound to the agent's incarnation."""
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -69,31 +69,48 @@
     body: bytes = b""
 
 
+class HaveSet(Message, frozen=True):
+    """Which chunks of a version the agent at an address holds, as a bitmap."""
+
+    address: str
+    bitmap: bytes
+
+
 class HoldingsRequest(Message, frozen=True):
-    """Asks which chunks of a version the receiver holds."""
+    """Asks which chunks of a version the receiver holds, telling what the sender knows."""
 
     digest: str
+    have: tuple[HaveSet, ...] = ()
 
 
 class HoldingsReply(Message, frozen=True):
-    """A bitmap of the chunks held, most significant bit first, and the sender's upload queue."""
+    """The chunks held and those being drawn, the upload queue (ms), and known have-sets."""
 
     bitmap: bytes = b""
-    queued: int = 0
+    queued_ms: int = 0
+    drawing: bytes = b""
+    have: tuple[HaveSet, ...] = ()
 
 
 class ChunkRequest(Message, frozen=True):
-    """Asks for one chunk of a version."""
+    """Asks for one chunk of a version, telling what the sender knows."""
 
     digest: str
     index: int
+    have: tuple[HaveSet, ...] = ()
 
 
 class ChunkReply(Message, frozen=True):
-    """A chunk's bytes, or nothing when the sender does not hold it."""
+    """A chunk's bytes, or nothing when the sender does not hold it or is busy.
+
+    `busy_s` is the length of the sender's upload queue in seconds.
+    """
 
     data: bytes = b""
     is_held: bool = True
+    is_busy: bool = False
+    busy_s: float = 0.0
+    have: tuple[HaveSet, ...] = ()
 
 
 class TicketRequest(Message, frozen=True):
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -33,6 +33,7 @@
     object_url: str
     machines_url: str
     origin_url: str
+    origin_region: str = ""
     timeout_s: Positive = 2.0
 
 
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -19,6 +19,7 @@
 
 DEFAULT_TOKENS = 16
 THREADS = 64
+CHUNKS_A_READ = 16
 
 
 @dataclass(frozen=True)
@@ -57,6 +58,7 @@
         step_s: float = 0.01,
         max_batch: int = 16,
         checks_fencing: bool = True,
+        threads: int = THREADS,
     ) -> None:
         self.step_s = step_s
         self.records: list[EngineRecord] = []
@@ -77,7 +79,7 @@
         router.add("GET", "/orders/loaded", lambda _: Response.json(self.weights))
         router.add("GET", "/load", self._serve_load)
         router.add("GET", "/records", lambda _: Response.json(self.records))
-        self._http = HttpServer(router, address, port, THREADS)
+        self._http = HttpServer(router, address, port, threads)
 
     @property
     def url(self) -> str:
@@ -184,12 +186,20 @@
     client = HttpClient(url, 60.0)
     layout = msgspec.json.decode(client.call("GET", "").body)
     chunks = []
-    for index in range(layout["count"]):
-        chunks.append(hashlib.sha256(client.call("GET", f"/{index}").body).digest())
+    for first in range(0, layout["count"], CHUNKS_A_READ):
+        last = min(first + CHUNKS_A_READ, layout["count"]) - 1
+        chunks += _hash_chunks(client.call("GET", f"/{first}-{last}").body, layout["chunk_size"])
     client.close()
     return _digest_layout(layout, chunks)
 
 
+def _hash_chunks(data: bytes, chunk_size: int) -> list[bytes]:
+    return [
+        hashlib.sha256(data[start : start + chunk_size]).digest()
+        for start in range(0, len(data), chunk_size)
+    ]
+
+
 def _digest_layout(layout: dict, chunks: list[bytes]) -> str:
     manifest = Manifest(
         layout["path"], layout["size"], layout["chunk_size"], tuple(chunks), layout["base"]
--- a/hibiscustray/telemetry/metrics.py
+++ b/hibiscustray/telemetry/metrics.py
@@ -42,6 +42,12 @@
                 return 0.0
             return collector.values.get(dict(labels or {})) or 0.0
 
+    def total(self, name: str) -> float:
+        """Return the sum of a counter over all its labels."""
+        with self._lock:
+            collector = self._known.get(name)
+            return sum(collector.values.values()) if collector is not None else 0.0
+
     def render_text(self) -> tuple[bytes, str]:
         """Return the exposition text and its content type."""
         with self._lock:
--- a/hibiscustray/weights/__init__.py
+++ b/hibiscustray/weights/__init__.py
@@ -4,14 +4,19 @@
 from hibiscustray.weights.cache import ChunkCache
 from hibiscustray.weights.manifest import Manifest, build_manifest, decode_manifest
 from hibiscustray.weights.publishing import manifest_key, publish_weights
-from hibiscustray.weights.transfer import Transfer, TransferEnvironment
+from hibiscustray.weights.swarm import Carriers, Swarm, SwarmRegistry
+from hibiscustray.weights.transfer import Transfer, TransferEnvironment, TransferOrder
 
 __all__ = [
+    "Carriers",
     "ChunkCache",
     "LinkBudget",
     "Manifest",
+    "Swarm",
+    "SwarmRegistry",
     "Transfer",
     "TransferEnvironment",
+    "TransferOrder",
     "build_manifest",
     "decode_manifest",
     "manifest_key",
--- a/hibiscustray/weights/cache.py
+++ b/hibiscustray/weights/cache.py
@@ -20,6 +20,7 @@
         self._capacity_b = capacity_b
         self._manifests: OrderedDict[str, Manifest] = OrderedDict()
         self._chunks: dict[str, dict[int, bytes]] = {}
+        self._masks: dict[str, int] = {}
         self._pins: dict[str, int] = {}
         self._lock = threading.Lock()
 
@@ -32,6 +33,7 @@
             self._make_room(manifest.size)
             self._manifests[digest] = manifest
             self._chunks[digest] = {}
+            self._masks[digest] = 0
 
     def pin(self, digest: str) -> None:
         """Keep a version from being let go."""
@@ -52,6 +54,7 @@
         with self._lock:
             if digest in self._chunks:
                 self._chunks[digest].setdefault(index, data)
+                self._masks[digest] |= 1 << index
 
     def get(self, digest: str, index: int) -> bytes:
         """Return a chunk; raise `ChunkMissing`."""
@@ -64,25 +67,14 @@
         """Return the manifest of an open version."""
         return self._manifests.get(digest)
 
-    def held(self, digest: str) -> set[int]:
-        """Return the indexes of the chunks held."""
-        with self._lock:
-            return set(self._chunks.get(digest, ()))
-
-    def bitmap(self, digest: str) -> bytes:
-        """Return the chunks held as a bitmap, most significant bit first."""
-        manifest = self.manifest(digest)
-        if manifest is None:
-            return b""
-        bits = bytearray(-(-manifest.count // 8))
-        for index in self.held(digest):
-            bits[index // 8] |= 0x80 >> (index % 8)
-        return bytes(bits)
+    def held(self, digest: str) -> int:
+        """Return the chunks held as a mask, in which bit `i` stands for chunk `i`."""
+        return self._masks.get(digest, 0)
 
     def is_whole(self, digest: str) -> bool:
         """Tell whether all chunks of a version are held."""
         manifest = self.manifest(digest)
-        return manifest is not None and len(self._chunks[digest]) == manifest.count
+        return manifest is not None and self.held(digest) == (1 << manifest.count) - 1
 
     def _make_room(self, needed_b: int) -> None:
         free = self._capacity_b - sum(m.size for m in self._manifests.values())
@@ -92,14 +84,26 @@
             if self._pins.get(digest, 0) <= 0:
                 free += self._manifests.pop(digest).size
                 del self._chunks[digest]
+                del self._masks[digest]
         if free < needed_b:
             raise CacheFull(f"{needed_b} bytes needed, {free} free")
 
 
-def read_bitmap(bitmap: bytes, count: int) -> set[int]:
-    """Return the indexes set in a bitmap, ignoring bits past the count."""
-    return {
-        index
-        for index in range(min(count, len(bitmap) * 8))
-        if bitmap[index // 8] & (0x80 >> (index % 8))
-    }
+def encode_bitmap(mask: int) -> bytes:
+    """Return a mask of chunks as bytes, lowest chunks first."""
+    return mask.to_bytes(-(-mask.bit_length() // 8), "little")
+
+
+def decode_bitmap(bitmap: bytes, count: int) -> int:
+    """Return the mask in a bitmap, ignoring bits past the count."""
+    return int.from_bytes(bitmap, "little") & ((1 << count) - 1)
+
+
+def list_chunks(mask: int) -> list[int]:
+    """Return the indexes of the chunks in a mask, in order."""
+    indexes = []
+    while mask:
+        lowest = mask & -mask
+        indexes.append(lowest.bit_length() - 1)
+        mask ^= lowest
+    return indexes
--- /dev/null
+++ b/hibiscustray/weights/choice.py
@@ -0,0 +1,188 @@
+"""The choice of the next chunk of a transfer and of whom to ask for it."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass
+from typing import Literal
+
+from hibiscustray.membership import MemberView
+from hibiscustray.weights.cache import list_chunks
+from hibiscustray.weights.plan import choose_source, rank_drawer
+from hibiscustray.weights.swarm import Members, Swarm
+
+Objective = Literal["time", "origin_bytes"]
+
+DRAWS_AT_ONCE = 2
+IMPORTS_AT_ONCE = 1
+HEDGE_FACTOR = 2.0
+HEDGE_LEAST_S = 0.5
+
+
+@dataclass(frozen=True)
+class FromOrigin:
+    """Draw a chunk from the origin."""
+
+    index: int
+
+
+@dataclass(frozen=True)
+class FromPeer:
+    """Ask a peer for a chunk; an import crosses a link between regions."""
+
+    index: int
+    address: str
+    is_import: bool = False
+
+
+Job = FromOrigin | FromPeer
+
+
+class ChunkChooser:
+    """Gives out jobs; a chunk is asked for once, and twice when the first is late at the end."""
+
+    def __init__(
+        self, swarm: Swarm, view: MemberView, objective: Objective, origin_region: str
+    ) -> None:
+        self._swarm = swarm
+        self._own = view.own
+        self._objective = objective
+        self._origin_region = origin_region
+        self._all = (1 << swarm.count) - 1
+        self._jobs: dict[Job, float] = {}
+        self._planned_for: Members | None = None
+        self._plan_key: tuple[list[str], set[str]] = ([], set())
+        self._assigned = 0
+        self._second = 0
+        self._extra = 0
+        self._sources: dict[int, str] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def planned(self) -> int:
+        """Return the mask of chunks that this agent brings into its region."""
+        return self._assigned | self._extra
+
+    def add_draw(self, index: int) -> None:
+        """Bring in a chunk in place of a member that did not."""
+        with self._lock:
+            self._extra |= 1 << index
+            self._swarm.planned = self.planned
+
+    def rank(self, index: int, member_id: str) -> int:
+        """Return a member's place among those of this region that may bring in a chunk."""
+        return rank_drawer(self._swarm.digest, index, self._region_ids(), member_id)
+
+    def next(self, held: int, typical_s: float) -> Job | None:
+        """Return a job that no other thread has, or None when there is nothing to ask for."""
+        with self._lock:
+            self._plan()
+            in_flight = self._in_flight()
+            missing = self._all & ~held & ~in_flight
+            job = (
+                self._choose_draw(missing)
+                or self._choose_peer(missing)
+                or self._choose_surplus(missing)
+                or self._choose_hedge(held, typical_s)
+            )
+            if job is not None:
+                self._jobs[job] = time.monotonic()
+            return job
+
+    def finish(self, job: Job) -> None:
+        """Give a job back, done or not."""
+        with self._lock:
+            self._jobs.pop(job, None)
+
+    def _in_flight(self) -> int:
+        mask = 0
+        for job in self._jobs:
+            mask |= 1 << job.index
+        return mask
+
+    def _region_ids(self) -> list[str]:
+        members = self._swarm.members().by_address.values()
+        ids = {m.id for m in members if m.region == self._own.region}
+        return sorted(ids | {self._own.id})
+
+    def _plan(self) -> None:
+        members = self._swarm.members()
+        if members is self._planned_for:
+            return
+        ids, regions = self._region_ids(), {m.region for m in members.by_address.values()}
+        is_same = self._planned_for is not None and self._plan_key == (ids, regions)
+        self._planned_for = members
+        if is_same:
+            return
+        self._plan_key = (ids, regions)
+        self._assigned = self._second = 0
+        for index in range(self._swarm.count):
+            rank = rank_drawer(self._swarm.digest, index, ids, self._own.id)
+            self._assigned |= (rank == 0) << index
+            self._second |= (rank == 1) << index
+            self._sources[index] = choose_source(
+                self._swarm.digest, index, regions, self._origin_region, self._own.region
+            )
+        self._swarm.planned = self.planned
+
+    def _choose_draw(self, missing: int) -> Job | None:
+        available = self._swarm.find_available(self._own.region)
+        wanted = list_chunks(missing & self.planned & ~available)
+        for index in wanted:
+            source = self._sources[index]
+            if not source and self._count(FromOrigin) < DRAWS_AT_ONCE:
+                return FromOrigin(index)
+            if source and self._count_imports() < IMPORTS_AT_ONCE:
+                job = self._choose_import(index, source)
+                if job is not None:
+                    return job
+        return None
+
+    def _choose_import(self, index: int, source: str) -> Job | None:
+        holders = [a for a, mask in self._swarm.find_free(source).items() if mask >> index & 1]
+        if not holders:
+            return None
+        return FromPeer(index, self._swarm.choose(holders), is_import=True)
+
+    def _choose_peer(self, missing: int) -> Job | None:
+        free = self._swarm.find_free(self._own.region)
+        for job in self._jobs:
+            if isinstance(job, FromPeer):
+                free.pop(job.address, None)
+        offered = 0
+        for mask in free.values():
+            offered |= mask
+        if not missing & offered:
+            return None
+        index = self._swarm.choose_rarest(missing & offered)
+        holders = [address for address, mask in free.items() if mask >> index & 1]
+        return FromPeer(index, self._swarm.choose(holders))
+
+    def _choose_surplus(self, missing: int) -> Job | None:
+        """Use what the origin's link has left, once every chunk is somewhere in the region."""
+        if self._objective != "time" or self._count(FromOrigin) > 0:
+            return None
+        available = self._swarm.find_available(self._own.region)
+        if self._all & ~available & ~self._in_flight() & missing:
+            return None
+        wanted = [i for i in list_chunks(missing & self._second) if not self._sources[i]]
+        return FromOrigin(wanted[0]) if wanted else None
+
+    def _choose_hedge(self, held: int, typical_s: float) -> Job | None:
+        now = time.monotonic()
+        age = max(HEDGE_LEAST_S, HEDGE_FACTOR * typical_s)
+        counts: dict[int, int] = {}
+        for job in self._jobs:
+            counts[job.index] = counts.get(job.index, 0) + 1
+        for job, since in self._jobs.items():
+            is_late = now - since > age and counts[job.index] == 1
+            if is_late and not held >> job.index & 1 and isinstance(job, FromPeer):
+                return self._choose_peer(1 << job.index)
+        return None
+
+    def _count(self, kind: type) -> int:
+        return sum(isinstance(job, kind) for job in self._jobs)
+
+    def _count_imports(self) -> int:
+        return sum(isinstance(job, FromPeer) and job.is_import for job in self._jobs)
--- a/hibiscustray/weights/manifest.py
+++ b/hibiscustray/weights/manifest.py
@@ -10,7 +10,9 @@
 
 from hibiscustray.exceptions import ChunkCorrupt, ManifestInvalid
 
-DEFAULT_CHUNK_B = 1024 * 1024
+LEAST_CHUNK_B = 64 * 1024
+MOST_CHUNK_B = 4 * 1024 * 1024
+CHUNKS_WANTED = 256
 DIGEST_B = 32
 
 
@@ -67,10 +69,16 @@
     return manifest
 
 
+def choose_chunk_size(size: int) -> int:
+    """Return a chunk size that gives a file enough chunks to spread, within bounds."""
+    return max(LEAST_CHUNK_B, min(MOST_CHUNK_B, -(-size // CHUNKS_WANTED)))
+
+
 def build_manifest(
-    file: Path, path: str, chunk_size: int = DEFAULT_CHUNK_B, base: str = ""
+    file: Path, path: str, chunk_size: int | None = None, base: str = ""
 ) -> Manifest:
     """Hash a weights file that the origin serves under a path."""
+    chunk_size = chunk_size or choose_chunk_size(file.stat().st_size)
     chunks = tuple(hashlib.sha256(data).digest() for data in _read_chunks(file, chunk_size))
     return Manifest(path, file.stat().st_size, chunk_size, chunks, base)
 
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -1,4 +1,4 @@
-"""Fetching of one version: which chunk is drawn from the origin, which from whom."""
+"""Fetching of one version: threads that ask for chunks, and one that watches the peers."""
 
 from __future__ import annotations
 
@@ -10,34 +10,46 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-import xxhash
-
 from hibiscustray.exceptions import (
     ChunkCorrupt,
+    ChunkMissing,
     ObjectMissing,
     OriginUnavailable,
     PeerError,
-    StoreUnavailable,
     TransferOvertaken,
-    WeightsError,
 )
 from hibiscustray.membership import MemberView
-from hibiscustray.peers import PeerPool
+from hibiscustray.peers import ChunkReply, ChunkRequest, HoldingsReply, HoldingsRequest, PeerPool
 from hibiscustray.platform import ObjectStore, Origin
 from hibiscustray.telemetry import Metrics
-from hibiscustray.weights.cache import ChunkCache, read_bitmap
-from hibiscustray.weights.manifest import Manifest, decode_manifest
-from hibiscustray.weights.publishing import manifest_key
+from hibiscustray.weights.cache import ChunkCache, decode_bitmap, list_chunks
+from hibiscustray.weights.choice import ChunkChooser, FromOrigin, FromPeer, Job, Objective
+from hibiscustray.weights.lookup import ManifestLookup
+from hibiscustray.weights.manifest import Manifest
+from hibiscustray.weights.swarm import Carriers, Swarm, SwarmRegistry
 
 log = logging.getLogger(__name__)
 
 WORKERS = 6
-HOLDINGS_INTERVAL_S = 0.2
-HOLDINGS_PEERS = 8
+IDLE_WAIT_S = 0.1
+CALL_TIMEOUT_S = 1.0
+CHUNK_TIMEOUT_LEAST_S = 3.0
+CHUNK_TIMEOUT_MOST_S = 30.0
+CHUNK_TIMEOUT_FIRST_S = 10.0
+CHUNK_TIMEOUT_FACTOR = 5.0
+TYPICAL_WEIGHT = 0.2
+STALL_PAUSE_S = 5.0
+BUSY_PAUSE_LEAST_S = 0.02
+MANIFEST_RETRY_S = 0.2
+ORIGIN_RETRY_S = 0.5
+ORIGIN_CORRUPT_RETRY_S = 5.0
+START_PEERS = 3
+ANNOUNCE_PEERS = 3
+WATCH_INTERVAL_S = 1.0
+WATCH_START_INTERVAL_S = 0.25
+WATCH_START_SHARE = 0.1
 FALLBACK_STEP_S = 4.0
-IDLE_WAIT_S = 0.05
-CHUNK_TIMEOUT_S = 30.0
-CALL_TIMEOUT_S = 2.0
+FALLBACK_CHUNKS = 8
 
 
 @dataclass(frozen=True)
@@ -49,24 +61,28 @@
     objects: ObjectStore
     origin: Origin
     cache: ChunkCache
+    swarms: SwarmRegistry
     metrics: Metrics
+    origin_region: str = ""
+
+
+@dataclass(frozen=True)
+class TransferOrder:
+    """Which version to fetch, with whom, and what to spare."""
+
+    digest: str
+    carriers: Carriers
+    objective: Objective = "time"
 
 
 class Transfer:
     """Brings one version into the cache, whole and verified."""
 
-    def __init__(
-        self, environment: TransferEnvironment, service: str, digest: str, seed: str = ""
-    ) -> None:
+    def __init__(self, environment: TransferEnvironment, order: TransferOrder) -> None:
         self._env = environment
-        self._service = service
-        self.digest = digest
-        self._random = random.Random(seed or environment.view.own.id)
-        self._lock = threading.Lock()
-        self._holders: dict[int, set[str]] = {}
-        self._in_flight: set[int] = set()
-        self._distrusted: set[str] = set()
-        self._started_at = time.monotonic()
+        self._order = order
+        self.digest = order.digest
+        self._random = random.Random(f"{environment.view.own.id}/{order.digest}")
         self._stopping = threading.Event()
 
     def cancel(self) -> None:
@@ -75,142 +91,254 @@
 
     def run(self, on_progress: Callable[[int, int], None] | None = None) -> Manifest:
         """Fetch until whole; raise `TransferOvertaken`, `CacheFull` or `ManifestInvalid`."""
-        manifest = self._fetch_manifest()
+        manifest = self._find_manifest()
         self._env.cache.open(self.digest, manifest)
-        self._started_at = time.monotonic()
-        with ThreadPoolExecutor(WORKERS + 1, thread_name_prefix="transfer") as pool:
-            watching = pool.submit(self._watch_holdings, manifest)
-            workers = [pool.submit(self._work, manifest, on_progress) for _ in range(WORKERS)]
-            for worker in workers:
-                worker.result()
-            watching.result()
+        swarm = self._env.swarms.add(self._make_swarm(manifest))
+        chooser = ChunkChooser(
+            swarm, self._env.view, self._order.objective, self._env.origin_region
+        )
+        run = _Run(self, self._env, manifest, swarm, chooser, on_progress)
+        if not run.is_done():
+            run.carry_out()
         if not self._env.cache.is_whole(self.digest):
             raise TransferOvertaken(self.digest[:12])
         return manifest
 
-    def _fetch_manifest(self) -> Manifest:
-        known = self._env.cache.manifest(self.digest)
-        while known is None:
-            if self._stopping.is_set():
-                raise TransferOvertaken(self.digest[:12])
-            try:
-                body = self._env.objects.get(manifest_key(self.digest))
-                return decode_manifest(body, self.digest)
-            except (StoreUnavailable, ObjectMissing):
-                known = self._fetch_manifest_from_peer()
-            if known is None:
-                self._stopping.wait(HOLDINGS_INTERVAL_S)
-        return known
-
-    def _fetch_manifest_from_peer(self) -> Manifest | None:
-        for peer in self._choose_peers():
+    @property
+    def is_cancelled(self) -> bool:
+        """Tell whether the transfer was cancelled."""
+        return self._stopping.is_set()
+
+    def wait(self, seconds: float) -> None:
+        """Wait, but not longer than until the transfer is cancelled."""
+        self._stopping.wait(seconds)
+
+    def _find_manifest(self) -> Manifest:
+        lookup = ManifestLookup(self._env.cache, self._env.objects, self._env.peers)
+        while not self._stopping.is_set():
+            found = lookup.find(self.digest, self._sample_carriers())
+            if found is not None:
+                return found
+            self._stopping.wait(MANIFEST_RETRY_S)
+        raise TransferOvertaken(self.digest[:12])
+
+    def _sample_carriers(self) -> list[str]:
+        own = self._env.view.own.id
+        others = [m for m in self._order.carriers.find(self._env.view) if m.id != own]
+        chosen = self._random.sample(others, min(START_PEERS, len(others)))
+        return [member.peer_address for member in chosen]
+
+    def _make_swarm(self, manifest: Manifest) -> Swarm:
+        cache, digest = self._env.cache, self.digest
+        return Swarm(
+            self._env.view,
+            self._order.carriers,
+            digest,
+            lambda: cache.held(digest),
+            manifest.count,
+        )
+
+
+class _Run:
+    """The threads of one transfer and what they share."""
+
+    def __init__(
+        self,
+        transfer: Transfer,
+        environment: TransferEnvironment,
+        manifest: Manifest,
+        swarm: Swarm,
+        chooser: ChunkChooser,
+        on_progress: Callable[[int, int], None] | None,
+    ) -> None:
+        self._transfer = transfer
+        self._env = environment
+        self._digest = transfer.digest
+        self._manifest = manifest
+        self._swarm = swarm
+        self._chooser = chooser
+        self._on_progress = on_progress
+        self._typical_s = {False: 0.0, True: 0.0}
+        self._origin_paused_until = 0.0
+        self._known = 0
+        self._known_at = time.monotonic()
+
+    def carry_out(self) -> None:
+        """Run all threads until the version is whole or the transfer is cancelled."""
+        for address in self._swarm.sample_peers(START_PEERS):
+            self._ask_holdings(address)
+        with ThreadPoolExecutor(WORKERS + 1, thread_name_prefix="transfer") as pool:
+            threads = [pool.submit(self._watch)]
+            threads += [pool.submit(self._work) for _ in range(WORKERS)]
             try:
-                reply = self._env.peers.get(peer).read_manifest(self.digest, CALL_TIMEOUT_S)
-                if reply.body:
-                    return decode_manifest(reply.body, self.digest)
-            except (PeerError, WeightsError):
-                continue
-        return None
-
-    def _is_done(self) -> bool:
-        return self._stopping.is_set() or self._env.cache.is_whole(self.digest)
-
-    def _watch_holdings(self, manifest: Manifest) -> None:
-        while not self._is_done():
-            for peer in self._choose_peers():
-                try:
-                    reply = self._env.peers.get(peer).read_holdings(self.digest, CALL_TIMEOUT_S)
-                except PeerError:
-                    self._forget_holder(peer)
-                    continue
-                with self._lock:
-                    for index in read_bitmap(reply.bitmap, manifest.count):
-                        self._holders.setdefault(index, set()).add(peer)
-            self._stopping.wait(HOLDINGS_INTERVAL_S)
-
-    def _work(self, manifest: Manifest, on_progress) -> None:
-        while not self._is_done():
-            choice = self._choose_chunk(manifest)
-            if choice is None:
-                time.sleep(IDLE_WAIT_S)
+                for thread in threads:
+                    thread.result()
+            except BaseException:
+                self._transfer.cancel()
+                raise
+
+    def is_done(self) -> bool:
+        """Tell whether there is nothing left to do."""
+        return self._transfer.is_cancelled or self._env.cache.is_whole(self._digest)
+
+    def _held(self) -> int:
+        return self._env.cache.held(self._digest)
+
+    def _work(self) -> None:
+        while not self.is_done():
+            job = self._chooser.next(self._held(), self._typical_s[False])
+            if job is None:
+                with self._swarm.changed:
+                    self._swarm.changed.wait(IDLE_WAIT_S)
                 continue
-            index, peer = choice
             try:
-                self._fetch_chunk(manifest, index, peer)
+                self._carry_out_job(job)
             finally:
-                with self._lock:
-                    self._in_flight.discard(index)
-            if on_progress is not None:
-                on_progress(len(self._env.cache.held(self.digest)), manifest.count)
-
-    def _choose_chunk(self, manifest: Manifest) -> tuple[int, str] | None:
-        held = self._env.cache.held(self.digest)
-        with self._lock:
-            missing = [i for i in range(manifest.count) if i not in held | self._in_flight]
-            self._random.shuffle(missing)
-            choice = self._choose_from_origin(missing) or self._choose_from_peers(missing)
-            if choice is not None:
-                self._in_flight.add(choice[0])
-            return choice
-
-    def _choose_from_origin(self, missing: list[int]) -> tuple[int, str] | None:
-        ids = sorted(m.id for m in self._env.view.replicas(self._service))
-        allowed_rank = int((time.monotonic() - self._started_at) / FALLBACK_STEP_S)
-        for index in missing:
-            if self._holders.get(index, set()) - self._distrusted:
-                continue
-            if rank_drawer(self.digest, index, ids, self._env.view.own.id) <= allowed_rank:
-                return index, ""
-        return None
-
-    def _choose_from_peers(self, missing: list[int]) -> tuple[int, str] | None:
-        rated = [(len(self._holders[i]), i) for i in missing if self._holders.get(i)]
-        for _, index in sorted(rated, key=lambda pair: pair[0]):
-            peers = sorted(self._holders[index] - self._distrusted)
-            if peers:
-                return index, self._random.choice(peers)
-        return None
-
-    def _fetch_chunk(self, manifest: Manifest, index: int, peer: str) -> None:
-        start, length = manifest.span(index)
+                self._chooser.finish(job)
+
+    def _carry_out_job(self, job: Job) -> None:
         try:
-            if peer:
-                reply = self._env.peers.get(peer).read_chunk(self.digest, index, CHUNK_TIMEOUT_S)
-                if not reply.is_held:
-                    self._forget_holder(peer)
-                    return
-                data, sender = reply.data, peer
-            else:
-                data, sender = self._env.origin.read_range(manifest.path, start, length), "origin"
-                self._env.metrics.count("origin_bytes_total", amount=len(data))
-            self._env.cache.put(self.digest, index, data, sender)
+            match job:
+                case FromOrigin(index):
+                    self._draw(index)
+                case FromPeer(index, address, is_import):
+                    self._ask_chunk(index, address, is_import)
         except ChunkCorrupt as error:
-            self._env.metrics.count("chunks_corrupt_total", {"sender": error.sender})
-            with self._lock:
-                self._distrusted.add(error.sender)
-        except PeerError:
-            self._forget_holder(peer)
+            self._blame(error)
+        except ChunkMissing:
+            self._transfer.cancel()
+        if self._on_progress is not None:
+            self._on_progress(self._held().bit_count(), self._manifest.count)
+
+    def _draw(self, index: int) -> None:
+        start, length = self._manifest.span(index)
+        self._transfer.wait(max(0.0, self._origin_paused_until - time.monotonic()))
+        if self.is_done():
+            return
+        self._swarm.begin_draw(index)
+        try:
+            data = self._env.origin.read_range(self._manifest.path, start, length)
         except (OriginUnavailable, ObjectMissing):
             self._env.metrics.count("origin_unavailable_total")
-            self._stopping.wait(HOLDINGS_INTERVAL_S)
+            self._transfer.wait(ORIGIN_RETRY_S * self._random_share())
+            return
+        finally:
+            self._swarm.end_draw(index)
+        self._env.metrics.count("origin_bytes_total", amount=len(data))
+        self._env.cache.put(self._digest, index, data, "origin")
+        self._announce()
+
+    def _ask_chunk(self, index: int, address: str, is_import: bool) -> None:
+        started = time.monotonic()
+        request = ChunkRequest(self._digest, index, self._swarm.describe())
+        if is_import:
+            self._swarm.begin_draw(index)
+        try:
+            reply = self._env.peers.get(address).read_chunk(request, self._timeout(is_import))
+        except PeerError:
+            self._env.metrics.count("chunk_requests_failed_total")
+            self._swarm.pause(address, STALL_PAUSE_S)
+            return
+        finally:
+            if is_import:
+                self._swarm.end_draw(index)
+        self._swarm.learn(reply.have)
+        if reply.data:
+            self._keep(index, address, is_import, reply, started)
+        elif reply.is_busy:
+            self._swarm.pause(address, BUSY_PAUSE_LEAST_S + reply.busy_s * self._random_share())
+        else:
+            self._swarm.replace(address, reply.have[0].bitmap if reply.have else b"")
 
-    def _forget_holder(self, peer: str) -> None:
-        with self._lock:
-            for holders in self._holders.values():
-                holders.discard(peer)
+    def _keep(
+        self, index: int, address: str, is_import: bool, reply: ChunkReply, started: float
+    ) -> None:
+        is_repeat = self._held() >> index & 1
+        self._env.cache.put(self._digest, index, reply.data, address)
+        if is_repeat:
+            self._env.metrics.count("chunks_repeated_total")
+        taken = time.monotonic() - started
+        typical = self._typical_s[is_import] or taken
+        self._typical_s[is_import] = typical + TYPICAL_WEIGHT * (taken - typical)
+        if is_import:
+            self._env.metrics.count("import_bytes_total", amount=len(reply.data))
+            self._announce()
 
-    def _choose_peers(self) -> list[str]:
-        own = self._env.view.own.id
-        replicas = [m for m in self._env.view.replicas(self._service) if m.id != own]
-        self._random.shuffle(replicas)
-        return [m.peer_address for m in replicas[:HOLDINGS_PEERS]]
+    def _timeout(self, is_import: bool) -> float:
+        typical = self._typical_s[is_import]
+        if not typical:
+            return CHUNK_TIMEOUT_FIRST_S
+        wanted = CHUNK_TIMEOUT_FACTOR * typical
+        return min(CHUNK_TIMEOUT_MOST_S, max(CHUNK_TIMEOUT_LEAST_S, wanted))
 
+    def _blame(self, error: ChunkCorrupt) -> None:
+        self._env.metrics.count("chunks_corrupt_total", {"sender": error.sender})
+        log.warning("chunk rejected", extra={"chunk": error.index, "sender": error.sender})
+        if error.sender == "origin":
+            self._origin_paused_until = time.monotonic() + ORIGIN_CORRUPT_RETRY_S
+        else:
+            self._swarm.distrust(error.sender)
 
-def rank_drawer(digest: str, index: int, ids: list[str], own: str) -> int:
-    """Return this member's place among those that may draw a chunk from the origin, 0 first."""
-    own_score = _score(digest, index, own)
-    return sum(1 for other in ids if _score(digest, index, other) > own_score)
+    def _announce(self) -> None:
+        """Tell a few peers of a chunk that is new in the region."""
+        for address in self._swarm.sample_peers(ANNOUNCE_PEERS):
+            self._ask_holdings(address)
+
+    def _ask_holdings(self, address: str) -> HoldingsReply | None:
+        request = HoldingsRequest(self._digest, self._swarm.describe())
+        try:
+            reply = self._env.peers.get(address).read_holdings(request, CALL_TIMEOUT_S)
+        except PeerError:
+            self._swarm.pause(address)
+            return None
+        self._swarm.learn(reply.have)
+        self._swarm.replace(address, reply.bitmap)
+        return reply
 
+    def _watch(self) -> None:
+        while not self.is_done():
+            for address in self._swarm.sample_peers(1):
+                self._ask_holdings(address)
+            self._replace_drawers()
+            is_start = self._held().bit_count() < WATCH_START_SHARE * self._manifest.count
+            interval = WATCH_START_INTERVAL_S if is_start else WATCH_INTERVAL_S
+            self._transfer.wait(interval * self._random_share())
+
+    def _replace_drawers(self) -> None:
+        """Bring in chunks whose drawers do not, once nothing new has turned up for a while."""
+        region = self._env.view.own.region
+        known = self._swarm.find_available(region) | self._held()
+        if known & ~self._known:
+            self._known_at = time.monotonic()
+        self._known = known
+        quiet_s = time.monotonic() - self._known_at
+        lacking = ((1 << self._manifest.count) - 1) & ~known & ~self._chooser.planned
+        if quiet_s < FALLBACK_STEP_S or not lacking:
+            return
+        allowed_rank = int(quiet_s / FALLBACK_STEP_S)
+        own = self._env.view.own.id
+        replies: dict[str, HoldingsReply | None] = {}
+        for index in list_chunks(lacking):
+            if len(replies) < FALLBACK_CHUNKS and self._chooser.rank(index, own) <= allowed_rank:
+                self._replace_drawer(index, replies)
+
+    def _replace_drawer(self, index: int, replies: dict[str, HoldingsReply | None]) -> None:
+        own_rank = self._chooser.rank(index, self._env.view.own.id)
+        region = self._env.view.own.region
+        for address, member in self._swarm.members().by_address.items():
+            if member.region != region or self._chooser.rank(index, member.id) >= own_rank:
+                continue
+            if address not in replies:
+                replies[address] = self._ask_holdings(address)
+            reply = replies[address]
+            if reply is None:
+                continue
+            brought = decode_bitmap(reply.bitmap, self._manifest.count)
+            if (brought | decode_bitmap(reply.drawing, self._manifest.count)) >> index & 1:
+                return
+        self._env.metrics.count("draw_fallbacks_total")
+        self._chooser.add_draw(index)
 
-def _score(digest: str, index: int, member: str) -> int:
-    return xxhash.xxh64_intdigest(f"{digest}/{index}/{member}".encode())
+    @staticmethod
+    def _random_share() -> float:
+        return random.uniform(0.5, 1.0)
--- a/tests/weights/test_cache.py
+++ b/tests/weights/test_cache.py
@@ -10,7 +10,7 @@
 
 from hibiscustray.exceptions import CacheFull, ChunkCorrupt, ChunkMissing
 from hibiscustray.weights import ChunkCache, Manifest
-from hibiscustray.weights.cache import read_bitmap
+from hibiscustray.weights.cache import decode_bitmap, encode_bitmap, list_chunks
 
 CHUNK_B = 4
 
@@ -33,7 +33,8 @@
         cache.put("d", index, data[start : start + length], "peer")
     assert cache.is_whole("d")
     assert b"".join(cache.get("d", i) for i in range(manifest.count)) == data
-    assert read_bitmap(cache.bitmap("d"), manifest.count) == set(range(manifest.count))
+    held = decode_bitmap(encode_bitmap(cache.held("d")), manifest.count)
+    assert list_chunks(held) == list(range(manifest.count))
 
 
 def test_a_corrupt_chunk_is_not_kept():
@@ -43,7 +44,7 @@
     with pytest.raises(ChunkCorrupt) as caught:
         cache.put("d", 1, b"567x", "peer-9")
     assert caught.value.sender == "peer-9"
-    assert cache.held("d") == set()
+    assert list_chunks(cache.held("d")) == []
 
 
 def test_room_is_made_from_versions_that_are_not_pinned():
