Settles the fate of a change whose answer was lost

Cause: after a lost answer the store read the history once and reported 'not accepted' when it found nothing, although the write could land later. Each change now also writes change/<id>, expected absent, in its transaction; the resolver reads that row and, finding none, writes 'withdrawn' there under the same condition, so exactly one of the two can ever commit. A conflict names the revision in the way, also for an expectation beyond the head. Ruled out: waiting longer before reading (no bound on a late write), and moving the head as a barrier (spends a revision number and races others). Also: queries follow pages, unreadable rows and lists raise RecordInvalid, and the platform's stand-in can lose, delay and stale-read.

--- a/hibiscustray/deployments/revisions.py
+++ b/hibiscustray/deployments/revisions.py
@@ -5,6 +5,8 @@
 import hashlib
 import logging
 import time
+import uuid
+from typing import Literal
 
 import msgspec
 from tenacity import Retrying, retry_if_exception_type, stop_after_delay, wait_random_exponential
@@ -12,6 +14,7 @@
 from hibiscustray.exceptions import (
     NoConfiguration,
     PreconditionFailed,
+    RecordInvalid,
     RevisionConflict,
     StoreAnswerLost,
     StoreUnavailable,
@@ -22,8 +25,10 @@
 
 HEAD_PARTITION = "head"
 HISTORY_PARTITION = "revision"
+CHANGE_PARTITION = "change"
 HEAD_SORT = "head"
-READ_BACK_LIMIT_S = 30.0
+CHANGE_VERSION = 1
+RESOLVE_LIMIT_S = 30.0
 
 
 class Revision(msgspec.Struct, frozen=True):
@@ -42,66 +47,107 @@
         return hashlib.sha256(source.encode()).hexdigest()
 
 
+class ChangeFate(msgspec.Struct, frozen=True):
+    """How a change ended; the row that holds it is written once and never changed."""
+
+    outcome: Literal["accepted", "withdrawn"]
+
+
 class RevisionStore:
     """Accepts revisions and reads them back; accepted means committed in the table."""
 
-    def __init__(self, table: Table) -> None:
+    def __init__(self, table: Table, resolve_limit_s: float = RESOLVE_LIMIT_S) -> None:
         self._table = table
+        self._resolve_limit_s = resolve_limit_s
 
     def read_head(self) -> Revision | None:
         """Return the newest accepted revision; raise `StoreUnavailable`."""
         row = self._table.get(HEAD_PARTITION, HEAD_SORT)
-        return msgspec.msgpack.decode(row.body, type=Revision) if row else None
+        return decode_revision(row.body) if row else None
 
     def read(self, number: int) -> Revision:
         """Return one accepted revision; raise `NoConfiguration` if there is none."""
         row = self._table.get(HISTORY_PARTITION, _history_sort(number))
         if row is None:
             raise NoConfiguration(f"there is no revision {number}")
-        return msgspec.msgpack.decode(row.body, type=Revision)
+        return decode_revision(row.body)
 
     def read_history(self) -> list[Revision]:
         """Return all accepted revisions, oldest first."""
-        rows = self._table.query(HISTORY_PARTITION)
-        return [msgspec.msgpack.decode(row.body, type=Revision) for row in rows]
+        return [decode_revision(row.body) for row in self._table.query(HISTORY_PARTITION)]
 
     def accept(self, text: str, operator: str, expected: int, change_id: str) -> Revision:
         """Replace the configuration if the head is still the expected revision.
 
         Raises `RevisionConflict` when another change came first, `StoreUnavailable` when this
-        one took no effect, `StoreAnswerLost` when that could not be found out in time.
+        one took no effect and never will, `StoreAnswerLost` when its fate could not be settled.
         """
         revision = Revision(expected + 1, text, operator, change_id, time.time())
         body = msgspec.msgpack.encode(revision)
         head = Row(HEAD_PARTITION, HEAD_SORT, revision.number, body)
         past = Row(HISTORY_PARTITION, _history_sort(revision.number), revision.number, body)
+        fate = _make_fate_row(change_id, ChangeFate("accepted"))
         try:
-            self._table.transact(change_id, [Put(head, expected), Put(past, 0)])
-        except (StoreAnswerLost, PreconditionFailed):
-            return self._resolve(revision)
+            self._table.transact(change_id, [Put(head, expected), Put(past, 0), Put(fate, 0)])
+        except (StoreAnswerLost, PreconditionFailed) as error:
+            return self._resolve(revision, error)
         return revision
 
-    def _resolve(self, revision: Revision) -> Revision:
-        """Find out by reading whether a change took effect."""
-        winner = self._read_back(revision.number)
-        if winner is None:
-            raise StoreUnavailable(f"revision {revision.number} was not accepted")
-        if winner.change_id != revision.change_id:
-            raise RevisionConflict(winner.number, winner.operator)
-        return winner
-
-    def _read_back(self, number: int) -> Revision | None:
+    def _resolve(self, revision: Revision, cause: Exception) -> Revision:
+        """Make a change's fate certain, then report it."""
         retrying = Retrying(
-            retry=retry_if_exception_type(StoreUnavailable),
+            retry=retry_if_exception_type((StoreUnavailable, StoreAnswerLost, PreconditionFailed)),
             wait=wait_random_exponential(multiplier=0.1, max=2.0),
-            stop=stop_after_delay(READ_BACK_LIMIT_S),
+            stop=stop_after_delay(self._resolve_limit_s),
             reraise=True,
         )
         try:
-            row = retrying(self._table.get, HISTORY_PARTITION, _history_sort(number))
-        except StoreUnavailable as error:
-            raise StoreAnswerLost(f"revision {number} may have been accepted: {error}") from error
-        return msgspec.msgpack.decode(row.body, type=Revision) if row else None
+            fate = retrying(self._settle, revision.change_id)
+            if fate.outcome == "accepted":
+                return revision
+            winner = retrying(self._find_winner, revision.number)
+        except (StoreUnavailable, StoreAnswerLost, PreconditionFailed) as error:
+            raise StoreAnswerLost(
+                f"revision {revision.number} may have been accepted: {error}"
+            ) from error
+        if winner is None:
+            raise StoreUnavailable(f"revision {revision.number} was not accepted: {cause}")
+        raise RevisionConflict(winner.number, winner.operator) from cause
+
+    def _settle(self, change_id: str) -> ChangeFate:
+        """Return a change's fate; withdraw the change if it has none, so that it cannot land."""
+        row = self._table.get(CHANGE_PARTITION, change_id)
+        if row is not None:
+            return _decode(row.body, ChangeFate)
+        fate = ChangeFate("withdrawn")
+        self._table.transact(uuid.uuid4().hex, [Put(_make_fate_row(change_id, fate), 0)])
+        return fate
+
+    def _find_winner(self, number: int) -> Revision | None:
+        """Return the revision that stands in the way of a number, if any."""
+        row = self._table.get(HISTORY_PARTITION, _history_sort(number))
+        if row is not None:
+            return decode_revision(row.body)
+        head = self.read_head()
+        if head is not None and head.number != number - 1:
+            return head
+        return None
+
+
+def decode_revision(body: bytes) -> Revision:
+    """Decode a stored revision; raise `RecordInvalid`."""
+    return _decode(body, Revision)
+
+
+def _decode(body: bytes, kind):
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordInvalid(f"unreadable {kind.__name__}: {error}") from error
+
+
+def _make_fate_row(change_id: str, fate: ChangeFate) -> Row:
+    return Row(CHANGE_PARTITION, change_id, CHANGE_VERSION, msgspec.msgpack.encode(fate))
 
 
 def _history_sort(number: int) -> str:
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -39,6 +39,10 @@
     """A conditional write was refused because its condition did not hold."""
 
 
+class RecordInvalid(PlatformError):
+    """A row, object or list of the platform could not be decoded."""
+
+
 class ObjectMissing(PlatformError):
     """The object store or the origin holds no object of that name."""
 
@@ -222,6 +226,13 @@
     kind = "overloaded"
 
 
+class ConfigurationUnknown(NotRun):
+    """The process holds no configuration that it can justify."""
+
+    status = 503
+    kind = "no-configuration"
+
+
 class NoReplica(NotRun):
     """No replica can take the request now."""
 
--- a/hibiscustray/platform/machines.py
+++ b/hibiscustray/platform/machines.py
@@ -6,14 +6,19 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
 import msgspec
 
-from hibiscustray.exceptions import StoreUnavailable, UpstreamConnectionLost, UpstreamUnreachable
+from hibiscustray.exceptions import (
+    RecordInvalid,
+    StoreUnavailable,
+    UpstreamConnectionLost,
+    UpstreamUnreachable,
+)
 from hibiscustray.web import HttpClient
 
 RUNNING = "RUNNING"
+HTTP_OK = 200
 PEER_KEY = "hibiscustray-peer"
 """Metadata key under which a VM's slot publishes its peer address, as ``IP:port``."""
 
@@ -28,6 +33,26 @@
     peer_address: str
 
 
+class _Entry(msgspec.Struct, frozen=True):
+    key: str
+    value: str = ""
+
+
+class _Metadata(msgspec.Struct, frozen=True):
+    items: tuple[_Entry, ...] = ()
+
+
+class _Instance(msgspec.Struct, frozen=True):
+    name: str
+    status: str = ""
+    zone: str = ""
+    metadata: _Metadata = _Metadata()
+
+
+class _InstanceList(msgspec.Struct, frozen=True):
+    items: tuple[_Instance, ...] = ()
+
+
 class MachineList:
     """Reads the list, which lags behind the truth."""
 
@@ -35,13 +60,14 @@
         self._http = HttpClient(url, timeout_s)
 
     def read(self) -> list[VirtualMachine]:
-        """Return the VMs that have a slot; raise `StoreUnavailable`."""
+        """Return the VMs that have a slot; raise `StoreUnavailable` or `RecordInvalid`."""
         try:
             reply = self._http.call("GET", "/instances")
-            items = msgspec.json.decode(reply.body).get("items", [])
-        except (UpstreamUnreachable, UpstreamConnectionLost, msgspec.DecodeError) as error:
+        except (UpstreamUnreachable, UpstreamConnectionLost) as error:
             raise StoreUnavailable(str(error)) from error
-        machines = [_decode_machine(item) for item in items]
+        if reply.status != HTTP_OK:
+            raise StoreUnavailable(f"VM list answered {reply.status}")
+        machines = [_read_machine(item) for item in _decode_list(reply.body).items]
         return [machine for machine in machines if machine.peer_address]
 
     def close(self) -> None:
@@ -49,12 +75,18 @@
         self._http.close()
 
 
-def _decode_machine(item: dict[str, Any]) -> VirtualMachine:
-    entries = item.get("metadata", {}).get("items", [])
-    metadata = {entry["key"]: entry["value"] for entry in entries}
+def _decode_list(body: bytes) -> _InstanceList:
+    try:
+        return msgspec.json.decode(body, type=_InstanceList)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordInvalid(f"unreadable VM list: {error}") from error
+
+
+def _read_machine(instance: _Instance) -> VirtualMachine:
+    metadata = {entry.key: entry.value for entry in instance.metadata.items}
     return VirtualMachine(
-        name=item["name"],
-        is_running=item.get("status") == RUNNING,
-        availability_zone=item.get("zone", ""),
+        name=instance.name,
+        is_running=instance.status == RUNNING,
+        availability_zone=instance.zone,
         peer_address=metadata.get(PEER_KEY, ""),
     )
--- a/hibiscustray/platform/table.py
+++ b/hibiscustray/platform/table.py
@@ -14,6 +14,7 @@
 
 from hibiscustray.exceptions import (
     PreconditionFailed,
+    RecordInvalid,
     StoreAnswerLost,
     StoreUnavailable,
     UpstreamConnectionLost,
@@ -70,15 +71,19 @@
 
     def query(self, partition: str) -> list[Row]:
         """Return all rows of a partition in the order of their sort keys."""
-        answer = self._read(
-            "Query",
-            {
-                "KeyConditionExpression": "pk = :pk",
-                "ExpressionAttributeValues": {":pk": {"S": partition}},
-                "ConsistentRead": True,
-            },
-        )
-        return [_decode_item(item) for item in answer.get("Items", [])]
+        rows: list[Row] = []
+        request: dict[str, Any] = {
+            "KeyConditionExpression": "pk = :pk",
+            "ExpressionAttributeValues": {":pk": {"S": partition}},
+            "ConsistentRead": True,
+        }
+        while True:
+            page = self._read("Query", request)
+            rows.extend(_decode_items(page))
+            last = page.get("LastEvaluatedKey")
+            if not last:
+                return rows
+            request["ExclusiveStartKey"] = last
 
     def transact(self, change_id: str, writes: Iterable[Put | Delete]) -> None:
         """Carry out all writes or none.
@@ -114,8 +119,8 @@
         if reply.status != 200:
             raise StoreUnavailable(f"table answered {reply.status}")
         try:
-            return msgspec.json.decode(reply.body)
-        except msgspec.DecodeError as error:
+            return msgspec.json.decode(reply.body, type=dict)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise StoreUnavailable(f"table answered with broken JSON: {error}") from error
 
     def _send(self, operation: str, body: dict[str, Any]) -> HttpReply:
@@ -151,10 +156,26 @@
     }
 
 
-def _decode_item(item: dict[str, Any]) -> Row:
-    return Row(
-        item["pk"]["S"],
-        item["sk"]["S"],
-        int(item["version"]["N"]),
-        base64.b64decode(item["body"]["B"]),
-    )
+def _decode_items(page: dict[str, Any]) -> list[Row]:
+    items = page.get("Items", [])
+    if not isinstance(items, list):
+        raise RecordInvalid("the table's page holds no list of items")
+    return [_decode_item(item) for item in items]
+
+
+def _decode_item(item: Any) -> Row:
+    try:
+        return Row(
+            _read_text(item["pk"]["S"]),
+            _read_text(item["sk"]["S"]),
+            int(item["version"]["N"]),
+            base64.b64decode(item["body"]["B"], validate=True),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise RecordInvalid(f"unreadable row: {error!r}") from error
+
+
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"found {type(value).__name__}, expected text")
+    return value
--- a/hibiscustray/standins/platform.py
+++ b/hibiscustray/standins/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 from dataclasses import dataclass, replace
@@ -18,15 +19,24 @@
 
 OCTETS = "application/octet-stream"
 THREADS = 48
+PAGE_ROWS = 100
+KEPT_PAST = 200
 
 
 @dataclass(frozen=True)
 class Faults:
-    """What is wrong with the platform now."""
+    """What is wrong with the platform now.
+
+    `lost_answer_share` of writes take effect unanswered; with `late_write_s` they do so that
+    much later; `stale_read_s` makes every read show the rows of that long ago.
+    """
 
     is_store_down: bool = False
     is_origin_down: bool = False
     loses_answers: bool = False
+    lost_answer_share: float = 0.0
+    late_write_s: float = 0.0
+    stale_read_s: float = 0.0
     delay_s: float = 0.0
 
 
@@ -40,6 +50,7 @@
         origin_port: int,
         origin_mbit_s: float,
         files: dict[str, Path],
+        seed: int = 1,
     ) -> None:
         self.faults = Faults()
         self.origin_bytes = 0
@@ -48,6 +59,8 @@
         self._files = files
         self._origin_link = LinkBudget(origin_mbit_s)
         self._rows: dict[tuple[str, str], dict[str, Any]] = {}
+        self._past: dict[tuple[str, str], list[tuple[float, dict[str, Any] | None]]] = {}
+        self._random = random.Random(seed)
         self._tokens: set[str] = set()
         self._objects: dict[str, bytes] = {}
         self._machines: dict[str, dict[str, Any]] = {}
@@ -150,30 +163,56 @@
         return Response.json({"__type": "UnknownOperationException"}, 400)
 
     def _get_item(self, body: dict[str, Any]) -> Response:
-        self.table_reads += 1
-        item = self._rows.get(_key_of(body["Key"]))
+        with self._lock:
+            self.table_reads += 1
+            item = self._read_row(_key_of(body["Key"]))
         return Response.json({"Item": item} if item else {})
 
     def _query(self, body: dict[str, Any]) -> Response:
-        self.table_reads += 1
         partition = body["ExpressionAttributeValues"][":pk"]["S"]
+        start = body.get("ExclusiveStartKey")
+        after = _key_of(start) if start else (partition, "")
         with self._lock:
-            items = [self._rows[key] for key in sorted(self._rows) if key[0] == partition]
-        return Response.json({"Items": items, "Count": len(items)})
+            self.table_reads += 1
+            keys = [key for key in sorted(self._rows) if key[0] == partition and key > after]
+            rows = [self._read_row(key) for key in keys[:PAGE_ROWS]]
+        page: dict[str, Any] = {"Items": [row for row in rows if row is not None]}
+        if len(keys) > PAGE_ROWS:
+            last = keys[PAGE_ROWS - 1]
+            page["LastEvaluatedKey"] = {"pk": {"S": last[0]}, "sk": {"S": last[1]}}
+        return Response.json(page)
+
+    def _read_row(self, key: tuple[str, str]) -> dict[str, Any] | None:
+        lag = self.faults.stale_read_s
+        if not lag:
+            return self._rows.get(key)
+        until = time.monotonic() - lag
+        seen = [row for at, row in self._past.get(key, ()) if at <= until]
+        return seen[-1] if seen else None
 
     def _transact(self, body: dict[str, Any]) -> Response:
-        with self._lock:
-            self.table_writes += 1
-            if body["ClientRequestToken"] not in self._tokens:
-                if not all(self._holds(item) for item in body["TransactItems"]):
-                    return Response.json({"__type": "TransactionCanceledException"}, 400)
-                for item in body["TransactItems"]:
-                    self._apply(item)
-                self._tokens.add(body["ClientRequestToken"])
-        if self.faults.loses_answers:
+        faults = self.faults
+        is_lost = faults.loses_answers or self._random.random() < faults.lost_answer_share
+        if is_lost and faults.late_write_s:
+            threading.Timer(faults.late_write_s, self._commit, (body,)).start()
+        elif not self._commit(body):
+            return Response.json({"__type": "TransactionCanceledException"}, 400)
+        if is_lost:
             return Response.json({"__type": "InternalServerError"}, 500)
         return Response.json({})
 
+    def _commit(self, body: dict[str, Any]) -> bool:
+        with self._lock:
+            self.table_writes += 1
+            if body["ClientRequestToken"] in self._tokens:
+                return True
+            if not all(self._holds(item) for item in body["TransactItems"]):
+                return False
+            for item in body["TransactItems"]:
+                self._apply(item)
+            self._tokens.add(body["ClientRequestToken"])
+            return True
+
     def _holds(self, item: dict[str, Any]) -> bool:
         write = item.get("Put") or item["Delete"]
         condition = write.get("ConditionExpression", "")
@@ -188,9 +227,15 @@
     def _apply(self, item: dict[str, Any]) -> None:
         if "Put" in item:
             row = item["Put"]["Item"]
-            self._rows[_key_of(row)] = row
+            key = _key_of(row)
+            self._rows[key] = row
         else:
-            self._rows.pop(_key_of(item["Delete"]["Key"]), None)
+            row = None
+            key = _key_of(item["Delete"]["Key"])
+            self._rows.pop(key, None)
+        past = self._past.setdefault(key, [])
+        past.append((time.monotonic(), row))
+        del past[:-KEPT_PAST]
 
 
 def _key_of(item: dict[str, Any]) -> tuple[str, str]:
