--- a/hibiscustray/peers/__init__.py
+++ b/hibiscustray/peers/__init__.py
@@ -20,6 +20,8 @@
     Refused,
     RevisionReply,
     RevisionRequest,
+    StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -47,6 +49,8 @@
     "Refused",
     "RevisionReply",
     "RevisionRequest",
+    "StatusReply",
+    "StatusRequest",
     "TicketReply",
     "TicketRequest",
 ]
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -86,6 +86,7 @@
     http_certificate: str = ""
     http_key: str = ""
     teams: str = ""
+    operators: str = ""
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import queue
+import ssl
 import threading
 import time
 from collections import deque
@@ -59,7 +60,9 @@
         max_batch: int = 16,
         checks_fencing: bool = True,
         threads: int = THREADS,
+        context: ssl.SSLContext | None = None,
     ) -> None:
+        self._context = context
         self.step_s = step_s
         self.records: list[EngineRecord] = []
         self.orders: list[LoadOrder] = []
@@ -108,7 +111,7 @@
             if is_stale and self._checks_fencing:
                 return Response.json({"fencing": self.weights.fencing}, 409)
             self.stale_orders_taken += is_stale
-        digest = _read_weights(order.weights_url)
+        digest = _read_weights(order.weights_url, self._context)
         with self._lock:
             self.orders.append(order)
             self.weights = EngineWeights(digest, order.adapters, order.fencing)
@@ -181,9 +184,9 @@
         sequence.tokens.put(None)
 
 
-def _read_weights(url: str) -> str:
+def _read_weights(url: str, context: ssl.SSLContext | None) -> str:
     """Read all chunks and return the digest that the bytes themselves give."""
-    client = HttpClient(url, 60.0)
+    client = HttpClient(url, 60.0, context)
     layout = msgspec.json.decode(client.call("GET", "").body)
     chunks = []
     for first in range(0, layout["count"], CHUNKS_A_READ):
