--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -11,6 +11,7 @@
 from hibiscustray.agent.state import ServingState
 from hibiscustray.deployments import Configuration, RevisionStore, load_operator_keys
 from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
+from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.membership import Exchange, MemberView
@@ -19,13 +20,14 @@
 from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION, STATUS
 from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
+from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import Ledger
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
 from hibiscustray.routing import ReplicaChooser
 from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import HttpServer, Response, Router, make_server_context
-from hibiscustray.weights import ChunkCache, LinkBudget, TransferEnvironment
+from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry, TransferEnvironment
 
 AGENT_HTTP_THREADS = 4
 AGENT_BODY_KIB = 64
@@ -67,6 +69,21 @@
     return lambda: read_status(operator.read(), machines, peers)
 
 
+def _keep(part):
+    return part
+
+
+@dataclass(frozen=True)
+class Wrappers:
+    """Functions that stand between an agent and its links, for stand-ins that shape them."""
+
+    peers: Callable[[PeerPool], PeerPool] = _keep
+    origin: Callable[[Origin], Origin] = _keep
+
+
+UNSHAPED = Wrappers()
+
+
 def build_entry(settings: Settings) -> EntryProcess:
     """Wire an entry."""
     core = _build_core(settings)
@@ -92,18 +109,25 @@
         load_teams(settings.security.teams),
         settings.limits,
         core.metrics,
+        ServiceLevelRecorder(core.configuration, core.metrics),
+        ProcessIdentity(view.own.id, view.own.incarnation),
     )
+    sampler = Sampler(SampleStore(core.table), core.metrics, view.own.id, view.own.incarnation)
     router.target = application.router
-    return EntryProcess(application, http, peer_server, exchange, view, core.peers, watchdog)
+    return EntryProcess(
+        application, http, peer_server, exchange, view, core.peers, watchdog, sampler
+    )
 
 
-def build_agent(settings: Settings) -> AgentProcess:
+def build_agent(settings: Settings, wrappers: Wrappers = UNSHAPED) -> AgentProcess:
     """Wire an agent."""
     assert settings.upstream is not None
-    core = _build_core(settings)
+    core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    chunks = ChunkServer(cache, LinkBudget(settings.links.up_mbit_s), core.metrics)
     state = ServingState()
+    swarms = SwarmRegistry()
+    uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
+    chunks = ChunkServer(cache, swarms, uplink, core.metrics)
     engine = EngineClient(settings.upstream.url)
     attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
     exchange_slot = _ExchangeSlot(core.configuration)
@@ -138,9 +162,11 @@
         view=view,
         peers=core.peers,
         objects=ObjectStore(settings.platform.object_url, settings.platform.timeout_s),
-        origin=Origin(settings.platform.origin_url),
+        origin=wrappers.origin(Origin(settings.platform.origin_url)),
         cache=cache,
+        swarms=swarms,
         metrics=core.metrics,
+        origin_region=settings.platform.origin_region,
     )
     deployer = Deployer(
         settings.upstream.service,
@@ -204,13 +230,13 @@
     return HttpServer(app, process.address, process.http_port, threads, max_body_b, context)
 
 
-def _build_core(settings: Settings) -> Core:
+def _build_core(settings: Settings, wrappers: Wrappers = UNSHAPED) -> Core:
     credentials = load_peer_credentials(settings.security)
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
         configuration=Configuration(load_operator_keys(settings.security.operators)),
-        peers=PeerPool(credentials.channel),
+        peers=wrappers.peers(PeerPool(credentials.channel)),
         credentials=credentials,
     )
 
--- a/hibiscustray/standins/callers.py
+++ b/hibiscustray/standins/callers.py
@@ -49,7 +49,7 @@
         context: ssl.SSLContext | None = None,
     ) -> None:
         self.results: list[CallerResult] = []
-        self._clients = [HttpClient(url, 60.0, context) for url in urls]
+        self.clients = [HttpClient(url, 60.0, context) for url in urls]
         self._keys = [keys] if isinstance(keys, str) else list(keys)
         self._model_service = model_service
         self._plain_services = (
@@ -126,7 +126,7 @@
                 self.results.append(result)
 
     def _send(self, choices: random.Random, key: str) -> CallerResult:
-        client = choices.choice(self._clients)
+        client = choices.choice(self.clients)
         try:
             match choices.randrange(3):
                 case 0:
