Aborts answers on connections that the server closes; checks bad input through a real entry

Chat bodies are checked before an engine sees them; idempotency keys must be printable ASCII; a heartbeat no longer ends with StopIteration when its process has left.

--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from hibiscustray.deployments import Configuration, Service
+from hibiscustray.entry.bodies import check_chat_body, read_chat_model
 from hibiscustray.entry.dispatch import Dispatcher
 from hibiscustray.entry.problems import describe_problem, make_problem_response
 from hibiscustray.entry.teams import TeamCredentials
@@ -115,7 +116,7 @@
         return Response(200, body, content_type)
 
     def _serve_chat(self, request: Request) -> Response:
-        return self._serve(request, lambda body: body.get("model", ""), CHAT_PATH)
+        return self._serve(request, read_chat_model, CHAT_PATH)
 
     def _serve_service(self, request: Request) -> Response:
         return self._serve(request, lambda body: request.groups["service"], "")
@@ -151,6 +152,8 @@
         if service is None:
             raise ServiceUnknown(f"there is no service {name!r}")
         progress.service = service.name
+        if service.kind == "model":
+            check_chat_body(body)
         known_team = self._configuration.deployment.find_team(progress.team)
         caller = CallerRequest(
             id=request_id,
@@ -254,6 +257,6 @@
 
 def _read_key(request: Request) -> str:
     key = request.headers.get(KEY_HEADER, "")
-    if len(key) > MAX_KEY_LENGTH:
-        raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters")
+    if len(key) > MAX_KEY_LENGTH or not (key.isascii() and key.isprintable()):
+        raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} or not printable ASCII")
     return key
--- a/hibiscustray/membership/view.py
+++ b/hibiscustray/membership/view.py
@@ -79,7 +79,7 @@
     def neighbours(self, count: int) -> list[MemberRecord]:
         """Return the next members on a hash ring, the same until the membership changes."""
         ring = sorted(self.members(), key=lambda m: _ring_position(m.id))
-        own = next(i for i, m in enumerate(ring) if m.id == self._own.id)
+        own = next((i for i, m in enumerate(ring) if m.id == self._own.id), 0)
         after = ring[own + 1 :] + ring[:own]
         return after[:count]
 
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -29,10 +29,11 @@
 class HttpStream:
     """An HTTP answer whose body is read line by line or in blocks."""
 
-    def __init__(self, client: HttpClient, connection, response) -> None:
+    def __init__(self, client: HttpClient, connection, response, sock: socket.socket) -> None:
         self._client = client
         self._connection = connection
         self._response = response
+        self._sock = sock
         self._lock = threading.Lock()
         self._is_closed = False
         self.status: int = response.status
@@ -58,16 +59,15 @@
 
     def set_timeout(self, seconds: float) -> None:
         """Bound the wait for the next bytes."""
-        if self._connection.sock is not None:
-            self._connection.sock.settimeout(seconds)
+        self._sock.settimeout(seconds)
 
     def abort(self) -> None:
         """Cut the connection from any thread, which wakes a reader blocked on it."""
         with self._lock:
-            if self._is_closed or self._connection.sock is None:
+            if self._is_closed:
                 return
             try:
-                self._connection.sock.shutdown(socket.SHUT_RDWR)
+                self._sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 return
 
@@ -80,6 +80,7 @@
         if self._response.isclosed() and not self._response.will_close:
             self._client.release(self._connection)
         else:
+            self._response.close()
             self._connection.close()
 
 
@@ -133,11 +134,13 @@
         connection = self._connect(timeout_s) if is_fresh else self._take(timeout_s)
         try:
             connection.request(method, self._prefix + path, body, dict(headers or {}))
+            # A connection that the server will close gives its socket up to the response.
+            sock = connection.sock
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise UpstreamConnectionLost(f"{self.base_url}: {error}") from error
-        return HttpStream(self, connection, response)
+        return HttpStream(self, connection, response, sock)
 
     def release(self, connection: http.client.HTTPConnection) -> None:
         """Keep an idle connection for the next request."""
--- a/tests/web/test_tls.py
+++ b/tests/web/test_tls.py
@@ -100,4 +100,3 @@
 def test_a_missing_key_file_is_a_settings_error(files):
     with pytest.raises(SettingsError):
         make_server_context(files.certificate, "absent.pem")
-
