--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+BINARY_ROOT ?= /dev/shm/hibiscustray
 
-.PHONY: venv demo test lint format
+.PHONY: venv demo test lint format example-trust example-cairnbeam bench-idle binary binary-check
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -25,3 +26,23 @@
 format: venv
 	$(BIN)/black --quiet hibiscustray tests examples
 	$(BIN)/ruff check --quiet --fix hibiscustray tests examples
+
+example-trust: venv
+	PYTHON=$(BIN)/python examples/run.sh examples/trust $(BIN)/hibiscustray
+
+example-cairnbeam: venv
+	PYTHON=$(BIN)/python examples/run.sh examples/cairnbeam $(BIN)/hibiscustray
+
+bench-idle: venv
+	PYTHON=$(BIN)/python examples/measure_idle.sh examples/trust $(BIN)/hibiscustray
+
+binary: venv
+	rm -rf build/runtime
+	$(BIN)/python tools/collect_runtime.py . build/runtime
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/runtime --entry-point hibiscustray.__main__:main \
+	  --root $(BINARY_ROOT) --compressed --python "/usr/bin/env python3.11" \
+	  --output-file dist/hibiscustray
+
+binary-check: binary
+	$(BIN)/python tools/check_binary.py dist/hibiscustray
--- a/hibiscustray/commands/standing.py
+++ b/hibiscustray/commands/standing.py
@@ -39,7 +39,7 @@
         settings.step_ms / MS_PER_S,
         settings.max_batch,
         settings.checks_fencing,
-        make_client_context(settings.http_authority),
+        context=make_client_context(settings.http_authority),
     )
     _run(engine, "engine")
 
