--- a/hibiscustray/agent/attempts.py
+++ b/hibiscustray/agent/attempts.py
@@ -18,6 +18,7 @@
     UpstreamUnreachable,
 )
 from hibiscustray.peers import AttemptRequest, Beat, Data, End, Failed, Frame, Refused
+from hibiscustray.peers.messages import BUSY
 from hibiscustray.platform import EngineClient
 from hibiscustray.platform.engine import HttpStream
 from hibiscustray.requests import AnswerDigest, Fresh, Ledger, Mismatch, Repeat, Running
@@ -45,6 +46,7 @@
         self._state = state
         self._engine = engine
         self._ledger = ledger
+        self._concurrency = concurrency
         self._metrics = metrics
         self._readers = ThreadPoolExecutor(concurrency * 2, thread_name_prefix="upstream")
 
@@ -55,6 +57,9 @@
             yield self._refuse(refusal, "")
             return
         try:
+            if self._state.running > self._concurrency:
+                yield self._refuse(BUSY, f"{self._concurrency} attempts are running")
+                return
             yield from self._serve_key(request, context)
         finally:
             self._state.end()
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -18,7 +18,7 @@
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.requests import Ledger
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
-from hibiscustray.routing import ReplicaChooser
+from hibiscustray.routing import Admission, ReplicaChooser, make_policy
 from hibiscustray.settings import Settings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import HttpServer, Response, Router
@@ -58,9 +58,13 @@
     view = MemberView(_make_record(settings, "entry", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
-    chooser = ReplicaChooser(view, core.configuration, settings.process.id)
+    policy = make_policy(settings.routing)
+    chooser = ReplicaChooser(view, core.configuration, policy, settings.process.id)
+    admission = Admission(policy, chooser, settings.limits.threads)
     watchdog = Watchdog()
-    dispatcher = Dispatcher(core.configuration, chooser, core.peers, watchdog, core.metrics)
+    dispatcher = Dispatcher(
+        core.configuration, chooser, admission, core.peers, watchdog, core.metrics
+    )
     application = EntryApplication(
         core.configuration,
         dispatcher,
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -23,7 +23,7 @@
     ServiceUnknown,
 )
 from hibiscustray.peers import End
-from hibiscustray.requests import CallerRequest
+from hibiscustray.requests import CallerRequest, estimate_call, estimate_chat
 from hibiscustray.settings import LimitSettings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import Request, Response, Router
@@ -127,6 +127,7 @@
             key=_read_key(request),
             priority=known_team.priority if known_team else 5,
             weight=known_team.weight if known_team else 1.0,
+            estimate=estimate_chat(body) if service.kind == "model" else estimate_call(),
         )
         return caller, service
 
--- a/hibiscustray/entry/dispatch.py
+++ b/hibiscustray/entry/dispatch.py
@@ -20,8 +20,9 @@
     PeerUnreachable,
 )
 from hibiscustray.peers import AttemptRequest, Beat, Data, End, Failed, PeerPool, Refused
+from hibiscustray.peers.messages import BUSY
 from hibiscustray.requests import AnswerReader, CallerRequest
-from hibiscustray.routing import Choice, ReplicaChooser
+from hibiscustray.routing import Admission, Choice, Permit, ReplicaChooser, RetryBudgets
 from hibiscustray.telemetry import Metrics
 
 MAX_ATTEMPTS = 4
@@ -43,12 +44,15 @@
         self,
         configuration: Configuration,
         chooser: ReplicaChooser,
+        admission: Admission,
         peers: PeerPool,
         watchdog: Watchdog,
         metrics: Metrics,
     ) -> None:
         self._configuration = configuration
         self._chooser = chooser
+        self._admission = admission
+        self._budgets = RetryBudgets()
         self._peers = peers
         self._watchdog = watchdog
         self._metrics = metrics
@@ -58,13 +62,19 @@
 
         Payloads already yielded stand: a later attempt resumes after them on the same digest.
         """
+        with self._admission.enter(request, service) as permit:
+            yield from self._run_attempts(request, service, permit)
+
+    def _run_attempts(self, request, service, permit: Permit) -> Iterator[bytes | End]:
+        budget = self._budgets.get(service.name)
+        budget.earn()
         reader = AnswerReader()
         excluded: set[str] = set()
         digest = ""
         last = Attempted(False, NoReplica("no replica was tried"))
         for _ in range(MAX_ATTEMPTS):
             choice = self._choose(request, service, excluded, digest, last)
-            last = yield from self._attempt(request, choice, reader)
+            last = yield from self._attempt(request, choice, reader, permit)
             if last is None:
                 return
             digest = choice.digest if reader.count else ""
@@ -74,12 +84,16 @@
                 break
             if isinstance(last.error, KeyReused) or request.time_left() <= 0:
                 break
+            if not budget.spend():
+                break
         raise self._conclude(request, last)
 
     def _choose(self, request, service, excluded, digest, last: Attempted) -> Choice:
         while True:
             try:
-                return self._chooser.choose(service, excluded, digest)
+                return self._chooser.choose(
+                    service, excluded, digest, request.estimate, request.is_stream
+                )
             except NoReplica as error:
                 if excluded and not isinstance(last.error, NoReplica):
                     raise self._conclude(request, last) from error
@@ -87,10 +101,10 @@
                     raise self._conclude(request, Attempted(last.has_run, error)) from error
                 time.sleep(NO_REPLICA_WAIT_S)
 
-    def _attempt(self, request: CallerRequest, choice: Choice, reader: AnswerReader):
+    def _attempt(self, request: CallerRequest, choice: Choice, reader, permit: Permit):
         time_left = request.time_left()
         if time_left <= 0:
-            self._chooser.release(choice.member.id)
+            self._chooser.release(choice, is_answered=False)
             return Attempted(False, DeadlineExceeded("the deadline passed before an attempt"))
         call = self._peers.get(choice.member.peer_address).open_attempt(
             AttemptRequest(
@@ -106,25 +120,30 @@
                 key=request.key,
                 is_stream=request.is_stream,
                 skip=reader.count,
-                priority=request.priority,
+                priority=permit.adjust_priority(request.priority),
                 weight=request.weight,
             )
         )
+        is_answered = False
         watch = self._watchdog.watch(call.cancel, request.deadline)
         try:
             for frame in call:
                 watch.touch()
                 match frame:
-                    case Data():
+                    case Data(payloads=payloads):
+                        choice.progress.note_payloads(len(payloads), time.monotonic())
                         yield from reader.accept(frame)
                     case End():
                         reader.finish(frame)
+                        is_answered = True
                         self._chooser.report(choice.member.id, frame.load)
                         yield frame
                         return None
                     case Beat(load=load):
                         self._chooser.report(choice.member.id, load)
                     case Refused(kind=kind, detail=detail, retry_after_s=retry_after):
+                        if kind == BUSY:
+                            self._chooser.note_busy(choice)
                         return Attempted(False, _make_refusal(kind, detail, retry_after))
                     case Failed(detail=detail):
                         return Attempted(True, OutcomeUnknown(detail))
@@ -138,7 +157,7 @@
         finally:
             watch.close()
             call.cancel()
-            self._chooser.release(choice.member.id)
+            self._chooser.release(choice, is_answered)
 
     def _conclude(self, request: CallerRequest, last: Attempted) -> Exception:
         if last.has_run and request.time_left() <= 0:
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -14,6 +14,7 @@
 LEAVING = "leaving"
 LEFT = "left"
 DEAD = "dead"
+BUSY = "busy"
 
 
 class Message(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/hibiscustray/requests/estimate.py
@@ -0,0 +1,48 @@
+"""Estimates of what a request will cost, made before it runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import xxhash
+
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+MAX_OUTPUT_TOKENS = 100_000
+PREFIX_BYTES = 256
+
+
+@dataclass(frozen=True)
+class Estimate:
+    """Estimated tokens of a request, and a hash of its prompt's beginning (0 for none)."""
+
+    prompt_tokens: int
+    output_tokens: int
+    prefix: int = 0
+
+    @property
+    def cost(self) -> int:
+        """Return the tokens that count against a team's share."""
+        return self.prompt_tokens + self.output_tokens
+
+
+def estimate_chat(body: dict) -> Estimate:
+    """Estimate a chat request from its messages and `max_tokens`; odd fields count as absent."""
+    prompt = _join_messages(body.get("messages")).encode()
+    asked = body.get("max_tokens")
+    is_usable = isinstance(asked, int) and 0 < asked <= MAX_OUTPUT_TOKENS
+    output = asked if is_usable else DEFAULT_OUTPUT_TOKENS
+    prefix = xxhash.xxh3_64_intdigest(prompt[:PREFIX_BYTES]) if len(prompt) >= PREFIX_BYTES else 0
+    return Estimate(len(prompt) // BYTES_PER_TOKEN, output, prefix)
+
+
+def estimate_call() -> Estimate:
+    """Estimate a call of a plain service: each counts the same."""
+    return Estimate(0, 1)
+
+
+def _join_messages(messages: object) -> str:
+    if not isinstance(messages, list):
+        return ""
+    contents = (item.get("content") for item in messages if isinstance(item, dict))
+    return "".join(content for content in contents if isinstance(content, str))
--- a/hibiscustray/requests/request.py
+++ b/hibiscustray/requests/request.py
@@ -5,6 +5,8 @@
 import time
 from dataclasses import dataclass
 
+from hibiscustray.requests.estimate import Estimate, estimate_call
+
 
 @dataclass(frozen=True)
 class CallerRequest:
@@ -21,6 +23,7 @@
     key: str = ""
     priority: int = 5
     weight: float = 1.0
+    estimate: Estimate = estimate_call()
 
     def time_left(self) -> float:
         """Return the seconds until the deadline, negative once past."""
--- a/hibiscustray/routing/choice.py
+++ b/hibiscustray/routing/choice.py
@@ -1,64 +1,207 @@
-"""Chooses replicas by own outstanding work and the load that they last reported."""
+"""Chooses the replica of an attempt by load, limits, health, availability zone and prefix."""
 
 from __future__ import annotations
 
+import itertools
+import math
 import random
 import threading
-from collections import Counter
+import time
 from dataclasses import dataclass
 
 from hibiscustray.deployments import Configuration, Deployment, Service
 from hibiscustray.exceptions import NoReplica
 from hibiscustray.membership import MemberView
 from hibiscustray.peers import MemberRecord
+from hibiscustray.requests import Estimate, estimate_call
+from hibiscustray.routing.health import Progress
+from hibiscustray.routing.policies import Adaptive, FirstCome, LeastOutstanding, Policy, RoundRobin
+from hibiscustray.routing.replicas import (
+    Candidate,
+    ReplicaState,
+    read_typical_unit,
+    split_slow,
+)
+from hibiscustray.routing.subset import rank_members, take_subset
 
 RETRY_AFTER_S = 1.0
+CANDIDATES_KEPT_S = 0.1
+SAMPLE_SIZE = 3
+AFFINITY_LOAD_FACTOR = 1.25
+OTHER_ZONE_FACTOR = 1.1
+OTHER_REGION_FACTOR = 1.25
+DEFAULT_UNIT_S = 0.05
 
 
 @dataclass(frozen=True)
 class Choice:
-    """A replica and the version digest that an attempt at it must name."""
+    """A replica, the version digest that an attempt must name, and the attempt's progress."""
 
     member: MemberRecord
     digest: str
+    progress: Progress
+
+
+@dataclass(frozen=True)
+class Listing:
+    """The replicas of a service that serve an allowed version, as of a moment."""
+
+    read_at: float
+    members: list[MemberRecord]
 
 
 class ReplicaChooser:
-    """Picks the less loaded of two random replicas that serve an allowed version."""
+    """Picks replicas by one of the routing policies and learns from every attempt."""
 
-    def __init__(self, view: MemberView, configuration: Configuration, seed: str) -> None:
+    def __init__(
+        self, view: MemberView, configuration: Configuration, policy: Policy, seed: str
+    ) -> None:
         self._view = view
         self._configuration = configuration
+        self._policy = policy
         self._random = random.Random(seed)
-        self._outstanding: Counter[str] = Counter()
-        self._reported: dict[str, int] = {}
+        self._turn = itertools.count()
+        self._states: dict[str, ReplicaState] = {}
+        self._listings: dict[str, Listing] = {}
         self._lock = threading.Lock()
 
-    def choose(self, service: Service, excluded: set[str], digest: str = "") -> Choice:
+    def choose(
+        self,
+        service: Service,
+        excluded: set[str],
+        digest: str = "",
+        estimate: Estimate | None = None,
+        is_stream: bool = False,
+    ) -> Choice:
         """Return a replica, of one digest if given; raise `NoReplica`."""
-        allowed = {digest} if digest else allowed_digests(self._configuration.deployment, service)
-        candidates = [
+        estimate = estimate or estimate_call()
+        now = time.monotonic()
+        members = [
             member
-            for member in self._view.replicas(service.name)
-            if member.id not in excluded and member.serving in allowed
+            for member in self._list_members(service, now)
+            if member.id not in excluded and digest in ("", member.serving)
         ]
-        if not candidates:
+        if not members:
             raise NoReplica(f"no replica of {service.name} can take the request", RETRY_AFTER_S)
         with self._lock:
-            pair = self._random.sample(candidates, min(2, len(candidates)))
-            member = min(pair, key=lambda m: self._outstanding[m.id] + self._reported.get(m.id, 0))
-            self._outstanding[member.id] += 1
-        return Choice(member, member.serving)
+            member = self._pick(members, estimate, now)
+            state = self._state(member.id)
+            state.outstanding += 1
+            units = max(1, estimate.output_tokens)
+            progress = Progress(member.id, units, is_stream, now, now)
+            state.health.begin(progress)
+        return Choice(member, member.serving, progress)
 
     def report(self, member_id: str, load: int) -> None:
-        """Note the load that a replica reported, in requests of other entries."""
+        """Note the load that a replica reported, in requests of all entries."""
+        with self._lock:
+            state = self._state(member_id)
+            state.others = max(0, load - state.outstanding)
+            state.reported_at = time.monotonic()
+
+    def release(self, choice: Choice, is_answered: bool) -> None:
+        """Note that an attempt has ended, with a whole answer or without."""
+        now = time.monotonic()
+        progress = choice.progress
+        with self._lock:
+            state = self._state(choice.member.id)
+            load = state.read_load(now)
+            state.outstanding -= 1
+            state.health.end(progress, is_answered, now)
+            if is_answered:
+                first_s = progress.first_s if progress.is_stream else None
+                whole_s = now - progress.started_at
+                state.limit.observe(whole_s, progress.units, first_s, load, now)
+
+    def note_busy(self, choice: Choice) -> None:
+        """Note that a replica refused an attempt for load."""
+        with self._lock:
+            self._state(choice.member.id).limit.decrease(time.monotonic())
+
+    def read_capacity(self, service: Service) -> int:
+        """Return the requests that this entry may have outstanding at a service's replicas."""
+        now = time.monotonic()
+        members = self._list_members(service, now)
         with self._lock:
-            self._reported[member_id] = max(0, load - self._outstanding[member_id])
+            usable, _ = split_slow(*self._weigh(members, now))
+            return sum(max(0, c.state.limit.value - c.state.read_others(now)) for c in usable)
 
-    def release(self, member_id: str) -> None:
-        """Note that an attempt has ended."""
+    def read_unit(self, service: Service) -> float | None:
+        """Return the typical seconds per token of a service, None before any is known."""
+        members = self._list_members(service, time.monotonic())
         with self._lock:
-            self._outstanding[member_id] -= 1
+            unit_s = read_typical_unit([self._state(m.id) for m in members], 0.0)
+        return unit_s or None
+
+    def _list_members(self, service: Service, now: float) -> list[MemberRecord]:
+        """Return the replicas that this entry connects to."""
+        listing = self._listings.get(service.name)
+        if listing is None or now - listing.read_at > CANDIDATES_KEPT_S:
+            listing = Listing(now, self._read_members(service))
+            self._listings[service.name] = listing
+        return listing.members
+
+    def _read_members(self, service: Service) -> list[MemberRecord]:
+        allowed = allowed_digests(self._configuration.deployment, service)
+        members = [m for m in self._view.replicas(service.name) if m.serving in allowed]
+        match self._policy:
+            case Adaptive(subset=size) | FirstCome(subset=size):
+                return take_subset(members, self._view.own.id, size)
+        return members
+
+    def _pick(self, members: list[MemberRecord], estimate: Estimate, now: float) -> MemberRecord:
+        match self._policy:
+            case RoundRobin():
+                return sorted(members, key=lambda m: m.id)[next(self._turn) % len(members)]
+            case LeastOutstanding():
+                shuffled = self._random.sample(members, len(members))
+                return min(shuffled, key=lambda m: self._state(m.id).outstanding)
+        candidates, typical_s = self._weigh(members, now)
+        usable, slow = split_slow(candidates, typical_s)
+        for candidate in usable:
+            candidate.state.health.settle()
+        for candidate in slow:
+            if candidate.state.health.take_probe(now):
+                return candidate.member
+        return self._pick_near(usable, estimate) or self._pick_light(usable)
+
+    def _pick_near(self, candidates: list[Candidate], estimate: Estimate) -> MemberRecord | None:
+        """Return the home of a prompt's prefix, or the next in its order, with bounded load."""
+        if not estimate.prefix:
+            return None
+        total = sum(candidate.load for candidate in candidates)
+        bound = math.ceil(AFFINITY_LOAD_FACTOR * (total + 1) / len(candidates))
+        light = [c.member for c in candidates if c.load < bound and c.has_room]
+        return next(iter(rank_members(light, str(estimate.prefix))), None)
+
+    def _pick_light(self, candidates: list[Candidate]) -> MemberRecord:
+        """Return the best of a few random replicas, so that entries with one report spread."""
+        roomy = [c for c in candidates if c.has_room] or candidates
+        sample = self._random.sample(roomy, min(SAMPLE_SIZE, len(roomy)))
+        return min(sample, key=self._score).member
+
+    def _score(self, candidate: Candidate) -> float:
+        """Return the expected seconds per token, raised with load and distance."""
+        own, member = self._view.own, candidate.member
+        load = (candidate.load + 1) / candidate.state.limit.value
+        factor = 1.0
+        if member.region != own.region:
+            factor = OTHER_REGION_FACTOR
+        elif member.availability_zone != own.availability_zone:
+            factor = OTHER_ZONE_FACTOR
+        return candidate.unit_s * (1.0 + load) * factor
+
+    def _weigh(self, members: list[MemberRecord], now: float) -> tuple[list[Candidate], float]:
+        states = [self._state(member.id) for member in members]
+        typical_s = read_typical_unit(states, DEFAULT_UNIT_S)
+        candidates = [
+            Candidate(m, s, s.read_load(now), s.health.read_unit(typical_s, now))
+            for m, s in zip(members, states, strict=True)
+        ]
+        return candidates, typical_s
+
+    def _state(self, member_id: str) -> ReplicaState:
+        return self._states.setdefault(member_id, ReplicaState())
 
 
 def allowed_digests(deployment: Deployment, service: Service) -> set[str]:
--- /dev/null
+++ b/hibiscustray/routing/concurrency.py
@@ -0,0 +1,66 @@
+"""A concurrency limit per replica that adapts to measured latency (AIMD)."""
+
+from __future__ import annotations
+
+INITIAL_LIMIT = 8.0
+MIN_LIMIT = 2.0
+MAX_LIMIT = 256.0
+DECREASE_FACTOR = 0.9
+COOLDOWN_S = 0.5
+FULL_SHARE = 0.8
+BASELINE_DRIFT = 0.002
+NEVER_SLOW_S = 0.1
+FIRST_TOLERANCE = 2.5
+UNIT_TOLERANCE = 1.6
+
+
+class Baseline:
+    """The lowest latency seen of one kind, drifting up so that a lasting change is learnt."""
+
+    def __init__(self, tolerance: float) -> None:
+        self._tolerance = tolerance
+        self._lowest: float | None = None
+
+    def is_slow(self, latency: float) -> bool:
+        """Take in a latency; tell whether it is over the baseline by more than tolerated."""
+        if self._lowest is None or latency < self._lowest:
+            self._lowest = latency
+        self._lowest *= 1.0 + BASELINE_DRIFT
+        return latency > self._lowest * self._tolerance
+
+
+class ConcurrencyLimit:
+    """Rises by one per limit's worth of answers in time while full, falls when they slow down.
+
+    The first payload tells soonest that a replica queues; whole answers tell where there is none.
+    """
+
+    def __init__(self, initial: float = INITIAL_LIMIT) -> None:
+        self._limit = initial
+        self._first = Baseline(FIRST_TOLERANCE)
+        self._unit = Baseline(UNIT_TOLERANCE)
+        self._decreased_at = -COOLDOWN_S
+
+    @property
+    def value(self) -> int:
+        """Return the number of requests that may be outstanding."""
+        return int(self._limit)
+
+    def observe(
+        self, whole_s: float, units: int, first_s: float | None, outstanding: int, now: float
+    ) -> None:
+        """Take in a whole answer: its times, its tokens and the requests outstanding then."""
+        is_slow = self._unit.is_slow(whole_s / units) and whole_s > NEVER_SLOW_S
+        if first_s is not None:
+            is_slow = self._first.is_slow(first_s) and first_s > NEVER_SLOW_S
+        if is_slow:
+            self.decrease(now)
+        elif outstanding >= FULL_SHARE * self._limit:
+            self._limit = min(MAX_LIMIT, self._limit + 1.0 / self._limit)
+
+    def decrease(self, now: float) -> None:
+        """Cut the limit, at most once per cooldown, as when a replica refuses for load."""
+        if now - self._decreased_at < COOLDOWN_S:
+            return
+        self._decreased_at = now
+        self._limit = max(MIN_LIMIT, self._limit * DECREASE_FACTOR)
--- /dev/null
+++ b/hibiscustray/routing/fairness.py
@@ -0,0 +1,111 @@
+"""Weighted fair queueing between teams by deficit round robin on estimated tokens."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+Item = TypeVar("Item")
+
+QUANTUM_TOKENS = 64
+
+
+@dataclass
+class TeamQueue(Generic[Item]):
+    """The waiting items of one team with their costs, and its deficit in tokens."""
+
+    weight: float
+    items: deque[tuple[Item, float]] = field(default_factory=deque)
+    deficit: float = 0.0
+    cost: float = 0.0
+
+
+class FairQueue(Generic[Item]):
+    """Items of many teams; each backlogged team is served in proportion to its weight.
+
+    A team that has nothing waiting keeps no deficit, so idleness earns no credit.
+    """
+
+    def __init__(self, quantum: float = QUANTUM_TOKENS) -> None:
+        self._quantum = quantum
+        self._teams: dict[str, TeamQueue[Item]] = {}
+        self._turns: deque[str] = deque()
+        self._is_topped_up = False
+
+    def __len__(self) -> int:
+        return sum(len(queue.items) for queue in self._teams.values())
+
+    def count(self, team: str) -> int:
+        """Return the number of items of a team."""
+        queue = self._teams.get(team)
+        return len(queue.items) if queue else 0
+
+    def cost(self, team: str) -> float:
+        """Return the tokens that wait in a team's queue."""
+        queue = self._teams.get(team)
+        return queue.cost if queue else 0.0
+
+    def total_weight(self) -> float:
+        """Return the sum of the weights of the backlogged teams."""
+        return sum(queue.weight for queue in self._teams.values())
+
+    def push(self, team: str, weight: float, cost: float, item: Item) -> None:
+        """Add an item at the end of its team's queue."""
+        if team not in self._teams:
+            self._teams[team] = TeamQueue(weight)
+            self._turns.append(team)
+        queue = self._teams[team]
+        queue.weight = weight
+        queue.items.append((item, cost))
+        queue.cost += cost
+
+    def pop(self, is_eligible: Callable[[str], bool]) -> Item | None:
+        """Take the next item among the teams that may be served, None if there is none."""
+        eligible = {team for team in self._turns if is_eligible(team)}
+        if not eligible:
+            return None
+        while True:
+            team = self._turns[0]
+            queue = self._teams[team]
+            if team not in eligible:
+                self._pass_turn()
+                continue
+            if not self._is_topped_up:
+                queue.deficit += self._quantum * queue.weight
+                self._is_topped_up = True
+            item, cost = queue.items[0]
+            if cost <= queue.deficit:
+                queue.deficit -= cost
+                self._drop_first(team, queue)
+                return item
+            self._pass_turn()
+
+    def remove(self, team: str, item: Item) -> bool:
+        """Take an item out before its turn; tell whether it was still there."""
+        queue = self._teams.get(team)
+        entry = next((e for e in queue.items if e[0] is item), None) if queue else None
+        if queue is None or entry is None:
+            return False
+        queue.items.remove(entry)
+        queue.cost -= entry[1]
+        if not queue.items:
+            self._forget(team)
+        return True
+
+    def _drop_first(self, team: str, queue: TeamQueue[Item]) -> None:
+        _, cost = queue.items.popleft()
+        queue.cost -= cost
+        if not queue.items:
+            self._forget(team)
+
+    def _forget(self, team: str) -> None:
+        if self._turns[0] == team:
+            self._is_topped_up = False
+        self._turns.remove(team)
+        del self._teams[team]
+
+    def _pass_turn(self) -> None:
+        self._turns.rotate(-1)
+        self._is_topped_up = False
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -75,6 +75,14 @@
     threads: Count = 64
 
 
+@dataclass(frozen=True)
+class RoutingSettings:
+    """How an entry queues requests and chooses replicas; the other policies are baselines."""
+
+    policy: Literal["adaptive", "first_come", "least_outstanding", "round_robin"] = "adaptive"
+    subset: Count = 24
+
+
 @dataclass(frozen=True)
 class SecuritySettings:
     """Paths of key and credential files; empty means that the feature is off."""
@@ -97,4 +105,5 @@
     links: LinkSettings = LinkSettings()
     membership: MembershipSettings = MembershipSettings()
     limits: LimitSettings = LimitSettings()
+    routing: RoutingSettings = RoutingSettings()
     security: SecuritySettings = SecuritySettings()
--- a/hibiscustray/settings/reading.py
+++ b/hibiscustray/settings/reading.py
@@ -12,6 +12,7 @@
     MembershipSettings,
     PlatformSettings,
     ProcessSettings,
+    RoutingSettings,
     SecuritySettings,
     Settings,
     UpstreamSettings,
@@ -24,6 +25,7 @@
     "links": LinkSettings,
     "membership": MembershipSettings,
     "limits": LimitSettings,
+    "routing": RoutingSettings,
     "security": SecuritySettings,
 }
 REQUIRED = ("process", "platform")
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -6,19 +6,23 @@
 import queue
 import threading
 import time
-from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
+from typing import Any
 
 import msgspec
 
 from hibiscustray.platform.engine import EngineLoad, EngineWeights, LoadOrder
-from hibiscustray.standins.tokens import make_token
+from hibiscustray.standins.batching import DEFAULT_PRIORITY, Batch, EnginePace, Sequence
 from hibiscustray.web import HttpClient, HttpServer, Request, Response, Router
 from hibiscustray.weights import Manifest
 
 DEFAULT_TOKENS = 16
 THREADS = 64
+REPORT_LAG_S = 0.5
+CLIENT_CHECK_S = 0.2
+EVENT_LAG = 8
+EVENT_GAP = 7
 
 
 @dataclass(frozen=True)
@@ -31,20 +35,8 @@
     digest: str
     tokens: int
     is_finished: bool
-
-
-@dataclass
-class Sequence:
-    """One request in the engine: tokens go to its queue, None ends it."""
-
-    request_id: str
-    attempt_id: str
-    prompt: str
-    count: int
-    digest: str
-    position: int = 0
-    is_cancelled: bool = False
-    tokens: queue.SimpleQueue[str | None] = field(default_factory=queue.SimpleQueue)
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
 
 
 class EngineStandIn:
@@ -54,28 +46,24 @@
         self,
         address: str,
         port: int,
-        step_s: float = 0.01,
-        max_batch: int = 16,
+        pace: EnginePace | None = None,
         checks_fencing: bool = True,
     ) -> None:
-        self.step_s = step_s
         self.records: list[EngineRecord] = []
         self.orders: list[LoadOrder] = []
         self.stale_orders_taken = 0
-        self._max_batch = max_batch
         self._checks_fencing = checks_fencing
         self.weights = EngineWeights()
-        self._waiting: deque[Sequence] = deque()
-        self._running: list[Sequence] = []
+        self._batch = Batch(pace or EnginePace(), self._record)
+        self._load = EngineLoad()
+        self._load_read_at = 0.0
         self._lock = threading.Lock()
-        self._wake = threading.Event()
-        self._stopping = threading.Event()
-        self._thread = threading.Thread(target=self._run_steps, name="engine", daemon=True)
         router = Router(_describe_error)
         router.add("POST", "/v1/chat/completions", self._serve_chat)
         router.add("POST", "/orders/load", self._serve_load_order)
         router.add("GET", "/orders/loaded", lambda _: Response.json(self.weights))
         router.add("GET", "/load", self._serve_load)
+        router.add("GET", "/cache/events", self._serve_cache_events)
         router.add("GET", "/records", lambda _: Response.json(self.records))
         self._http = HttpServer(router, address, port, THREADS)
 
@@ -86,18 +74,32 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        self._thread.start()
+        self._batch.start()
         self._http.start()
 
     def stop(self) -> None:
         """End the server and the step thread."""
-        self._stopping.set()
-        self._wake.set()
-        self._thread.join()
+        self._batch.stop()
         self._http.stop()
 
+    def set_faults(self, **changes: Any) -> None:
+        """Change what is wrong with the engine."""
+        self._batch.faults = replace(self._batch.faults, **changes)
+
     def _serve_load(self, request: Request) -> Response:
-        return Response.json(EngineLoad(len(self._running), len(self._waiting)))
+        """Report a load that is renewed only every `REPORT_LAG_S`."""
+        now = time.monotonic()
+        if now - self._load_read_at > REPORT_LAG_S:
+            batch = self._batch
+            self._load = EngineLoad(batch.running, batch.waiting, batch.cache.free)
+            self._load_read_at = now
+        return Response.json(self._load)
+
+    def _serve_cache_events(self, request: Request) -> Response:
+        """Report cache events late, without the newest, and with gaps."""
+        after = int(request.query.removeprefix("after=") or 0)
+        late = self._batch.cache.events[:-EVENT_LAG]
+        return Response.json([e for e in late if e.number > after and e.number % EVENT_GAP])
 
     def _serve_load_order(self, request: Request) -> Response:
         order = msgspec.json.decode(request.body, type=LoadOrder)
@@ -120,63 +122,57 @@
             prompt=body["messages"][-1]["content"],
             count=int(body.get("max_tokens", DEFAULT_TOKENS)),
             digest=self.weights.digest,
+            priority=int(request.headers.get("x-priority", DEFAULT_PRIORITY)),
+            position=int(body.get("continue_from", 0)),
         )
         if not sequence.digest:
             return Response.json({"error": {"message": "no weights"}}, 503)
-        with self._lock:
-            self._waiting.append(sequence)
-        self._wake.set()
+        self._batch.add(sequence)
         if body.get("stream"):
             return Response(200, self._stream(sequence, request), "text/event-stream")
-        text = "".join(iter(sequence.tokens.get, None))
+        return self._collect(sequence, request)
+
+    def _collect(self, sequence: Sequence, request: Request) -> Response:
+        """Gather a whole answer, giving the place up when the client leaves."""
+        text = "".join(_take_tokens(sequence, request))
         return Response.json(_make_completion(sequence, text))
 
     def _stream(self, sequence: Sequence, request: Request) -> Iterator[bytes]:
         try:
-            for token in iter(sequence.tokens.get, None):
-                chunk = msgspec.json.encode(_make_chunk(sequence, token))
-                yield b"data: " + chunk + b"\n\n"
-                if request.is_disconnected():
-                    return
-            yield b"data: [DONE]\n\n"
+            for token in _take_tokens(sequence, request):
+                yield b"data: " + msgspec.json.encode(_make_chunk(sequence, token)) + b"\n\n"
+            if not sequence.is_cancelled:
+                yield b"data: [DONE]\n\n"
         finally:
             sequence.is_cancelled = True
 
-    def _run_steps(self) -> None:
-        while not self._stopping.is_set():
-            if not self._running and not self._waiting:
-                self._wake.wait()
-                self._wake.clear()
-                continue
-            time.sleep(self.step_s)
-            self._step()
+    def _record(self, sequence: Sequence) -> None:
+        record = EngineRecord(
+            sequence.request_id,
+            sequence.attempt_id,
+            sequence.prompt,
+            sequence.digest,
+            sequence.generated,
+            sequence.position >= sequence.count,
+            sequence.prompt_tokens,
+            sequence.cached_tokens,
+        )
+        self.records.append(record)
 
-    def _step(self) -> None:
-        with self._lock:
-            while self._waiting and len(self._running) < self._max_batch:
-                self._running.append(self._waiting.popleft())
-            running = list(self._running)
-        for sequence in running:
-            if sequence.position < sequence.count and not sequence.is_cancelled:
-                token = make_token(sequence.digest, sequence.prompt, sequence.position)
-                sequence.position += 1
-                sequence.tokens.put(token)
-            if sequence.position >= sequence.count or sequence.is_cancelled:
-                self._finish(sequence)
-
-    def _finish(self, sequence: Sequence) -> None:
-        with self._lock:
-            self._running.remove(sequence)
-            record = EngineRecord(
-                sequence.request_id,
-                sequence.attempt_id,
-                sequence.prompt,
-                sequence.digest,
-                sequence.position,
-                sequence.position >= sequence.count,
-            )
-            self.records.append(record)
-        sequence.tokens.put(None)
+
+def _take_tokens(sequence: Sequence, request: Request) -> Iterator[str]:
+    """Yield tokens as they come; cancel the sequence when the client has left."""
+    while not sequence.is_cancelled:
+        try:
+            token = sequence.tokens.get(timeout=CLIENT_CHECK_S)
+        except queue.Empty:
+            token = ""
+        if token is None:
+            return
+        if request.is_disconnected():
+            sequence.is_cancelled = True
+        elif token:
+            yield token
 
 
 def _read_weights(url: str) -> str:
--- a/hibiscustray/standins/service.py
+++ b/hibiscustray/standins/service.py
@@ -18,6 +18,7 @@
 
     def __init__(self, address: str, port: int, delay_s: float = 0.005) -> None:
         self.runs: Counter[str] = Counter()
+        self.request_ids: set[str] = set()
         self.delay_s = delay_s
         self._lock = threading.Lock()
         router = Router(lambda error: Response.json({"error": str(error)}, 500))
@@ -44,5 +45,6 @@
         time.sleep(self.delay_s)
         with self._lock:
             self.runs[reference] += 1
+            self.request_ids.add(request.headers.get("x-request-id", ""))
             run = self.runs[reference]
         return Response.json({"reference": reference, "confirmed": True, "run": run})
--- a/hibiscustray/standins/site.py
+++ b/hibiscustray/standins/site.py
@@ -19,10 +19,12 @@
     MembershipSettings,
     PlatformSettings,
     ProcessSettings,
+    RoutingSettings,
     SecuritySettings,
     Settings,
     UpstreamSettings,
 )
+from hibiscustray.standins.batching import EnginePace
 from hibiscustray.standins.engine import EngineStandIn
 from hibiscustray.standins.platform import PlatformStandIn
 from hibiscustray.standins.service import ServiceStandIn
@@ -47,6 +49,9 @@
     link_mbit_s: float = 800.0
     membership: MembershipSettings = MembershipSettings(heartbeat_s=0.25, poll_interval_s=0.25)
     limits: LimitSettings = LimitSettings()
+    routing: RoutingSettings = RoutingSettings()
+    pace: EnginePace = EnginePace()
+    teams: tuple[str, ...] = (TEAM,)
 
 
 @dataclass
@@ -72,8 +77,7 @@
         self.shape = shape
         self._folder = tempfile.TemporaryDirectory(prefix="hibiscustray-")
         self._teams = Path(self._folder.name) / "teams.ini"
-        digest = hashlib.sha256(TEAM_KEY.encode()).hexdigest()
-        self._teams.write_text(f"[teams]\n{TEAM} = {digest}\n")
+        self._teams.write_text(_make_teams_text(shape.teams))
         self.platform = PlatformStandIn(ADDRESS, 0, 0, shape.origin_mbit_s, {})
         self.operator = Operator("demo", self.platform.url, self.platform.url)
         self.models = [self._build_model(i) for i in range(shape.model_replicas)]
@@ -133,7 +137,7 @@
         return False
 
     def _build_model(self, index: int) -> ModelReplica:
-        engine = EngineStandIn(ADDRESS, 0)
+        engine = EngineStandIn(ADDRESS, 0, self.shape.pace)
         agent = self._build_agent(f"{self.shape.model_service}-{index}", index, engine.url)
         return ModelReplica(agent, engine)
 
@@ -165,10 +169,23 @@
             links=LinkSettings(self.shape.link_mbit_s, self.shape.link_mbit_s),
             membership=self.shape.membership,
             limits=self.shape.limits,
+            routing=self.shape.routing,
             security=SecuritySettings(teams=str(self._teams)),
         )
 
 
+def make_team_key(team: str) -> str:
+    """Return the bearer key of a team of the site."""
+    return f"{team}-key"
+
+
+def _make_teams_text(teams: tuple[str, ...]) -> str:
+    lines = ["[teams]"]
+    for team in teams:
+        lines.append(f"{team} = {hashlib.sha256(make_team_key(team).encode()).hexdigest()}")
+    return "\n".join(lines) + "\n"
+
+
 def _bind_progress(on_progress, name: str):
     if on_progress is None:
         return None
