--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -54,6 +54,25 @@
     """Measure one part of the system on this machine."""
 
 
+@bench.command("requests")
+@click.option("--entries", type=click.IntRange(1), default=2, show_default=True)
+@click.option("--replicas", type=click.IntRange(1), default=6, show_default=True)
+@click.option("--teams", type=click.IntRange(1), default=8, show_default=True)
+@click.option("--rate", type=float, default=24.0, show_default=True, help="Requests a second.")
+@click.option("--rush", default="", metavar="TEAM:FACTOR", help="One team's rate is multiplied.")
+@click.option("--mix", default="", metavar="STREAM:BOOKING", help="Shares; the rest is whole chat.")
+@click.option("--seconds", type=float, default=20.0, show_default=True)
+@click.option("--faults", default="none", show_default=True, help="A fault's name, none or all.")
+@click.option("--policy", default="adaptive", show_default=True, help="Names with commas, or all.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_requests(**options) -> None:
+    """Measure requests under load and faults over engine stand-ins."""
+    from hibiscustray.commands.bench_requests import run_command
+
+    sys.exit(run_command(**options))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
--- /dev/null
+++ b/hibiscustray/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements over a whole site in one process."""
--- /dev/null
+++ b/hibiscustray/benchmarks/faults.py
@@ -0,0 +1,112 @@
+"""Faults brought about at a site while a load runs."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hibiscustray.standins.site import Site
+
+SLOWDOWN = 10.0
+DRAIN_TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A fault that begins at a share of the run and ends at another, if it ends."""
+
+    name: str
+    begin: Callable[[Site, int], None]
+    end: Callable[[Site, int], None]
+    begin_share: float = 0.3
+    end_share: float = 0.8
+
+
+def _kill_replica(site: Site, index: int) -> None:
+    site.models[index].agent.stop()
+    site.models[index].engine.stop()
+
+
+def _silence(site: Site, index: int) -> None:
+    site.models[index].engine.set_faults(is_silent=True)
+
+
+def _slow_down(site: Site, index: int) -> None:
+    site.models[index].engine.set_faults(slowdown=SLOWDOWN)
+
+
+def _heal(site: Site, index: int) -> None:
+    site.models[index].engine.set_faults(slowdown=1.0, is_silent=False, is_crossed=False)
+
+
+def _drain(site: Site, index: int) -> None:
+    site.models[index].agent.drain(DRAIN_TIMEOUT_S)
+    site.models[index].agent.stop()
+
+
+def _take_store_down(site: Site, index: int) -> None:
+    site.platform.set_faults(is_store_down=True)
+
+
+def _bring_store_up(site: Site, index: int) -> None:
+    site.platform.set_faults(is_store_down=False)
+
+
+def _do_nothing(site: Site, index: int) -> None:
+    return
+
+
+def _cross_answers(site: Site, index: int) -> None:
+    site.models[index].engine.set_faults(is_crossed=True)
+
+
+FAULTS = {
+    "die": Fault("die", _kill_replica, _do_nothing),
+    "silent": Fault("silent", _silence, _heal),
+    "slow": Fault("slow", _slow_down, _heal),
+    "drain": Fault("drain", _drain, _do_nothing),
+    "store_outage": Fault("store_outage", _take_store_down, _bring_store_up),
+    "crossed": Fault("crossed", _cross_answers, _heal),
+    "pause": Fault("pause", _silence, _heal, 0.3, 0.4),
+}
+
+
+def plan_faults(name: str, replicas: int, seed: int) -> list[tuple[Fault, int]]:
+    """Return the faults of a run with the replica that each one hits."""
+    if name == "none":
+        return []
+    chosen = list(FAULTS.values()) if name == "all" else [FAULTS[name]]
+    victims = random.Random(seed).sample(range(replicas), min(replicas, len(chosen)))
+    return [(fault, victims[index % len(victims)]) for index, fault in enumerate(chosen)]
+
+
+class FaultPlan:
+    """Begins and ends faults at their times in a thread of its own."""
+
+    def __init__(self, site: Site, faults: list[tuple[Fault, int]], seconds: float) -> None:
+        self._site = site
+        self._seconds = seconds
+        self._faults = faults
+        self._threads = [
+            threading.Thread(target=self._run, args=(fault, index), daemon=True)
+            for fault, index in faults
+        ]
+
+    def start(self) -> None:
+        """Begin to count the time."""
+        for thread in self._threads:
+            thread.start()
+
+    def join(self) -> None:
+        """Wait until the last fault has ended."""
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, fault: Fault, index: int) -> None:
+        time.sleep(fault.begin_share * self._seconds)
+        fault.begin(self._site, index)
+        time.sleep((fault.end_share - fault.begin_share) * self._seconds)
+        fault.end(self._site, index)
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 from collections.abc import Iterator
+from dataclasses import dataclass
 from itertools import chain
 
 import msgspec
@@ -38,6 +39,14 @@
 KIB = 1024
 
 
+@dataclass(frozen=True)
+class Clocks:
+    """When a request's thread began on it, in wall-clock and in CPU seconds."""
+
+    wall: float
+    cpu: float
+
+
 class EntryApplication:
     """Reads callers' requests, hands them to the dispatcher and writes answers."""
 
@@ -88,7 +97,7 @@
 
     def _serve(self, request: Request, name_service, path: str) -> Response:
         request_id = uuid.uuid4().hex
-        started = time.monotonic()
+        started = Clocks(time.monotonic(), time.thread_time())
         team = "unknown"
         self._change_running(1)
         try:
@@ -144,12 +153,12 @@
             raise DeadlineInvalid(f"the deadline must be from 1 to {longest} ms")
         return seconds
 
-    def _record(self, answer: Iterator[bytes | End], team: str, started: float):
+    def _record(self, answer: Iterator[bytes | End], team: str, started: Clocks):
         """Pass an answer on while counting its outcome and first payload."""
         outcome = "unknown"
         try:
             first = next(answer)
-            self._metrics.observe("first_payload_seconds", time.monotonic() - started)
+            self._metrics.observe("first_payload_seconds", time.monotonic() - started.wall)
             yield first
             yield from answer
             outcome = "answered"
@@ -164,10 +173,12 @@
             self._running += change
             self._idle.notify_all()
 
-    def _count(self, team: str, outcome: str, started: float) -> None:
+    def _count(self, team: str, outcome: str, started: Clocks) -> None:
         self._change_running(-1)
         self._metrics.count("requests_total", {"team": team, "outcome": outcome})
-        self._metrics.observe("answer_seconds", time.monotonic() - started)
+        self._metrics.observe("answer_seconds", time.monotonic() - started.wall)
+        cpu_s = time.thread_time() - started.cpu
+        self._metrics.count("request_cpu_seconds_total", amount=cpu_s)
 
     def _collect(self, answer: Iterator[bytes | End], request_id: str, headers) -> Response:
         parts: list[bytes] = []
--- a/hibiscustray/standins/batching.py
+++ b/hibiscustray/standins/batching.py
@@ -37,6 +37,7 @@
 
     slowdown: float = 1.0
     is_silent: bool = False
+    is_crossed: bool = False
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -57,6 +57,7 @@
         self._batch = Batch(pace or EnginePace(), self._record)
         self._load = EngineLoad()
         self._load_read_at = 0.0
+        self._crossed: dict = {}
         self._lock = threading.Lock()
         router = Router(_describe_error)
         router.add("POST", "/v1/chat/completions", self._serve_chat)
@@ -135,7 +136,10 @@
     def _collect(self, sequence: Sequence, request: Request) -> Response:
         """Gather a whole answer, giving the place up when the client leaves."""
         text = "".join(_take_tokens(sequence, request))
-        return Response.json(_make_completion(sequence, text))
+        answer = _make_completion(sequence, text)
+        if self._batch.faults.is_crossed:
+            answer, self._crossed = self._crossed or answer, answer
+        return Response.json(answer)
 
     def _stream(self, sequence: Sequence, request: Request) -> Iterator[bytes]:
         try:
