--- a/hibiscustray/benchmarks/__init__.py
+++ b/hibiscustray/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks that run real agents over loopback behind shaped links."""
+"""Benchmarks of real entries and agents over loopback, with faults brought about."""
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -25,7 +25,7 @@
 from hibiscustray.peers import End
 from hibiscustray.reports import ServiceLevelEvent, ServiceLevelRecorder
 from hibiscustray.reports.recorder import ABANDONED, ANSWERED
-from hibiscustray.requests import CallerRequest
+from hibiscustray.requests import CallerRequest, estimate_call, estimate_chat
 from hibiscustray.settings import LimitSettings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import Request, Response, Router
@@ -62,6 +62,7 @@
     """What is known of a request while it is served."""
 
     started: float
+    cpu_started: float
     team: str = "unknown"
     service: str = "unknown"
     first_payload_s: float | None = None
@@ -122,7 +123,7 @@
 
     def _serve(self, request: Request, name_service, path: str) -> Response:
         request_id = uuid.uuid4().hex
-        progress = Progress(time.monotonic())
+        progress = Progress(time.monotonic(), time.thread_time())
         self._change_running(1)
         try:
             progress.team = self._credentials.identify(request.headers.get("authorization", ""))
@@ -164,6 +165,7 @@
             key=_read_key(request),
             priority=known_team.priority if known_team else 5,
             weight=known_team.weight if known_team else 1.0,
+            estimate=estimate_chat(body) if service.kind == "model" else estimate_call(),
         )
         return caller, service
 
@@ -198,6 +200,8 @@
 
     def _record_end(self, progress: Progress, outcome: str, kind: str) -> None:
         self._change_running(-1)
+        cpu_s = time.thread_time() - progress.cpu_started
+        self._metrics.count("request_cpu_seconds_total", amount=cpu_s)
         self._recorder.record(
             ServiceLevelEvent(
                 progress.service,
