--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -4,15 +4,24 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
 from hibiscustray.agent.state import ServingState
-from hibiscustray.deployments import Configuration, Justification, RevisionStore
+from hibiscustray.deployments import (
+    Configuration,
+    Justification,
+    Revision,
+    RevisionStore,
+    load_operator_keys,
+)
 from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
+from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.membership import Exchange, MemberView
+from hibiscustray.membership import Exchange, MemberView, spread_revision
+from hibiscustray.operator import Operator, SiteStatus, read_status
 from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
 from hibiscustray.peers.codec import (
     ATTEMPT,
@@ -26,21 +35,25 @@
     STATUS,
     SYNC,
 )
+from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
 from hibiscustray.peers.packing import NEWEST
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
+from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import Ledger
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
 from hibiscustray.routing import ReplicaChooser
-from hibiscustray.settings import Settings
+from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
-from hibiscustray.web import HttpServer, Response, Router
-from hibiscustray.weights import ChunkCache, LinkBudget, TransferEnvironment
+from hibiscustray.web import HttpServer, Response, Router, make_server_context
+from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry, TransferEnvironment
 
 AGENT_HTTP_THREADS = 4
+AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
 EXCHANGE_CHANNELS = 16
-MIB = 1024 * 1024
+KIB = 1024
+MIB = 1024 * KIB
 MS_PER_S = 1000
 
 
@@ -52,6 +65,50 @@
     table: Table
     configuration: Configuration
     peers: PeerPool
+    credentials: PeerCredentials
+
+
+def build_operator(settings: OperatorSettings) -> Operator:
+    """Wire an operator's client."""
+    platform = settings.platform
+    return Operator(
+        settings.operator.name,
+        platform.table_url,
+        platform.object_url,
+        settings.key,
+        platform.timeout_s,
+        _build_spread(settings),
+    )
+
+
+def _build_spread(settings: OperatorSettings) -> Callable[[Revision], object]:
+    """Wire the handing over of accepted revisions to several processes."""
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    credentials = load_peer_credentials(settings.security)
+    return lambda revision: spread_revision(revision, machines, PeerPool(credentials.channel))
+
+
+def build_status_reader(settings: OperatorSettings) -> Callable[[], SiteStatus]:
+    """Wire the reading of a site's status."""
+    operator = build_operator(settings)
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    peers = PeerPool(load_peer_credentials(settings.security).channel)
+    return lambda: read_status(operator.read(), machines, peers)
+
+
+def _keep(part):
+    return part
+
+
+@dataclass(frozen=True)
+class Wrappers:
+    """Functions that stand between an agent and its links, for stand-ins that shape them."""
+
+    peers: Callable[[PeerPool], PeerPool] = _keep
+    origin: Callable[[Origin], Origin] = _keep
+
+
+UNSHAPED = Wrappers()
 
 
 def build_entry(settings: Settings) -> EntryProcess:
@@ -63,11 +120,10 @@
         settings.process.peer_port,
         exchange_slot.handlers(),
         ENTRY_PEER_THREADS,
+        core.credentials.server,
     )
     router = _LateRouter()
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, settings.limits.threads
-    )
+    http = _build_http(settings, router, settings.limits.threads, settings.limits.body_kib * KIB)
     view = MemberView(_make_record(settings, "entry", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
@@ -80,18 +136,25 @@
         load_teams(settings.security.teams),
         settings.limits,
         core.metrics,
+        ServiceLevelRecorder(core.configuration, core.metrics),
+        ProcessIdentity(view.own.id, view.own.incarnation),
     )
+    sampler = Sampler(SampleStore(core.table), core.metrics, view.own.id, view.own.incarnation)
     router.target = application.router
-    return EntryProcess(application, http, peer_server, exchange, view, core.peers, watchdog)
+    return EntryProcess(
+        application, http, peer_server, exchange, view, core.peers, watchdog, sampler
+    )
 
 
-def build_agent(settings: Settings) -> AgentProcess:
+def build_agent(settings: Settings, wrappers: Wrappers = UNSHAPED) -> AgentProcess:
     """Wire an agent."""
     assert settings.upstream is not None
-    core = _build_core(settings)
+    core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    chunks = ChunkServer(cache, LinkBudget(settings.links.up_mbit_s), core.metrics)
     state = ServingState(core.configuration.is_justified)
+    swarms = SwarmRegistry()
+    uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
+    chunks = ChunkServer(cache, swarms, uplink, core.metrics)
     engine = EngineClient(settings.upstream.url)
     attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
     exchange_slot = _ExchangeSlot()
@@ -106,11 +169,10 @@
         settings.process.peer_port,
         handlers,
         settings.upstream.concurrency + AGENT_PEER_EXTRA_THREADS,
+        core.credentials.server,
     )
     router = _build_agent_router(core, chunks, state)
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, AGENT_HTTP_THREADS
-    )
+    http = _build_http(settings, router, AGENT_HTTP_THREADS, AGENT_BODY_KIB * KIB)
     view = MemberView(_make_record(settings, "agent", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
@@ -127,9 +189,11 @@
         view=view,
         peers=core.peers,
         objects=ObjectStore(settings.platform.object_url, settings.platform.timeout_s),
-        origin=Origin(settings.platform.origin_url),
+        origin=wrappers.origin(Origin(settings.platform.origin_url)),
         cache=cache,
+        swarms=swarms,
         metrics=core.metrics,
+        origin_region=settings.platform.origin_region,
     )
     deployer = Deployer(
         settings.upstream.service,
@@ -155,15 +219,13 @@
         self.exchange: Exchange | None = None
 
     def handlers(self):
-        return {
-            method.name: self._bind(method.name)
-            for method in (EXCHANGE, REVISION, SYNC, PROBE, PUSH, STATUS)
-        }
+        methods = (EXCHANGE, REVISION, SYNC, PROBE, PUSH, STATUS)
+        return {method.name: self._bind(method.name) for method in methods}
 
     def _bind(self, name: str):
         def serve(message, context):
             assert self.exchange is not None
-            return self.exchange.handlers()[name](message, context)
+            return self.exchange.handlers[name](message, context)
 
         return serve
 
@@ -179,12 +241,21 @@
         return self.target(environ, start_response)
 
 
-def _build_core(settings: Settings) -> Core:
+def _build_http(settings: Settings, app, threads: int, max_body_b: int) -> HttpServer:
+    security = settings.security
+    context = make_server_context(security.http_certificate, security.http_key)
+    process = settings.process
+    return HttpServer(app, process.address, process.http_port, threads, max_body_b, context)
+
+
+def _build_core(settings: Settings, wrappers: Wrappers = UNSHAPED) -> Core:
+    credentials = load_peer_credentials(settings.security)
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
-        configuration=Configuration(_build_justification(settings)),
-        peers=PeerPool(),
+        configuration=_build_configuration(settings),
+        peers=wrappers.peers(PeerPool(credentials.channel)),
+        credentials=credentials,
     )
 
 
@@ -194,15 +265,18 @@
         core.configuration,
         RevisionStore(core.table),
         MachineList(settings.platform.machines_url, settings.platform.timeout_s),
-        PeerPool(limit=EXCHANGE_CHANNELS),
+        PeerPool(core.credentials.channel, EXCHANGE_CHANNELS),
         settings.membership,
         core.metrics,
     )
 
 
-def _build_justification(settings: Settings) -> Justification:
+def _build_configuration(settings: Settings) -> Configuration:
     membership = settings.membership
-    return Justification(membership.isolation_grace_s, membership.suspect_after_s)
+    return Configuration(
+        load_operator_keys(settings.security.operators),
+        Justification(membership.isolation_grace_s, membership.suspect_after_s),
+    )
 
 
 def _make_record(
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -97,6 +97,12 @@
         self.operator = operator
 
 
+class ProgramFailed(ConfigurationError):
+    """An operator program ended with an error or printed nothing."""
+
+    exit_code = 6
+
+
 class NoConfiguration(ConfigurationError):
     """This process holds no configuration that it can justify."""
 
@@ -261,5 +267,11 @@
     kind = "deadline-passed-running"
 
 
+class MetricsUnreadable(HibiscustrayError):
+    """A process's metrics could not be read."""
+
+    exit_code = 6
+
+
 class ShareExhausted(HibiscustrayError):
     """A bounded resource has no room left."""
--- a/hibiscustray/membership/__init__.py
+++ b/hibiscustray/membership/__init__.py
@@ -1,23 +1,7 @@
 """Which processes exist, their state and incarnation, and the heartbeat between them."""
 
 from hibiscustray.membership.exchange import Exchange
-from hibiscustray.membership.spread import (
-    SpreadReport,
-    list_processes,
-    push_revision,
-    read_statuses,
-    spread_revision,
-    wait_for_revision,
-)
+from hibiscustray.membership.spread import list_processes, push_revision, spread_revision
 from hibiscustray.membership.view import MemberView
 
-__all__ = [
-    "Exchange",
-    "MemberView",
-    "SpreadReport",
-    "list_processes",
-    "push_revision",
-    "read_statuses",
-    "spread_revision",
-    "wait_for_revision",
-]
+__all__ = ["Exchange", "MemberView", "list_processes", "push_revision", "spread_revision"]
--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -10,6 +10,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Any
 
+import msgspec
+
 from hibiscustray.deployments import Configuration, RevisionStore
 from hibiscustray.exceptions import PeerError
 from hibiscustray.membership.detector import FailureDetector
@@ -81,11 +83,24 @@
         self._fetching = threading.Lock()
         self._news = threading.Event()
         self._stopping = threading.Event()
+        self.handlers: dict[str, Callable[[Any, Any], Any]] = {
+            EXCHANGE.name: lambda message, context: self.serve(message),
+            REVISION.name: self._serve_revision,
+            SYNC.name: self._serve_sync,
+            PROBE.name: self._serve_probe,
+            PUSH.name: self._serve_push,
+            STATUS.name: self._serve_status,
+        }
         self._threads = [
             threading.Thread(target=self._run_heartbeat, name="heartbeat", daemon=True),
             threading.Thread(target=self._poller.run, name="platform-poll", daemon=True),
         ]
 
+    @property
+    def own(self) -> MemberRecord:
+        """Return this process's own record."""
+        return self._view.own
+
     def start(self) -> None:
         """Begin to exchange heartbeats and to poll the platform."""
         for thread in self._threads:
@@ -101,22 +116,12 @@
         if self._view.own.status in (LEAVING, LEFT):
             wait(self._beat_round(True), FAREWELL_S)
         self._calls.shutdown(wait=False, cancel_futures=True)
+        self._peers.close()
 
     def announce(self) -> None:
         """Send the next heartbeat at once, to all neighbours."""
         self._news.set()
 
-    def handlers(self) -> dict[str, Callable[[Any, Any], Any]]:
-        """Return the peer methods that this exchange serves."""
-        return {
-            EXCHANGE.name: lambda message, context: self.serve(message),
-            REVISION.name: self._serve_revision,
-            SYNC.name: self._serve_sync,
-            PROBE.name: self._serve_probe,
-            PUSH.name: self._serve_push,
-            STATUS.name: self._serve_status,
-        }
-
     def serve(self, message: ExchangeMessage) -> ExchangeMessage:
         """Answer a peer's heartbeat."""
         self._metrics.count("heartbeats_served_total")
@@ -152,12 +157,8 @@
         return self._serve_status(StatusRequest(), context)
 
     def _serve_status(self, message: StatusRequest, context) -> StatusReply:
-        return StatusReply(
-            self._view.own.id,
-            self._configuration.number,
-            self._configuration.digest,
-            self._configuration.is_justified(),
-        )
+        own = msgspec.structs.replace(self._view.own, revision=self._configuration.number)
+        return StatusReply(own, self._configuration.is_justified())
 
     def _run_heartbeat(self) -> None:
         while not self._stopping.is_set():
--- a/hibiscustray/peers/__init__.py
+++ b/hibiscustray/peers/__init__.py
@@ -11,6 +11,7 @@
     ExchangeMessage,
     Failed,
     Frame,
+    HaveSet,
     HoldingsReply,
     HoldingsRequest,
     ManifestReply,
@@ -20,6 +21,7 @@
     RevisionReply,
     RevisionRequest,
     StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -35,6 +37,7 @@
     "ExchangeMessage",
     "Failed",
     "Frame",
+    "HaveSet",
     "HoldingsReply",
     "HoldingsRequest",
     "ManifestReply",
@@ -47,6 +50,7 @@
     "RevisionReply",
     "RevisionRequest",
     "StatusReply",
+    "StatusRequest",
     "TicketReply",
     "TicketRequest",
 ]
--- a/hibiscustray/peers/codec.py
+++ b/hibiscustray/peers/codec.py
@@ -53,6 +53,7 @@
 
 EXCHANGE = Method("Exchange", ExchangeMessage, ExchangeMessage)
 REVISION = Method("Revision", RevisionRequest, RevisionReply)
+STATUS = Method("Status", StatusRequest, StatusReply)
 MANIFEST = Method("Manifest", ManifestRequest, ManifestReply)
 HOLDINGS = Method("Holdings", HoldingsRequest, HoldingsReply)
 CHUNK = Method("Chunk", ChunkRequest, ChunkReply)
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -85,19 +85,6 @@
     revision: Revision
 
 
-class StatusRequest(Message, frozen=True):
-    """Asks which revision the receiver holds."""
-
-
-class StatusReply(Message, frozen=True):
-    """Which revision a process holds, and whether it may serve it."""
-
-    id: str
-    revision: int = 0
-    digest: str = ""
-    is_justified: bool = False
-
-
 class RevisionRequest(Message, frozen=True):
     """Asks for the revision in force at the receiver."""
 
@@ -108,6 +95,17 @@
     revision: Revision | None = None
 
 
+class StatusRequest(Message, frozen=True):
+    """Asks a process for its own record."""
+
+
+class StatusReply(Message, frozen=True):
+    """The sender's own record, and whether it may serve the revision that it holds."""
+
+    member: MemberRecord
+    is_justified: bool = False
+
+
 class ManifestRequest(Message, frozen=True):
     """Asks for a manifest by its digest."""
 
@@ -120,31 +118,48 @@
     body: bytes = b""
 
 
+class HaveSet(Message, frozen=True):
+    """Which chunks of a version the agent at an address holds, as a bitmap."""
+
+    address: str
+    bitmap: bytes
+
+
 class HoldingsRequest(Message, frozen=True):
-    """Asks which chunks of a version the receiver holds."""
+    """Asks which chunks of a version the receiver holds, telling what the sender knows."""
 
     digest: str
+    have: tuple[HaveSet, ...] = ()
 
 
 class HoldingsReply(Message, frozen=True):
-    """A bitmap of the chunks held, most significant bit first, and the sender's upload queue."""
+    """The chunks held and those being drawn, the upload queue (ms), and known have-sets."""
 
     bitmap: bytes = b""
-    queued: int = 0
+    queued_ms: int = 0
+    drawing: bytes = b""
+    have: tuple[HaveSet, ...] = ()
 
 
 class ChunkRequest(Message, frozen=True):
-    """Asks for one chunk of a version."""
+    """Asks for one chunk of a version, telling what the sender knows."""
 
     digest: str
     index: int
+    have: tuple[HaveSet, ...] = ()
 
 
 class ChunkReply(Message, frozen=True):
-    """A chunk's bytes, or nothing when the sender does not hold it."""
+    """A chunk's bytes, or nothing when the sender does not hold it or is busy.
+
+    `busy_s` is the length of the sender's upload queue in seconds.
+    """
 
     data: bytes = b""
     is_held: bool = True
+    is_busy: bool = False
+    busy_s: float = 0.0
+    have: tuple[HaveSet, ...] = ()
 
 
 class TicketRequest(Message, frozen=True):
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -33,6 +33,7 @@
     object_url: str
     machines_url: str
     origin_url: str
+    origin_region: str = ""
     timeout_s: Positive = 2.0
 
 
@@ -86,6 +87,7 @@
     http_certificate: str = ""
     http_key: str = ""
     teams: str = ""
+    operators: str = ""
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import queue
+import ssl
 import threading
 import time
 from collections import deque
@@ -19,6 +20,7 @@
 
 DEFAULT_TOKENS = 16
 THREADS = 64
+CHUNKS_A_READ = 16
 
 
 @dataclass(frozen=True)
@@ -57,7 +59,10 @@
         step_s: float = 0.01,
         max_batch: int = 16,
         checks_fencing: bool = True,
+        threads: int = THREADS,
+        context: ssl.SSLContext | None = None,
     ) -> None:
+        self._context = context
         self.step_s = step_s
         self.records: list[EngineRecord] = []
         self.orders: list[LoadOrder] = []
@@ -77,7 +82,7 @@
         router.add("GET", "/orders/loaded", lambda _: Response.json(self.weights))
         router.add("GET", "/load", self._serve_load)
         router.add("GET", "/records", lambda _: Response.json(self.records))
-        self._http = HttpServer(router, address, port, THREADS)
+        self._http = HttpServer(router, address, port, threads)
 
     @property
     def url(self) -> str:
@@ -106,7 +111,7 @@
             if is_stale and self._checks_fencing:
                 return Response.json({"fencing": self.weights.fencing}, 409)
             self.stale_orders_taken += is_stale
-        digest = _read_weights(order.weights_url)
+        digest = _read_weights(order.weights_url, self._context)
         with self._lock:
             self.orders.append(order)
             self.weights = EngineWeights(digest, order.adapters, order.fencing)
@@ -179,17 +184,25 @@
         sequence.tokens.put(None)
 
 
-def _read_weights(url: str) -> str:
+def _read_weights(url: str, context: ssl.SSLContext | None) -> str:
     """Read all chunks and return the digest that the bytes themselves give."""
-    client = HttpClient(url, 60.0)
+    client = HttpClient(url, 60.0, context)
     layout = msgspec.json.decode(client.call("GET", "").body)
     chunks = []
-    for index in range(layout["count"]):
-        chunks.append(hashlib.sha256(client.call("GET", f"/{index}").body).digest())
+    for first in range(0, layout["count"], CHUNKS_A_READ):
+        last = min(first + CHUNKS_A_READ, layout["count"]) - 1
+        chunks += _hash_chunks(client.call("GET", f"/{first}-{last}").body, layout["chunk_size"])
     client.close()
     return _digest_layout(layout, chunks)
 
 
+def _hash_chunks(data: bytes, chunk_size: int) -> list[bytes]:
+    return [
+        hashlib.sha256(data[start : start + chunk_size]).digest()
+        for start in range(0, len(data), chunk_size)
+    ]
+
+
 def _digest_layout(layout: dict, chunks: list[bytes]) -> str:
     manifest = Manifest(
         layout["path"], layout["size"], layout["chunk_size"], tuple(chunks), layout["base"]
