--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -9,16 +9,34 @@
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
 from hibiscustray.agent.state import ServingState
-from hibiscustray.deployments import Configuration, RevisionStore, load_operator_keys
+from hibiscustray.deployments import (
+    Configuration,
+    Justification,
+    Revision,
+    RevisionStore,
+    load_operator_keys,
+)
 from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
 from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.membership import Exchange, MemberView
+from hibiscustray.membership import Exchange, MemberView, spread_revision
 from hibiscustray.operator import Operator, SiteStatus, read_status
-from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply, StatusReply
-from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION, STATUS
+from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
+from hibiscustray.peers.codec import (
+    ATTEMPT,
+    CHUNK,
+    EXCHANGE,
+    HOLDINGS,
+    MANIFEST,
+    PROBE,
+    PUSH,
+    REVISION,
+    STATUS,
+    SYNC,
+)
 from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
+from hibiscustray.peers.packing import NEWEST
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import Ledger
@@ -33,6 +51,7 @@
 AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
+EXCHANGE_CHANNELS = 16
 KIB = 1024
 MIB = 1024 * KIB
 MS_PER_S = 1000
@@ -58,9 +77,17 @@
         platform.object_url,
         settings.key,
         platform.timeout_s,
+        _build_spread(settings),
     )
 
 
+def _build_spread(settings: OperatorSettings) -> Callable[[Revision], object]:
+    """Wire the handing over of accepted revisions to several processes."""
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    credentials = load_peer_credentials(settings.security)
+    return lambda revision: spread_revision(revision, machines, PeerPool(credentials.channel))
+
+
 def build_status_reader(settings: OperatorSettings) -> Callable[[], SiteStatus]:
     """Wire the reading of a site's status."""
     operator = build_operator(settings)
@@ -87,7 +114,7 @@
 def build_entry(settings: Settings) -> EntryProcess:
     """Wire an entry."""
     core = _build_core(settings)
-    exchange_slot = _ExchangeSlot(core.configuration)
+    exchange_slot = _ExchangeSlot()
     peer_server = PeerServer(
         settings.process.address,
         settings.process.peer_port,
@@ -128,13 +155,13 @@
     assert settings.upstream is not None
     core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    state = ServingState()
+    state = ServingState(core.configuration.is_justified)
     swarms = SwarmRegistry()
     uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
     chunks = ChunkServer(cache, swarms, uplink, core.metrics)
     engine = EngineClient(settings.upstream.url)
     attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
-    exchange_slot = _ExchangeSlot(core.configuration)
+    exchange_slot = _ExchangeSlot()
     handlers = exchange_slot.handlers() | {
         MANIFEST.name: chunks.serve_manifest,
         HOLDINGS.name: chunks.serve_holdings,
@@ -192,28 +219,19 @@
 class _ExchangeSlot:
     """Stands between the peer server and the exchange, which needs the server's port."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self) -> None:
         self.exchange: Exchange | None = None
-        self._configuration = configuration
 
     def handlers(self):
-        return {
-            EXCHANGE.name: self._serve_exchange,
-            REVISION.name: self._serve_revision,
-            STATUS.name: self._serve_status,
-        }
+        methods = (EXCHANGE, REVISION, SYNC, PROBE, PUSH, STATUS)
+        return {method.name: self._bind(method.name) for method in methods}
 
-    def _serve_exchange(self, message, context):
-        assert self.exchange is not None
-        return self.exchange.serve(message)
+    def _bind(self, name: str):
+        def serve(message, context):
+            assert self.exchange is not None
+            return self.exchange.handlers[name](message, context)
 
-    def _serve_status(self, message, context) -> StatusReply:
-        assert self.exchange is not None
-        return StatusReply(self.exchange.own)
-
-    def _serve_revision(self, message, context) -> RevisionReply:
-        held = self._configuration.number > 0
-        return RevisionReply(self._configuration.revision if held else None)
+        return serve
 
 
 class _LateRouter:
@@ -239,7 +257,7 @@
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
-        configuration=Configuration(load_operator_keys(settings.security.operators)),
+        configuration=_build_configuration(settings),
         peers=wrappers.peers(PeerPool(credentials.channel)),
         credentials=credentials,
     )
@@ -251,12 +269,20 @@
         core.configuration,
         RevisionStore(core.table),
         MachineList(settings.platform.machines_url, settings.platform.timeout_s),
-        core.peers,
+        PeerPool(core.credentials.channel, EXCHANGE_CHANNELS),
         settings.membership,
         core.metrics,
     )
 
 
+def _build_configuration(settings: Settings) -> Configuration:
+    membership = settings.membership
+    return Configuration(
+        load_operator_keys(settings.security.operators),
+        Justification(membership.isolation_grace_s, membership.suspect_after_s),
+    )
+
+
 def _make_record(
     settings: Settings, role: str, peer_server: PeerServer, http: HttpServer
 ) -> MemberRecord:
@@ -270,6 +296,7 @@
         incarnation=int(time.time() * MS_PER_S),
         service=settings.upstream.service if settings.upstream else "",
         serving="-",
+        codec=NEWEST,
     )
 
 
@@ -279,7 +306,7 @@
         return Response(200, body, content_type)
 
     def serve_health(request) -> Response:
-        is_ready = state.digest is not None and not state.is_leaving
+        is_ready = state.is_ready()
         return Response.json({"ready": is_ready}, 200 if is_ready else 503)
 
     router = Router(lambda error: Response.json({"title": type(error).__name__}, 500))
