Makes the deployer outlive failures and fences late orders by the agent's own gate

Cause: an unexpected exception ended the deployer's thread; a slot's lease could lapse during a swap; engines that ignore fencing numbers took late orders. The gate lets an engine read weights under the newest order only.

--- a/hibiscustray/agent/chunks.py
+++ b/hibiscustray/agent/chunks.py
@@ -13,6 +13,7 @@
     ManifestReply,
     ManifestRequest,
 )
+from hibiscustray.rollout import OrderGate
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import Request, Response, Router
 from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry
@@ -27,11 +28,17 @@
     """Reads from the chunk cache; uploads to peers take turns on the link, and few may wait."""
 
     def __init__(
-        self, cache: ChunkCache, swarms: SwarmRegistry, uplink: LinkBudget, metrics: Metrics
+        self,
+        cache: ChunkCache,
+        swarms: SwarmRegistry,
+        uplink: LinkBudget,
+        gate: OrderGate,
+        metrics: Metrics,
     ) -> None:
         self._cache = cache
         self._swarms = swarms
         self._uplink = uplink
+        self._gate = gate
         self._metrics = metrics
 
     def serve_manifest(self, request: ManifestRequest, context) -> ManifestReply:
@@ -71,13 +78,14 @@
 
     def add_routes(self, router: Router) -> None:
         """Register the engine's routes."""
-        router.add("GET", "/weights/{digest}", self._serve_layout)
-        router.add("GET", "/weights/{digest}/{span}", self._serve_engine_chunks)
+        router.add("GET", "/weights/{order}/{digest}", self._serve_layout)
+        router.add("GET", "/weights/{order}/{digest}/{span}", self._serve_engine_chunks)
 
     def _serve_layout(self, request: Request) -> Response:
         digest = request.groups["digest"]
         manifest = self._cache.manifest(digest)
-        if manifest is None or not self._cache.is_whole(digest):
+        is_open = self._gate.is_open(int(request.groups["order"]))
+        if not is_open or manifest is None or not self._cache.is_whole(digest):
             return Response.json({"title": "not held"}, 404)
         layout = {
             "path": manifest.path,
--- a/hibiscustray/agent/deployer.py
+++ b/hibiscustray/agent/deployer.py
@@ -4,31 +4,36 @@
 
 import logging
 import threading
+import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from hibiscustray.agent.state import ServingState
 from hibiscustray.deployments import Configuration, Deployment, Service
-from hibiscustray.exceptions import HibiscustrayError, NoConfiguration, TransferOvertaken
+from hibiscustray.exceptions import (
+    ActivationAbandoned,
+    AdapterMismatch,
+    HibiscustrayError,
+    NoConfiguration,
+    TransferOvertaken,
+    UpstreamError,
+)
 from hibiscustray.membership import Exchange, MemberView
-from hibiscustray.rollout import Activation
-from hibiscustray.rollout.activation import Target
+from hibiscustray.rollout import Activation, Target, Waves, WaveSlot
 from hibiscustray.telemetry import Metrics
-from hibiscustray.weights import (
-    Carriers,
-    ChunkCache,
-    Transfer,
-    TransferEnvironment,
-    TransferOrder,
-)
+from hibiscustray.weights import Carriers, Transfer, TransferEnvironment, TransferOrder
 
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.5
+AUDIT_INTERVAL_S = 1.0
 DRAIN_LIMIT_S = 120.0
 
+Progress = Callable[[int, int], None]
+
 
 class Deployer:
-    """Compares the target with what is served and closes the gap, one version at a time."""
+    """Compares the target with what is served and closes the gap."""
 
     def __init__(
         self,
@@ -39,7 +44,7 @@
         state: ServingState,
         environment: TransferEnvironment,
         activation: Activation,
-        cache: ChunkCache,
+        waves: Waves,
         metrics: Metrics,
         stopping: threading.Event,
     ) -> None:
@@ -50,32 +55,39 @@
         self._state = state
         self._environment = environment
         self._activation = activation
-        self._cache = cache
+        self._waves = waves
         self._metrics = metrics
         self._stopping = stopping
         self._changed = threading.Event()
-        self._transfer: Transfer | None = None
-        self._progress: Callable[[int, int], None] | None = None
+        self._transfers: tuple[Transfer, ...] = ()
+        self._progress: Progress | None = None
+        self._active: Target | None = None
+        self._pinned: frozenset[str] = frozenset()
+        self._slot: WaveSlot | None = None
+        self._failure = ""
+        self._audit_at = 0.0
         self._thread = threading.Thread(target=self._run, name="deployer", daemon=True)
         configuration.add_listener(self._note_change)
 
-    def start(self, on_progress: Callable[[int, int], None] | None = None) -> None:
+    def start(self, on_progress: Progress | None = None) -> None:
         """Begin to follow the configuration."""
         self._progress = on_progress
         self._thread.start()
 
     def stop(self) -> None:
-        """Cancel a running transfer and end the thread."""
+        """Cancel running transfers and end the thread."""
         self._stopping.set()
         self._changed.set()
-        if self._transfer is not None:
-            self._transfer.cancel()
+        for transfer in self._transfers:
+            transfer.cancel()
         self._thread.join()
 
     def _note_change(self, revision, deployment: Deployment) -> None:
-        transfer = self._transfer
-        if transfer is not None and transfer.digest != deployment.find_digest(self._service):
-            transfer.cancel()
+        target = self._find_target()
+        wanted = target.digests if target else ()
+        for transfer in self._transfers:
+            if transfer.digest not in wanted:
+                transfer.cancel()
         self._changed.set()
 
     def _run(self) -> None:
@@ -84,55 +96,153 @@
             self._changed.clear()
             try:
                 self._close_gap()
-            except TransferOvertaken:
-                log.info("transfer overtaken by a newer version")
+                self._failure = ""
             except NoConfiguration:
                 continue
-            except HibiscustrayError as error:
-                self._metrics.count("deploy_failures_total", {"kind": type(error).__name__})
+            except (TransferOvertaken, ActivationAbandoned) as error:
+                log.info("deployment step given up", extra={"reason": str(error)})
+            except Exception as error:
+                # The thread outlives every failure, else the VM would never follow again.
+                self._note_failure(error)
                 self._stopping.wait(RETRY_S)
+        self._release_slot()
 
-    def _close_gap(self) -> None:
+    def _note_failure(self, error: Exception) -> None:
+        kind = type(error).__name__
+        self._metrics.count("deploy_failures_total", {"kind": kind})
+        if kind != self._failure:
+            is_known = isinstance(error, HibiscustrayError)
+            log.error(
+                "deployment failed",
+                extra={"kind": kind, "detail": str(error)},
+                exc_info=None if is_known else error,
+            )
+        self._failure = kind
+
+    def _find_target(self) -> Target | None:
+        """Return what this agent should serve, None for nothing."""
         deployment = self._configuration.deployment
         service = deployment.find_service(self._service)
         if service is None or not self._is_wanted_here(service):
-            self._suspend()
-            return
-        target = Target(
+            return None
+        adapters = (deployment.find_version(name) for name in service.adapters)
+        return Target(
             service=service.name,
             digest=deployment.find_digest(service.name),
             revision=self._configuration.number,
             max_unavailable=service.max_unavailable,
+            adapters=tuple(adapter.manifest for adapter in adapters if adapter),
         )
-        if self._state.digest == target.digest:
-            return
-        if target.digest:
-            self._transfer = Transfer(self._environment, _order_transfer(service, target.digest))
-            self._transfer.run(self._progress)
-            self._activate(target)
-        self._serve(target.digest)
 
     def _is_wanted_here(self, service: Service) -> bool:
         zones = service.availability_zones
         return not zones or self._view.own.availability_zone in zones
 
-    def _activate(self, target: Target) -> None:
-        is_swap = self._state.digest is not None
-        slot = self._activation.acquire_slot(target) if is_swap else None
-        if is_swap and slot is None:
-            raise TransferOvertaken(target.digest[:12])
+    def _is_wanted(self, target: Target) -> bool:
+        current = self._find_target()
+        return current is not None and current.digests == target.digests
+
+    def _close_gap(self) -> None:
+        target = self._find_target()
+        if target is None:
+            self._suspend()
+            self._active = None
+            self._release_slot()
+            return
+        active = self._active if self._state.digest is not None else None
+        if active is not None and active.digests == target.digests:
+            self._audit(active)
+            return
+        if target.digest:
+            self._fetch(target)
+            self._activate(target)
+        self._serve(target)
+
+    def _audit(self, active: Target) -> None:
+        """Take no more attempts when the engine turns out to hold something else."""
+        now = time.monotonic()
+        if not active.digest or now < self._audit_at:
+            return
+        self._audit_at = now + AUDIT_INTERVAL_S
         try:
+            is_loaded = self._activation.is_loaded(active)
+        except UpstreamError:
+            self._metrics.count("engine_audits_failed_total")
+            return
+        if not is_loaded:
+            log.error("the engine holds other weights", extra={"digest": active.digest})
+            self._metrics.count("engine_audits_mismatched_total")
             self._suspend()
-            if self._state.wait_until_idle(DRAIN_LIMIT_S):
-                self._activation.load(target)
-                self._serve(target.digest)
+            self._active = None
+
+    def _fetch(self, target: Target) -> None:
+        """Bring the model and its adapters into the cache, side by side."""
+        environment = self._environment
+        self._pin({*target.digests, *(self._active.digests if self._active else ())})
+        service = self._configuration.deployment.find_service(self._service)
+        if service is None:
+            raise TransferOvertaken(target.digest[:12])
+        self._transfers = tuple(
+            Transfer(environment, _order_transfer(service, digest)) for digest in target.digests
+        )
+        if self._stopping.is_set() or not self._is_wanted(target):
+            raise TransferOvertaken(target.digest[:12])
+        try:
+            self._run_transfers()
         finally:
-            self._activation.release_slot(slot)
+            self._transfers = ()
+        environment.swarms.retain(environment.cache.versions())
+        for adapter in target.adapters:
+            manifest = environment.cache.manifest(adapter)
+            if manifest is None or manifest.base != target.digest:
+                raise AdapterMismatch(f"{adapter[:12]} does not fit {target.digest[:12]}")
+
+    def _run_transfers(self) -> None:
+        transfers = self._transfers
+        with ThreadPoolExecutor(len(transfers), thread_name_prefix="version") as pool:
+            progresses = (self._progress, *(None for _ in transfers[1:]))
+            pairs = zip(transfers, progresses, strict=True)
+            runs = [pool.submit(transfer.run, progress) for transfer, progress in pairs]
+            try:
+                for run in runs:
+                    run.result()
+            except Exception:
+                for transfer in transfers:
+                    transfer.cancel()
+                raise
 
-    def _serve(self, digest: str) -> None:
-        self._state.serve(digest)
-        self._view.update_own(serving=digest)
+    def _activate(self, target: Target) -> None:
+        """Swap under a wave slot, which is kept while the engine cannot serve."""
+        is_swap = self._state.digest is not None or self._slot is not None
+        if self._slot is not None and not self._slot.is_valid():
+            self._release_slot()
+        if is_swap and self._slot is None:
+            self._slot = self._waves.acquire(
+                target.service, target.max_unavailable, lambda: self._is_wanted(target)
+            )
+            if self._slot is None:
+                raise ActivationAbandoned("no wave slot")
+        self._suspend()
+        try:
+            if not self._state.wait_until_idle(DRAIN_LIMIT_S):
+                raise ActivationAbandoned("attempts still run")
+            self._activation.load(target, self._slot, lambda: self._is_wanted(target))
+        except ActivationAbandoned:
+            self._resume()
+            raise
+
+    def _resume(self) -> None:
+        """Serve what was served before a swap that was given up, if it is still loaded."""
+        if self._active is not None and self._activation.is_loaded(self._active):
+            self._serve(self._active)
+
+    def _serve(self, target: Target) -> None:
+        self._active = target
+        self._state.serve(target.digest)
+        self._view.update_own(serving=target.digest, adapters=target.adapters)
         self._exchange.announce()
+        self._pin(set(target.digests))
+        self._release_slot()
 
     def _suspend(self) -> None:
         if self._state.digest is not None:
@@ -140,6 +250,18 @@
             self._view.update_own(serving="-")
             self._exchange.announce()
 
+    def _pin(self, digests: set[str]) -> None:
+        for digest in digests - self._pinned:
+            self._environment.cache.pin(digest)
+        for digest in self._pinned - digests:
+            self._environment.cache.unpin(digest)
+        self._pinned = frozenset(digests)
+
+    def _release_slot(self) -> None:
+        slot, self._slot = self._slot, None
+        if slot is not None:
+            slot.release()
+
 
 def _order_transfer(service: Service, digest: str) -> TransferOrder:
     carriers = Carriers(service.name, service.availability_zones)
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -18,7 +18,7 @@
 from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.requests import Ledger
-from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
+from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
 from hibiscustray.routing import ReplicaChooser
 from hibiscustray.settings import Settings
 from hibiscustray.telemetry import Metrics
@@ -96,7 +96,8 @@
     state = ServingState()
     swarms = SwarmRegistry()
     uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
-    chunks = ChunkServer(cache, swarms, uplink, core.metrics)
+    gate = OrderGate()
+    chunks = ChunkServer(cache, swarms, uplink, gate, core.metrics)
     engine = EngineClient(settings.upstream.url)
     attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
     exchange_slot = _ExchangeSlot(core.configuration)
@@ -122,11 +123,10 @@
     stopping = threading.Event()
     activation = Activation(
         engine,
-        LeaseStore(core.table, settings.process.id),
         FencingCounter(view.own.incarnation),
+        gate,
         settings.process.id,
-        lambda digest: f"{http.url}/weights/{digest}",
-        stopping,
+        lambda number: f"{http.url}/weights/{number}",
     )
     environment = TransferEnvironment(
         view=view,
@@ -146,7 +146,7 @@
         state,
         environment,
         activation,
-        cache,
+        Waves(LeaseStore(core.table, settings.process.id), stopping),
         core.metrics,
         stopping,
     )
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -122,6 +122,10 @@
     """The chunk cache has no room for the version."""
 
 
+class AdapterMismatch(WeightsError):
+    """An adapter's manifest names another base than the version that it should serve with."""
+
+
 class TransferOvertaken(WeightsError):
     """The transfer was stopped because another version is wanted now."""
 
@@ -142,6 +146,10 @@
     """A peer's message could not be decoded."""
 
 
+class ActivationAbandoned(HibiscustrayError):
+    """A swap was given up before anything was ordered."""
+
+
 class LeaseError(HibiscustrayError):
     """A lease could not be held."""
 
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -43,7 +43,10 @@
 
 @dataclass(frozen=True)
 class LoadOrder:
-    """An order to load weights, read chunk by chunk from a URL of the agent."""
+    """An order to load weights, read from a URL of the agent that is followed by a digest.
+
+    `slot_number` is the fencing number of the wave slot under which the order was given.
+    """
 
     digest: str
     weights_url: str
@@ -51,6 +54,7 @@
     issuer: str
     revision: int
     adapters: tuple[str, ...] = ()
+    slot_number: int = 0
 
 
 class EngineClient:
--- a/hibiscustray/rollout/__init__.py
+++ b/hibiscustray/rollout/__init__.py
@@ -1,7 +1,17 @@
 """Activation of verified weights in waves, fenced against orders from the past."""
 
-from hibiscustray.rollout.activation import Activation
+from hibiscustray.rollout.activation import Activation, OrderGate, Target
 from hibiscustray.rollout.fencing import FencingCounter
 from hibiscustray.rollout.leases import Lease, LeaseStore
+from hibiscustray.rollout.waves import Waves, WaveSlot
 
-__all__ = ["Activation", "FencingCounter", "Lease", "LeaseStore"]
+__all__ = [
+    "Activation",
+    "FencingCounter",
+    "Lease",
+    "LeaseStore",
+    "OrderGate",
+    "Target",
+    "WaveSlot",
+    "Waves",
+]
--- a/hibiscustray/rollout/leases.py
+++ b/hibiscustray/rollout/leases.py
@@ -57,6 +57,14 @@
         self._write(lease, body, number)
         return lease
 
+    def renew(self, lease: Lease, duration_s: float) -> Lease:
+        """Prolong a lease that nobody has taken over; raise `LeaseHeld`, `StoreUnavailable`."""
+        started = time.monotonic()
+        renewed = Lease(lease.name, lease.nonce, lease.number + 1, started + duration_s)
+        body = LeaseBody(self._holder, lease.nonce, time.time() + duration_s)
+        self._write(renewed, body, lease.number)
+        return renewed
+
     def release(self, lease: Lease) -> None:
         """Free a lease that is still held; one that was taken over stays untouched."""
         try:
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -108,7 +108,11 @@
             if is_stale and self._checks_fencing:
                 return Response.json({"fencing": self.weights.fencing}, 409)
             self.stale_orders_taken += is_stale
-        digest = _read_weights(order.weights_url)
+        digest, _ = _read_weights(f"{order.weights_url}/{order.digest}")
+        for adapter in order.adapters:
+            read, base = _read_weights(f"{order.weights_url}/{adapter}")
+            if (read, base) != (adapter, digest):
+                return Response.json({"adapter": adapter, "base": base}, 422)
         with self._lock:
             self.orders.append(order)
             self.weights = EngineWeights(digest, order.adapters, order.fencing)
@@ -181,8 +185,8 @@
         sequence.tokens.put(None)
 
 
-def _read_weights(url: str) -> str:
-    """Read all chunks and return the digest that the bytes themselves give."""
+def _read_weights(url: str) -> tuple[str, str]:
+    """Read all chunks; return the digest that the bytes themselves give, and the base."""
     client = HttpClient(url, 60.0)
     layout = msgspec.json.decode(client.call("GET", "").body)
     chunks = []
@@ -190,7 +194,7 @@
         last = min(first + CHUNKS_A_READ, layout["count"]) - 1
         chunks += _hash_chunks(client.call("GET", f"/{first}-{last}").body, layout["chunk_size"])
     client.close()
-    return _digest_layout(layout, chunks)
+    return _digest_layout(layout, chunks), layout["base"]
 
 
 def _hash_chunks(data: bytes, chunk_size: int) -> list[bytes]:
--- a/hibiscustray/weights/cache.py
+++ b/hibiscustray/weights/cache.py
@@ -67,6 +67,11 @@
         """Return the manifest of an open version."""
         return self._manifests.get(digest)
 
+    def versions(self) -> tuple[str, ...]:
+        """Return the digests of the open versions."""
+        with self._lock:
+            return tuple(self._manifests)
+
     def held(self, digest: str) -> int:
         """Return the chunks held as a mask, in which bit `i` stands for chunk `i`."""
         return self._masks.get(digest, 0)
