--- a/hibiscustray/agent/attempts.py
+++ b/hibiscustray/agent/attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import queue
 import time
 from collections.abc import Iterator
@@ -10,25 +9,42 @@
 
 import grpc
 
+from hibiscustray.agent.keyed import KeyedRequest, KeyedRequests
 from hibiscustray.agent.state import ServingState
-from hibiscustray.exceptions import (
-    KeyReused,
-    UpstreamConnectionLost,
-    UpstreamError,
-    UpstreamUnreachable,
+from hibiscustray.agent.upstream_call import (
+    RETRY_AFTER_S,
+    Items,
+    NotStarted,
+    Settlement,
+    UpstreamCall,
+)
+from hibiscustray.peers import (
+    AttemptRequest,
+    Beat,
+    Claimed,
+    Data,
+    End,
+    Failed,
+    Frame,
+    Refused,
+    TicketReply,
+    TicketRequest,
 )
-from hibiscustray.peers import AttemptRequest, Beat, Data, End, Failed, Frame, Refused
 from hibiscustray.platform import EngineClient
-from hibiscustray.platform.engine import HttpStream
-from hibiscustray.requests import AnswerDigest, Fresh, Ledger, Mismatch, Repeat, Running
+from hibiscustray.requests import (
+    TICKET_LIFETIME_S,
+    AnswerDigest,
+    Elsewhere,
+    Fresh,
+    Repeat,
+    Running,
+    Uncertain,
+)
 from hibiscustray.telemetry import Metrics
 
 BEAT_INTERVAL_S = 0.5
-RETRY_AFTER_S = 0.2
-EVENT_PREFIX = b"data: "
-EVENT_END = b"[DONE]"
-HTTP_TOO_MANY = 429
-HTTP_UNAVAILABLE = 503
+DEADLINE_MARGIN_S = 0.1
+DEADLINE_MARGIN_SHARE = 0.1
 
 
 class AttemptServer:
@@ -38,169 +54,184 @@
         self,
         state: ServingState,
         engine: EngineClient,
-        ledger: Ledger,
+        keyed: KeyedRequests,
+        incarnation: int,
         concurrency: int,
         metrics: Metrics,
+        trusts_busy: bool = False,
     ) -> None:
         self._state = state
         self._engine = engine
-        self._ledger = ledger
+        self._keyed = keyed
+        self._incarnation = incarnation
         self._metrics = metrics
-        self._readers = ThreadPoolExecutor(concurrency * 2, thread_name_prefix="upstream")
+        self._trusts_busy = trusts_busy
+        self._callers = ThreadPoolExecutor(concurrency * 2, thread_name_prefix="upstream")
 
     def serve(self, request: AttemptRequest, context: grpc.ServicerContext) -> Iterator[Frame]:
         """Yield the frames of one attempt."""
+        deadline = _read_deadline(request, context)
+        if not context.is_active() or time.monotonic() >= deadline:
+            yield self._refuse(NotStarted("deadline", "the deadline passed before the start"))
+        elif request.incarnation not in (0, self._incarnation):
+            yield self._refuse(NotStarted("incarnation", "that incarnation is gone"))
+        elif request.is_idempotent or not request.key:
+            yield from self._serve_unkeyed(request, context, deadline)
+        else:
+            yield from self._serve_keyed(request, context, deadline)
+
+    def serve_ticket(self, request: TicketRequest, context: grpc.ServicerContext) -> TicketReply:
+        """Issue a ticket unless the agent is leaving or serves another service."""
+        if self._state.is_leaving or self._state.digest is None:
+            return TicketReply()
+        return TicketReply(self._keyed.issue(request.team, request.service), TICKET_LIFETIME_S)
+
+    def _serve_unkeyed(self, request: AttemptRequest, context, deadline) -> Iterator[Frame]:
         refusal = self._state.begin(request.digest)
         if refusal:
-            yield self._refuse(refusal, "")
+            yield self._refuse(NotStarted(refusal, ""))
             return
-        try:
-            yield from self._serve_key(request, context)
-        finally:
-            self._state.end()
+        call = self._make_call(request, deadline, lambda: None, self._settle_unkeyed)
+        yield from self._run(request, call, context, deadline)
 
-    def _serve_key(self, request: AttemptRequest, context) -> Iterator[Frame]:
-        if request.is_idempotent or not request.key:
-            yield from self._run(request, context, "")
-            return
-        key = f"{request.team}/{request.service}/{request.key}"
-        match self._ledger.begin(key, hashlib.sha256(request.body).hexdigest()):
+    def _serve_keyed(self, request: AttemptRequest, context, deadline) -> Iterator[Frame]:
+        keyed, outcome = self._keyed.begin(request)
+        match outcome:
             case Fresh():
-                yield from self._run(request, context, key)
-            case Repeat(payloads=payloads, status=status, content_type=content_type):
-                yield from self._send_whole(payloads, status, content_type)
+                yield from self._run_keyed(request, keyed, context, deadline)
+                return
             case Running():
-                yield Failed("running", "the first request with this key has not finished")
-            case Mismatch():
-                yield Refused(KeyReused.kind, "the idempotency key was used with another body")
-
-    def _run(self, request: AttemptRequest, context, key: str) -> Iterator[Frame]:
-        deadline = time.monotonic() + request.timeout_s
-        try:
-            stream = self._engine.open(
-                request.path,
-                request.body,
-                _make_headers(request),
-                request.timeout_s,
-                is_fresh=not request.is_idempotent,
-            )
-        except UpstreamUnreachable as error:
-            self._ledger.give_back(key)
-            yield self._refuse("upstream-unreachable", str(error))
-            return
-        except UpstreamConnectionLost as error:
-            yield Failed("upstream-lost", str(error))
-            return
-        if stream.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
-            stream.close()
-            self._ledger.give_back(key)
-            yield self._refuse("upstream-busy", f"upstream answered {stream.status}")
+                outcome = yield from self._wait_for_first(keyed, deadline)
+        items: Items = queue.SimpleQueue()
+        if isinstance(outcome, Repeat):
+            for payload in outcome.payloads:
+                items.put(payload)
+        items.put(outcome)
+        yield from self._relay(request, items, lambda: False, deadline)
+
+    def _run_keyed(
+        self, request: AttemptRequest, keyed: KeyedRequest, context, deadline: float
+    ) -> Iterator[Frame]:
+        refusal = self._state.begin(request.digest)
+        if refusal:
+            yield self._refuse(self._keyed.settle(keyed, NotStarted(refusal, "")))
             return
-        context.add_callback(stream.abort)
-        payloads: list[bytes] = []
-        for frame in self._relay(request, stream, deadline):
-            if isinstance(frame, Data):
-                payloads.extend(frame.payloads)
-            if isinstance(frame, End) and key:
-                self._ledger.finish(key, Repeat(tuple(payloads), frame.status, frame.content_type))
-            yield frame
-
-    def _relay(self, request: AttemptRequest, stream: HttpStream, deadline) -> Iterator[Frame]:
-        """Read the upstream in a thread of its own, so that beats go on while it is quiet."""
-        items: queue.SimpleQueue[bytes | None | UpstreamError] = queue.SimpleQueue()
-        is_events = stream.headers.get("content-type", "").startswith("text/event-stream")
-        self._readers.submit(_read_payloads, stream, is_events, items)
-        digest = AnswerDigest()
-        sent = request.skip
-        try:
-            while True:
-                batch, is_over, error = _take_batch(items)
-                if batch:
-                    fresh = _drop_known(batch, digest.count, request.skip)
-                    digest.add(batch)
-                    if fresh:
-                        yield Data(sent, tuple(fresh))
-                        sent += len(fresh)
-                elif not is_over:
-                    yield Beat(self._state.running)
-                if error is not None:
-                    yield Failed("upstream-lost", str(error))
-                    return
-                if is_over:
-                    yield self._make_end(digest, stream)
-                    return
-                if time.monotonic() > deadline:
-                    yield Failed("deadline", "the deadline passed while the upstream answered")
-                    return
-        finally:
-            stream.abort()
-
-    def _make_end(self, digest: AnswerDigest, stream: HttpStream) -> End:
-        self._metrics.count("attempts_answered_total")
-        content_type = stream.headers.get("content-type", "application/json")
-        return End(digest.count, digest.value(), stream.status, content_type, self._state.running)
+        prepare, settle = self._keyed.bind(keyed)
 
-    def _send_whole(self, payloads, status: int, content_type: str) -> Iterator[Frame]:
-        digest = AnswerDigest()
-        digest.add(payloads)
-        yield Data(0, payloads)
-        yield End(digest.count, digest.value(), status, content_type, self._state.running)
+        def settle_and_end(settlement: Settlement) -> Settlement:
+            try:
+                return settle(settlement)
+            finally:
+                self._state.end()
 
-    def _refuse(self, kind: str, detail: str) -> Refused:
-        self._metrics.count("attempts_refused_total", {"kind": kind})
-        return Refused(kind, detail, RETRY_AFTER_S, self._state.running)
-
-
-def _make_headers(request: AttemptRequest) -> dict[str, str]:
-    return {
-        "Content-Type": "application/json",
-        "X-Request-Id": request.request_id,
-        "X-Attempt-Id": request.attempt_id,
-        "X-Priority": str(request.priority),
-        "X-Expected-Digest": request.digest,
-    }
+        call = self._make_call(request, deadline, prepare, settle_and_end)
+        yield from self._run(request, call, context, deadline)
 
+    def _wait_for_first(self, keyed: KeyedRequest, deadline: float):
+        """Beat while the first request with the key runs; return what became of it."""
+        while True:
+            outcome = self._keyed.wait(keyed, BEAT_INTERVAL_S)
+            if not isinstance(outcome, Running):
+                return outcome
+            if time.monotonic() >= deadline:
+                return Uncertain("the first request with this key has not finished")
+            yield Beat(self._state.running)
+
+    def _make_call(self, request, deadline, prepare, settle) -> UpstreamCall:
+        return UpstreamCall(self._engine, request, deadline, prepare, settle, self._trusts_busy)
+
+    def _settle_unkeyed(self, settlement: Settlement) -> Settlement:
+        self._state.end()
+        return settlement
+
+    def _run(
+        self, request: AttemptRequest, call: UpstreamCall, context, deadline: float
+    ) -> Iterator[Frame]:
+        def stop() -> None:
+            # A non-idempotent call that has started goes on, so that repeats get its outcome.
+            if not call.abandon() and request.is_idempotent:
+                call.abort()
+
+        self._callers.submit(call.run)
+        if not context.add_callback(stop):
+            stop()
+        try:
+            yield from self._relay(request, call.items, call.abandon, deadline)
+        finally:
+            stop()
 
-def _read_payloads(stream: HttpStream, is_events: bool, items: queue.SimpleQueue) -> None:
-    """Put payloads, then None for a whole answer or an error for a cut one."""
-    try:
-        if not is_events:
-            items.put(stream.read_all())
-            items.put(None)
-            stream.close()
-            return
-        for line in stream.read_lines():
-            if not line.startswith(EVENT_PREFIX):
-                continue
-            payload = line[len(EVENT_PREFIX) :].rstrip(b"\r\n")
-            if payload == EVENT_END:
-                stream.read_all()
-                items.put(None)
-                stream.close()
+    def _relay(self, request: AttemptRequest, items: Items, abandon, deadline) -> Iterator[Frame]:
+        """Turn items into frames, with beats while there are none."""
+        digest = AnswerDigest(request.request_id)
+        while True:
+            batch, settlement = _take_batch(items)
+            yield from _make_data(digest, batch, request.skip)
+            if settlement is not None:
+                yield self._make_last(digest, settlement)
                 return
-            items.put(payload)
-        items.put(UpstreamConnectionLost("the answer had no end event"))
-    except UpstreamError as error:
-        items.put(error)
-    stream.close()
-
-
-def _take_batch(items: queue.SimpleQueue) -> tuple[list[bytes], bool, UpstreamError | None]:
-    """Return the payloads waiting, whether the answer is over, and what cut it."""
+            if time.monotonic() >= deadline:
+                yield self._give_up(abandon())
+                return
+            if not batch:
+                yield Beat(self._state.running)
+
+    def _give_up(self, is_unstarted: bool) -> Frame:
+        if is_unstarted:
+            return self._refuse(NotStarted("deadline", "the deadline passed before the start"))
+        return Failed("deadline", "the deadline passed while the upstream answered")
+
+    def _make_last(self, digest: AnswerDigest, settlement: Settlement) -> Frame:
+        match settlement:
+            case Repeat(status=status, content_type=content_type):
+                self._metrics.count("attempts_answered_total")
+                load = self._state.running
+                return End(digest.count, digest.value(), status, content_type, load)
+            case NotStarted():
+                return self._refuse(settlement)
+            case Elsewhere(agent=agent, incarnation=incarnation):
+                return Claimed(agent, incarnation)
+            case Uncertain(detail=detail):
+                self._metrics.count("attempts_uncertain_total")
+                return Failed("uncertain", detail)
+
+    def _refuse(self, refusal: NotStarted) -> Refused:
+        self._metrics.count("attempts_refused_total", {"kind": refusal.kind})
+        return Refused(
+            kind=refusal.kind,
+            detail=refusal.detail,
+            retry_after_s=refusal.retry_after_s or RETRY_AFTER_S,
+            load=self._state.running,
+            is_final=refusal.is_final,
+        )
+
+
+def _read_deadline(request: AttemptRequest, context: grpc.ServicerContext) -> float:
+    """Return the deadline less a margin, in which the last frame still reaches the entry."""
+    remaining = context.time_remaining()
+    left_s = request.timeout_s if remaining is None else min(request.timeout_s, remaining)
+    return time.monotonic() + left_s - min(DEADLINE_MARGIN_S, DEADLINE_MARGIN_SHARE * left_s)
+
+
+def _take_batch(items: Items) -> tuple[list[bytes], Settlement | None]:
+    """Return the payloads waiting, and the settlement if it came."""
     batch: list[bytes] = []
     try:
         item = items.get(timeout=BEAT_INTERVAL_S)
-        while True:
-            if item is None:
-                return batch, True, None
-            if isinstance(item, UpstreamError):
-                return batch, False, item
+        while isinstance(item, bytes):
             batch.append(item)
             item = items.get_nowait()
+        return batch, item
     except queue.Empty:
-        return batch, False, None
-
-
-def _drop_known(batch: list[bytes], count: int, skip: int) -> list[bytes]:
-    """Return the payloads past those that the caller already has."""
-    return batch[max(0, skip - count) :]
+        return batch, None
+
+
+def _make_data(digest: AnswerDigest, batch: list[bytes], skip: int) -> Iterator[Data]:
+    """Take payloads into the digest and yield those that the caller does not have yet."""
+    known = max(0, min(len(batch), skip - digest.count))
+    digest.add(batch[:known])
+    fresh = batch[known:]
+    if not fresh:
+        return
+    number = digest.count
+    digest.add(fresh)
+    yield Data(number, tuple(fresh), digest.check())
--- /dev/null
+++ b/hibiscustray/agent/keyed.py
@@ -0,0 +1,180 @@
+"""Runs non-idempotent requests with an idempotency key at most once."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hibiscustray.agent.outcomes import OutcomeWriter
+from hibiscustray.agent.upstream_call import NotStarted, Settlement
+from hibiscustray.exceptions import ClaimUnavailable, KeyReused, PlatformError
+from hibiscustray.peers import AttemptRequest
+from hibiscustray.requests import (
+    Claim,
+    ClaimStore,
+    Elsewhere,
+    Expired,
+    Foreign,
+    Forged,
+    Fresh,
+    Full,
+    Ledger,
+    Mismatch,
+    Repeat,
+    Running,
+    TicketIssuer,
+    Uncertain,
+    Valid,
+    is_ticket,
+)
+from hibiscustray.requests.ledger import ANSWER_LIMIT_B
+
+STORE_RETRY_AFTER_S = 2.0
+FLUSH_S = 5.0
+
+
+@dataclass(frozen=True)
+class KeyedRequest:
+    """A request's key as the ledger and the table know it, and the digest of its body."""
+
+    key: str
+    body_digest: str
+    is_ticket: bool
+
+
+class KeyedRequests:
+    """Joins the ledger, the tickets and the claims of one agent incarnation."""
+
+    def __init__(
+        self, ledger: Ledger, tickets: TicketIssuer, claims: ClaimStore, writer: OutcomeWriter
+    ) -> None:
+        self._ledger = ledger
+        self._tickets = tickets
+        self._claims = claims
+        self._writer = writer
+        self._held: dict[str, Claim] = {}
+
+    def start(self) -> None:
+        """Begin to write outcomes."""
+        self._writer.start()
+
+    def stop(self) -> None:
+        """Write the outcomes of this incarnation for those that come after it, then stop."""
+        for key, record in self._ledger.finished():
+            if is_ticket(key.rsplit("/", 1)[-1]):
+                claim = self._claims.make_unclaimed(key, record.body_digest)
+                self._writer.put(claim, record.outcome)
+        self._writer.flush(FLUSH_S)
+        self._writer.stop()
+
+    def issue(self, team: str, service: str) -> str:
+        """Return a new ticket."""
+        return self._tickets.issue(team, service)
+
+    def begin(self, request: AttemptRequest) -> tuple[KeyedRequest, Fresh | Running | Settlement]:
+        """Take the request's key, or tell what became of the request that took it."""
+        name = f"{request.team}/{request.service}/{request.key}"
+        digest = hashlib.sha256(request.body).hexdigest()
+        keyed = KeyedRequest(name, digest, is_ticket(request.key))
+        if not keyed.is_ticket:
+            return keyed, self._begin_ledger(keyed)
+        match self._tickets.check(request.key, request.team, request.service):
+            case Forged():
+                return keyed, NotStarted("ticket", "the ticket is not genuine", 0.0, True)
+            case Foreign():
+                return keyed, self._look_up(keyed)
+            case Expired(is_remembered=is_remembered):
+                return keyed, self._settle_expired(keyed, is_remembered)
+        return keyed, self._begin_ledger(keyed)
+
+    def wait(self, keyed: KeyedRequest, timeout_s: float) -> Running | Settlement:
+        """Wait a while for the request that took the key."""
+        outcome = self._ledger.wait(keyed.key, timeout_s)
+        if outcome is None:
+            return NotStarted("not-started", "the first request with this key did not run")
+        return outcome
+
+    def bind(self, keyed: KeyedRequest) -> tuple[Callable, Callable]:
+        """Return the functions that claim the key before the call and settle it after."""
+        return lambda: self._prepare(keyed), lambda settlement: self.settle(keyed, settlement)
+
+    def settle(self, keyed: KeyedRequest, settlement: Settlement) -> Settlement:
+        """Keep what became of the request that took the key; return it."""
+        claim = self._held.pop(keyed.key, None)
+        match settlement:
+            case Repeat() | Uncertain():
+                self._ledger.finish(keyed.key, settlement)
+                if claim is not None:
+                    self._writer.put(claim, _fit_row(settlement))
+            case _:
+                if claim is not None:
+                    self._writer.release(claim)
+                self._ledger.give_back(keyed.key)
+        return settlement
+
+    def _begin_ledger(self, keyed: KeyedRequest) -> Fresh | Running | Settlement:
+        match self._ledger.begin(keyed.key, keyed.body_digest):
+            case Mismatch():
+                return _refuse_reuse()
+            case Full():
+                return NotStarted("ledger-full", "too many keys are remembered", 2.0)
+            case outcome:
+                return outcome
+
+    def _prepare(self, keyed: KeyedRequest) -> Settlement | None:
+        if keyed.is_ticket:
+            return self._check_again(keyed)
+        try:
+            claimed = self._claims.claim(keyed.key, keyed.body_digest)
+        except PlatformError as error:
+            return NotStarted(ClaimUnavailable.kind, str(error), STORE_RETRY_AFTER_S)
+        match claimed:
+            case Claim():
+                self._held[keyed.key] = claimed
+                return None
+            case Mismatch():
+                return _refuse_reuse()
+            case Elsewhere() | Repeat() | Uncertain():
+                return claimed
+
+    def _check_again(self, keyed: KeyedRequest) -> Settlement | None:
+        """Refuse a ticket that expired while its request waited for a thread."""
+        team, service, key = keyed.key.split("/", 2)
+        if isinstance(self._tickets.check(key, team, service), Valid):
+            return None
+        return NotStarted("ticket-expired", "the ticket has expired", 0.0, True)
+
+    def _look_up(self, keyed: KeyedRequest) -> Settlement:
+        """Tell what the issuer of a ticket left in the table at its planned stop."""
+        try:
+            found = self._claims.look_up(keyed.key, keyed.body_digest)
+        except PlatformError as error:
+            return Uncertain(f"the ticket's issuer is gone and the table did not answer: {error}")
+        match found:
+            case None:
+                return Uncertain("the ticket's issuer is gone")
+            case Mismatch():
+                return _refuse_reuse()
+            case outcome:
+                return outcome
+
+    def _settle_expired(self, keyed: KeyedRequest, is_remembered: bool) -> Running | Settlement:
+        outcome = self._begin_ledger(keyed)
+        if not isinstance(outcome, Fresh):
+            return outcome
+        self._ledger.give_back(keyed.key)
+        if is_remembered:
+            return NotStarted("ticket-expired", "the ticket has expired", 0.0, True)
+        return Uncertain("the ticket expired too long ago to tell whether it was used")
+
+
+def _fit_row(outcome: Repeat | Uncertain) -> Repeat | Uncertain:
+    if isinstance(outcome, Repeat) and outcome.size > ANSWER_LIMIT_B:
+        return Uncertain("the request ran, but its answer is too large to be kept")
+    return outcome
+
+
+def _refuse_reuse() -> NotStarted:
+    detail = "the idempotency key was used with another body"
+    return NotStarted(KeyReused.kind, detail, 0.0)
--- /dev/null
+++ b/hibiscustray/agent/outcomes.py
@@ -0,0 +1,103 @@
+"""Writes outcomes of claimed requests to the table, after their answers, through outages."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+import uuid
+from collections import deque
+from dataclasses import dataclass
+
+from hibiscustray.exceptions import PlatformError
+from hibiscustray.requests import Claim, ClaimStore, Repeat, Uncertain
+from hibiscustray.telemetry import Metrics
+
+log = logging.getLogger(__name__)
+
+RETRY_S = 0.5
+QUEUE_LIMIT = 10_000
+
+
+@dataclass(frozen=True)
+class Release:
+    """The claimed request did not run."""
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One write to be made; its change id stays the same when it is retried."""
+
+    claim: Claim
+    outcome: Repeat | Uncertain | Release
+    change_id: str
+
+
+class OutcomeWriter:
+    """One thread that writes in order; an entry that fails is retried until it is accepted."""
+
+    def __init__(self, claims: ClaimStore, metrics: Metrics) -> None:
+        self._claims = claims
+        self._metrics = metrics
+        self._entries: deque[Entry] = deque()
+        self._changed = threading.Condition()
+        self._is_stopping = False
+        self._thread = threading.Thread(target=self._run, name="outcomes", daemon=True)
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Drop what is left and end the thread."""
+        with self._changed:
+            self._is_stopping = True
+            self._changed.notify_all()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def put(self, claim: Claim, outcome: Repeat | Uncertain | Release) -> None:
+        """Write an outcome soon; the oldest waiting one is dropped when too many wait."""
+        with self._changed:
+            if len(self._entries) >= QUEUE_LIMIT:
+                self._entries.popleft()
+                self._metrics.count("outcomes_dropped_total")
+            self._entries.append(Entry(claim, outcome, uuid.uuid4().hex))
+            self._changed.notify_all()
+
+    def release(self, claim: Claim) -> None:
+        """Let others claim a key at once, or soon if the table does not answer."""
+        try:
+            self._claims.release(claim, uuid.uuid4().hex)
+        except PlatformError:
+            self.put(claim, Release())
+
+    def flush(self, timeout_s: float) -> bool:
+        """Wait until all is written; tell whether that was reached in time."""
+        with self._changed:
+            return self._changed.wait_for(lambda: not self._entries, timeout_s)
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                self._changed.wait_for(lambda: self._entries or self._is_stopping)
+                if self._is_stopping:
+                    return
+                entry = self._entries[0]
+            self._write(entry)
+
+    def _write(self, entry: Entry) -> None:
+        try:
+            match entry.outcome:
+                case Release():
+                    self._claims.release(entry.claim, entry.change_id)
+                case outcome:
+                    self._claims.settle(entry.claim, outcome, entry.change_id)
+        except PlatformError:
+            self._metrics.count("outcome_write_failures_total")
+            time.sleep(RETRY_S)
+            return
+        with self._changed:
+            if self._entries and self._entries[0] is entry:
+                self._entries.popleft()
+            self._changed.notify_all()
--- a/hibiscustray/agent/process.py
+++ b/hibiscustray/agent/process.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from hibiscustray.agent.deployer import Deployer
+from hibiscustray.agent.keyed import KeyedRequests
 from hibiscustray.agent.state import ServingState
 from hibiscustray.membership import Exchange, MemberView
 from hibiscustray.peers import PeerPool, PeerServer
@@ -15,6 +16,8 @@
 
 log = logging.getLogger(__name__)
 
+STOP_GRACE_S = 5.0
+
 
 class AgentProcess:
     """Owns everything that runs in an agent."""
@@ -29,6 +32,7 @@
         deployer: Deployer,
         state: ServingState,
         metrics: Metrics,
+        keyed: KeyedRequests,
     ) -> None:
         self.http = http
         self.view = view
@@ -38,6 +42,7 @@
         self._exchange = exchange
         self._peers = peers
         self._deployer = deployer
+        self._keyed = keyed
 
     @property
     def url(self) -> str:
@@ -46,6 +51,7 @@
 
     def start(self, on_progress: Callable[[int, int], None] | None = None) -> None:
         """Begin to serve."""
+        self._keyed.start()
         self._peer_server.start()
         self.http.start()
         self._exchange.start()
@@ -54,17 +60,18 @@
 
     def drain(self, timeout_s: float) -> bool:
         """Tell the others, refuse new attempts and wait for the running ones."""
+        self.state.leave()
         self.view.update_own(status=LEAVING)
         self._exchange.announce()
-        self.state.leave()
         return self.state.wait_until_idle(timeout_s)
 
     def stop(self) -> None:
         """End all servers and threads."""
-        self.view.update_own(status=LEFT)
         self._deployer.stop()
+        self._peer_server.stop(STOP_GRACE_S)
+        self._keyed.stop()
+        self.view.update_own(status=LEFT)
         self._exchange.stop()
-        self._peer_server.stop()
         self.http.stop()
         self._peers.close()
         log.info("agent stopped")
--- /dev/null
+++ b/hibiscustray/agent/upstream_call.py
@@ -0,0 +1,222 @@
+"""One call of the upstream, read in a thread of its own and settled exactly once."""
+
+from __future__ import annotations
+
+import queue
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from hibiscustray.exceptions import (
+    AnswerCrossed,
+    UpstreamConnectionLost,
+    UpstreamError,
+    UpstreamUnreachable,
+)
+from hibiscustray.peers import AttemptRequest
+from hibiscustray.platform import EngineClient
+from hibiscustray.platform.engine import HttpStream
+from hibiscustray.requests import Elsewhere, Repeat, Uncertain
+
+EVENT_PREFIX = b"data: "
+EVENT_END = b"[DONE]"
+EVENT_STREAM = "text/event-stream"
+HTTP_OK = 200
+HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
+RETRY_AFTER_S = 0.2
+KEPT_CALL_TIMEOUT_S = 120.0
+
+
+@dataclass(frozen=True)
+class NotStarted:
+    """The upstream was not called and will not be; `is_final` as in `Refused`."""
+
+    kind: str
+    detail: str
+    retry_after_s: float = RETRY_AFTER_S
+    is_final: bool = False
+
+
+Settlement = Repeat | Uncertain | NotStarted | Elsewhere
+Items = queue.SimpleQueue[bytes | Settlement]
+
+
+class AnswerIdentity(msgspec.Struct, frozen=True):
+    """The fields of a chat completion that name its request and its weights."""
+
+    id: str = ""
+    system_fingerprint: str = ""
+
+
+decode_identity = msgspec.json.Decoder(AnswerIdentity).decode
+
+
+class UpstreamCall:
+    """Carries out one attempt; its items are payloads, then one settlement.
+
+    `prepare` runs before the call and may settle it early. Of `abandon` and the start of the
+    call, whichever comes first wins.
+    """
+
+    def __init__(
+        self,
+        engine: EngineClient,
+        request: AttemptRequest,
+        deadline: float,
+        prepare: Callable[[], Settlement | None],
+        settle: Callable[[Settlement], Settlement],
+        trusts_busy: bool,
+    ) -> None:
+        self._engine = engine
+        self._request = request
+        self._deadline = deadline
+        self._prepare = prepare
+        self._settle = settle
+        self._trusts_busy = trusts_busy or request.is_idempotent
+        self._outlives_caller = bool(request.key) and not request.is_idempotent
+        self._is_started = False
+        self._is_abandoned = False
+        self._is_aborted = False
+        self._cut: Callable[[], None] | None = None
+        self._lock = threading.Lock()
+        self.items: Items = queue.SimpleQueue()
+
+    def run(self) -> None:
+        """Carry out the call and settle it."""
+        try:
+            settlement = self._carry_out()
+        except Exception:
+            self._conclude(Uncertain("internal failure of the agent"))
+            raise
+        self._conclude(settlement)
+
+    def abandon(self) -> bool:
+        """Give the call up; tell whether it was not started and never will be."""
+        with self._lock:
+            self._is_abandoned = self._is_abandoned or not self._is_started
+            return self._is_abandoned
+
+    def abort(self) -> None:
+        """Cut the connection to the upstream, which cancels the call there."""
+        with self._lock:
+            self._is_aborted = True
+            if self._cut is not None:
+                self._cut()
+
+    def _conclude(self, settlement: Settlement) -> None:
+        self.items.put(self._settle(settlement))
+
+    def _carry_out(self) -> Settlement:
+        early = self._prepare()
+        if early is not None:
+            if isinstance(early, Repeat):
+                self._put_payloads(early.payloads)
+            return early
+        if not self._begin():
+            return NotStarted("deadline", "the request was given up before it started")
+        try:
+            return self._call()
+        except UpstreamUnreachable as error:
+            return NotStarted("upstream-unreachable", str(error))
+        except UpstreamError as error:
+            return Uncertain(str(error))
+
+    def _begin(self) -> bool:
+        with self._lock:
+            if self._is_abandoned or time.monotonic() >= self._deadline:
+                self._is_abandoned = True
+                return False
+            self._is_started = True
+            return True
+
+    def _call(self) -> Settlement:
+        request = self._request
+        stream = self._engine.open(
+            request.path,
+            request.body,
+            _make_headers(request),
+            KEPT_CALL_TIMEOUT_S if self._outlives_caller else request.timeout_s,
+            is_fresh=not request.is_idempotent,
+            on_connect=self._set_cut,
+        )
+        try:
+            return self._read(stream)
+        finally:
+            # From here on the connection may serve another call.
+            self._set_cut(None)
+            stream.close()
+
+    def _set_cut(self, cut: Callable[[], None] | None) -> None:
+        with self._lock:
+            self._cut = cut
+            if self._is_aborted and cut is not None:
+                cut()
+
+    def _read(self, stream: HttpStream) -> Settlement:
+        if stream.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
+            detail = f"upstream answered {stream.status}"
+            if self._trusts_busy:
+                return NotStarted("upstream-busy", detail)
+            return Uncertain(detail)
+        content_type = stream.headers.get("content-type", "application/json")
+        kept: list[bytes] = []
+        for payload in self._read_payloads(stream, content_type.startswith(EVENT_STREAM)):
+            self._check_identity(payload, stream.status)
+            self.items.put(payload)
+            if self._outlives_caller:
+                kept.append(payload)
+        return Repeat(tuple(kept), stream.status, content_type)
+
+    def _read_payloads(self, stream: HttpStream, is_events: bool) -> Iterator[bytes]:
+        if is_events:
+            yield from _read_events(stream)
+            return
+        if not stream.is_delimited:
+            raise UpstreamConnectionLost("the upstream did not say how long its answer is")
+        yield stream.read_all()
+
+    def _check_identity(self, payload: bytes, status: int) -> None:
+        """Raise `AnswerCrossed` unless a model's payload is for this request and digest."""
+        if not self._request.digest or status != HTTP_OK:
+            return
+        try:
+            identity = decode_identity(payload)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise AnswerCrossed(f"unreadable completion: {error}") from error
+        # Engines may put a prefix of their own before the request's id.
+        if not identity.id.endswith(self._request.request_id):
+            raise AnswerCrossed(f"the answer is for request {identity.id[:80]!r}")
+        if identity.system_fingerprint != self._request.digest:
+            raise AnswerCrossed(f"the answer is by {identity.system_fingerprint[:80]!r}")
+
+    def _put_payloads(self, payloads: tuple[bytes, ...]) -> None:
+        for payload in payloads:
+            self.items.put(payload)
+
+
+def _read_events(stream: HttpStream) -> Iterator[bytes]:
+    for line in stream.read_lines():
+        if not line.endswith(b"\n"):
+            break
+        if not line.startswith(EVENT_PREFIX):
+            continue
+        payload = line[len(EVENT_PREFIX) :].rstrip(b"\r\n")
+        if payload == EVENT_END:
+            stream.read_all()
+            return
+        yield payload
+    raise UpstreamConnectionLost("the answer had no end event")
+
+
+def _make_headers(request: AttemptRequest) -> dict[str, str]:
+    return {
+        "Content-Type": "application/json",
+        "X-Request-Id": request.request_id,
+        "X-Attempt-Id": request.attempt_id,
+        "X-Priority": str(request.priority),
+        "X-Expected-Digest": request.digest,
+    }
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -7,16 +7,18 @@
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
+from hibiscustray.agent.keyed import KeyedRequests
+from hibiscustray.agent.outcomes import OutcomeWriter
 from hibiscustray.agent.state import ServingState
 from hibiscustray.deployments import Configuration, RevisionStore
-from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
+from hibiscustray.entry import Attempter, Dispatcher, EntryApplication, EntryProcess, TicketOffice
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.membership import Exchange, MemberView
 from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply
-from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION
+from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION, TICKET
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
-from hibiscustray.requests import Ledger
+from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
 from hibiscustray.routing import ReplicaChooser
 from hibiscustray.settings import Settings
@@ -55,21 +57,32 @@
     http = HttpServer(
         router, settings.process.address, settings.process.http_port, settings.limits.threads
     )
-    view = MemberView(_make_record(settings, "entry", peer_server, http))
+    view = MemberView(_make_record(settings, "entry", peer_server, http, _make_incarnation()))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
     chooser = ReplicaChooser(view, core.configuration, settings.process.id)
     watchdog = Watchdog()
-    dispatcher = Dispatcher(core.configuration, chooser, core.peers, watchdog, core.metrics)
+    attempter = Attempter(chooser, core.peers, watchdog)
+    dispatcher = Dispatcher(chooser, view, attempter, core.metrics)
     application = EntryApplication(
         core.configuration,
         dispatcher,
         load_teams(settings.security.teams),
         settings.limits,
         core.metrics,
+        TicketOffice(chooser, core.peers),
     )
     router.target = application.router
-    return EntryProcess(application, http, peer_server, exchange, view, core.peers, watchdog)
+    return EntryProcess(
+        application,
+        http,
+        peer_server,
+        exchange,
+        view,
+        core.peers,
+        watchdog,
+        settings.limits.balancer_lag_s,
+    )
 
 
 def build_agent(settings: Settings) -> AgentProcess:
@@ -80,13 +93,24 @@
     chunks = ChunkServer(cache, LinkBudget(settings.links.up_mbit_s), core.metrics)
     state = ServingState()
     engine = EngineClient(settings.upstream.url)
-    attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
+    incarnation = _make_incarnation()
+    keyed = _build_keyed(settings, core, incarnation)
+    attempts = AttemptServer(
+        state,
+        engine,
+        keyed,
+        incarnation,
+        settings.upstream.concurrency,
+        core.metrics,
+        settings.upstream.busy_means_not_run,
+    )
     exchange_slot = _ExchangeSlot(core.configuration)
     handlers = exchange_slot.handlers() | {
         MANIFEST.name: chunks.serve_manifest,
         HOLDINGS.name: chunks.serve_holdings,
         CHUNK.name: chunks.serve_chunk,
         ATTEMPT.name: attempts.serve,
+        TICKET.name: attempts.serve_ticket,
     }
     peer_server = PeerServer(
         settings.process.address,
@@ -98,7 +122,7 @@
     http = HttpServer(
         router, settings.process.address, settings.process.http_port, AGENT_HTTP_THREADS
     )
-    view = MemberView(_make_record(settings, "agent", peer_server, http))
+    view = MemberView(_make_record(settings, "agent", peer_server, http, incarnation))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
     stopping = threading.Event()
@@ -131,7 +155,7 @@
         stopping,
     )
     return AgentProcess(
-        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics
+        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics, keyed
     )
 
 
@@ -187,7 +211,7 @@
 
 
 def _make_record(
-    settings: Settings, role: str, peer_server: PeerServer, http: HttpServer
+    settings: Settings, role: str, peer_server: PeerServer, http: HttpServer, incarnation: int
 ) -> MemberRecord:
     return MemberRecord(
         id=settings.process.id,
@@ -196,12 +220,26 @@
         availability_zone=settings.process.availability_zone,
         peer_address=peer_server.address,
         http_url=http.url,
-        incarnation=int(time.time() * MS_PER_S),
+        incarnation=incarnation,
         service=settings.upstream.service if settings.upstream else "",
         serving="-",
     )
 
 
+def _make_incarnation() -> int:
+    return int(time.time() * MS_PER_S)
+
+
+def _build_keyed(settings: Settings, core: Core, incarnation: int) -> KeyedRequests:
+    claims = ClaimStore(core.table, settings.process.id, incarnation)
+    return KeyedRequests(
+        Ledger(),
+        TicketIssuer(settings.process.id, incarnation),
+        claims,
+        OutcomeWriter(claims, core.metrics),
+    )
+
+
 def _build_agent_router(core: Core, chunks: ChunkServer, state: ServingState) -> Router:
     def serve_metrics(request) -> Response:
         body, content_type = core.metrics.render_text()
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -13,11 +13,13 @@
 from hibiscustray.deployments import Configuration, Service
 from hibiscustray.entry.dispatch import Dispatcher
 from hibiscustray.entry.problems import describe_problem, make_problem_response
+from hibiscustray.entry.recording import RecordedBody, RequestRecord
 from hibiscustray.entry.teams import TeamCredentials
+from hibiscustray.entry.tickets import TicketOffice
 from hibiscustray.exceptions import (
     DeadlineInvalid,
     HibiscustrayError,
-    NotRun,
+    OutcomeUnknown,
     RequestMalformed,
     RequestTooLarge,
     ServiceUnknown,
@@ -33,11 +35,19 @@
 DEADLINE_HEADER = "hibiscustray-deadline-ms"
 REPEATABLE_HEADER = "hibiscustray-repeatable"
 KEY_HEADER = "idempotency-key"
+RETRY_COUNT_HEADER = "hibiscustray-retry-count"
 MAX_KEY_LENGTH = 200
 MS_PER_S = 1000.0
 KIB = 1024
 
 
+class TicketAnswer(msgspec.Struct, frozen=True):
+    """An idempotency key that works without the platform's store, and its lifetime."""
+
+    key: str
+    lifetime_s: float
+
+
 class EntryApplication:
     """Reads callers' requests, hands them to the dispatcher and writes answers."""
 
@@ -48,7 +58,9 @@
         credentials: TeamCredentials,
         limits: LimitSettings,
         metrics: Metrics,
+        tickets: TicketOffice,
     ) -> None:
+        self._tickets = tickets
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._credentials = credentials
@@ -59,6 +71,7 @@
         self._idle = threading.Condition()
         self.router = Router(lambda error: make_problem_response(error, "-"))
         self.router.add("POST", "/v1/services/{service}", self._serve_service)
+        self.router.add("POST", "/v1/services/{service}/tickets", self._serve_ticket)
         self.router.add("POST", CHAT_PATH, self._serve_chat)
         self.router.add("GET", "/health", self._serve_health)
         self.router.add("GET", "/metrics", self._serve_metrics)
@@ -86,34 +99,48 @@
     def _serve_service(self, request: Request) -> Response:
         return self._serve(request, lambda body: request.groups["service"], "")
 
+    def _serve_ticket(self, request: Request) -> Response:
+        request_id = uuid.uuid4().hex
+        try:
+            team = self._credentials.identify(request.headers.get("authorization", ""))
+            service = self._find_service(request.groups["service"])
+            reply = self._tickets.get_ticket(team, service)
+        except HibiscustrayError as error:
+            return make_problem_response(error, request_id)
+        self._metrics.count("tickets_total", {"team": team, "service": service.name})
+        return Response.json(TicketAnswer(reply.key, reply.lifetime_s), 201)
+
     def _serve(self, request: Request, name_service, path: str) -> Response:
         request_id = uuid.uuid4().hex
-        started = time.monotonic()
-        team = "unknown"
+        record = RequestRecord(self._metrics, self._note_end)
         self._change_running(1)
         try:
-            team = self._credentials.identify(request.headers.get("authorization", ""))
-            caller, service = self._read_request(request, request_id, team, name_service, path)
-            answer = self._dispatcher.run(caller, service)
+            record.team = self._credentials.identify(request.headers.get("authorization", ""))
+            caller, service = self._read_request(request, request_id, record, name_service, path)
+            answer = record.follow(self._dispatcher.run(caller, service))
             first = next(answer)
-        except HibiscustrayError as error:
-            self._count(team, describe_problem(error, request_id).outcome, started)
+        except Exception as error:
+            record.finish(describe_problem(error, request_id).outcome)
             return make_problem_response(error, request_id)
-        answer = self._record(chain([first], answer), team, started)
+        items = chain([first], answer)
         headers = (("Hibiscustray-Request-Id", request_id),)
         if caller.is_stream:
-            body = self._stream_events(answer, request, request_id)
+            body = RecordedBody(self._stream_events(items, request_id, record), answer, record)
             return Response(200, body, EVENT_STREAM, headers)
-        return self._collect(answer, request_id, headers)
+        try:
+            return self._collect(items, request_id, headers)
+        finally:
+            record.finish("unknown")
 
-    def _read_request(self, request: Request, request_id: str, team: str, name_service, path):
+    def _read_request(
+        self, request: Request, request_id: str, record: RequestRecord, name_service, path
+    ):
         if len(request.body) > self._limits.body_kib * KIB:
             raise RequestTooLarge(f"the body is over {self._limits.body_kib} KiB")
         body = _decode_body(request.body)
-        name = name_service(body)
-        service = self._configuration.deployment.find_service(name)
-        if service is None:
-            raise ServiceUnknown(f"there is no service {name!r}")
+        service = self._find_service(name_service(body))
+        record.service = service.name
+        team = record.team
         known_team = self._configuration.deployment.find_team(team)
         caller = CallerRequest(
             id=request_id,
@@ -127,9 +154,17 @@
             key=_read_key(request),
             priority=known_team.priority if known_team else 5,
             weight=known_team.weight if known_team else 1.0,
+            is_first=_read_first(request),
+            is_abandoned=request.is_disconnected,
         )
         return caller, service
 
+    def _find_service(self, name: str) -> Service:
+        service = self._configuration.deployment.find_service(name)
+        if service is None:
+            raise ServiceUnknown(f"there is no service {name!r}")
+        return service
+
     def _read_deadline(self, request: Request) -> float:
         text = request.headers.get(DEADLINE_HEADER)
         if text is None:
@@ -143,30 +178,13 @@
             raise DeadlineInvalid(f"the deadline must be from 1 to {longest} ms")
         return seconds
 
-    def _record(self, answer: Iterator[bytes | End], team: str, started: float):
-        """Pass an answer on while counting its outcome and first payload."""
-        outcome = "unknown"
-        try:
-            first = next(answer)
-            self._metrics.observe("first_payload_seconds", time.monotonic() - started)
-            yield first
-            yield from answer
-            outcome = "answered"
-        except NotRun:
-            outcome = "not_run"
-            raise
-        finally:
-            self._count(team, outcome, started)
-
     def _change_running(self, change: int) -> None:
         with self._idle:
             self._running += change
             self._idle.notify_all()
 
-    def _count(self, team: str, outcome: str, started: float) -> None:
+    def _note_end(self) -> None:
         self._change_running(-1)
-        self._metrics.count("requests_total", {"team": team, "outcome": outcome})
-        self._metrics.observe("answer_seconds", time.monotonic() - started)
 
     def _collect(self, answer: Iterator[bytes | End], request_id: str, headers) -> Response:
         parts: list[bytes] = []
@@ -177,20 +195,20 @@
                 parts.append(item)
         except HibiscustrayError as error:
             return make_problem_response(error, request_id)
-        return make_problem_response(RequestMalformed("no answer"), request_id)
+        return make_problem_response(OutcomeUnknown("the answer had no end"), request_id)
 
-    def _stream_events(self, answer, request: Request, request_id: str) -> Iterator[bytes]:
+    def _stream_events(
+        self, answer: Iterator[bytes | End], request_id: str, record: RequestRecord
+    ) -> Iterator[bytes]:
         try:
             for item in answer:
-                if request.is_disconnected():
-                    answer.close()
-                    return
                 if isinstance(item, End):
                     yield b"event: end\ndata: [DONE]\n\n"
                 else:
                     yield b"data: " + item + b"\n\n"
-        except HibiscustrayError as error:
+        except Exception as error:
             problem = describe_problem(error, request_id)
+            record.finish(problem.outcome)
             yield b"event: error\ndata: " + msgspec.json.encode({"error": problem}) + b"\n\n"
 
 
@@ -215,3 +233,13 @@
     if len(key) > MAX_KEY_LENGTH:
         raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters")
     return key
+
+
+def _read_first(request: Request) -> bool:
+    """Tell whether the caller declares that it never sent the key before."""
+    text = request.headers.get(RETRY_COUNT_HEADER)
+    if text is None:
+        return False
+    if not text.isascii() or not text.isdigit():
+        raise RequestMalformed(f"{RETRY_COUNT_HEADER}: found {text[:40]!r}; allowed: 0 or more")
+    return int(text) == 0
--- a/hibiscustray/entry/dispatch.py
+++ b/hibiscustray/entry/dispatch.py
@@ -3,154 +3,96 @@
 from __future__ import annotations
 
 import time
-import uuid
 from collections.abc import Iterator
-from dataclasses import dataclass
 
-from hibiscustray.deployments import Configuration, Service
-from hibiscustray.entry.watchdog import Watchdog
+from hibiscustray.deployments import Service
+from hibiscustray.entry.attempt import LATE, Attempted, Attempter, Lost, NotTaken, hold_until_whole
+from hibiscustray.entry.keyed import KeyedDispatcher
+from hibiscustray.entry.replicas import ReplicaPicker
 from hibiscustray.exceptions import (
-    DeadlineExceeded,
     DeadlinePassedRunning,
-    KeyReused,
     NoReplica,
     NotRun,
     OutcomeUnknown,
-    PeerConnectionLost,
-    PeerUnreachable,
 )
-from hibiscustray.peers import AttemptRequest, Beat, Data, End, Failed, PeerPool, Refused
+from hibiscustray.membership import MemberView
+from hibiscustray.peers import End
 from hibiscustray.requests import AnswerReader, CallerRequest
-from hibiscustray.routing import Choice, ReplicaChooser
+from hibiscustray.routing import ReplicaChooser
 from hibiscustray.telemetry import Metrics
 
 MAX_ATTEMPTS = 4
-NO_REPLICA_WAIT_S = 0.1
-
-
-@dataclass(frozen=True)
-class Attempted:
-    """How one attempt ended without an answer: whether it ran, and why."""
-
-    has_run: bool
-    error: Exception
+RESUME_WAIT_S = 5.0
+RETRY_AFTER_S = 1.0
 
 
 class Dispatcher:
     """Makes attempts one after another; yields payloads, then the `End` of the whole answer."""
 
     def __init__(
-        self,
-        configuration: Configuration,
-        chooser: ReplicaChooser,
-        peers: PeerPool,
-        watchdog: Watchdog,
-        metrics: Metrics,
+        self, chooser: ReplicaChooser, view: MemberView, attempter: Attempter, metrics: Metrics
     ) -> None:
-        self._configuration = configuration
-        self._chooser = chooser
-        self._peers = peers
-        self._watchdog = watchdog
+        self._picker = ReplicaPicker(chooser)
+        self._attempter = attempter
         self._metrics = metrics
+        self._keyed = KeyedDispatcher(self._picker, view, attempter, metrics)
 
     def run(self, request: CallerRequest, service: Service) -> Iterator[bytes | End]:
-        """Yield the answer; raise `NotRun` or `OutcomeUnknown` when there is none.
+        """Yield the answer; raise `NotRun`, `OutcomeUnknown` or `CallerLeft` when there is none.
 
-        Payloads already yielded stand: a later attempt resumes after them on the same digest.
+        Payloads of a stream already yielded stand: a later attempt resumes after them on the same
+        digest. Other answers are yielded only once they are whole.
         """
-        reader = AnswerReader()
+        if request.key and not request.is_idempotent:
+            yield from self._keyed.run(request, service)
+        else:
+            yield from self._run_unkeyed(request, service)
+
+    def _run_unkeyed(self, request: CallerRequest, service: Service) -> Iterator[bytes | End]:
+        reader = AnswerReader(request.id)
         excluded: set[str] = set()
         digest = ""
-        last = Attempted(False, NoReplica("no replica was tried"))
+        lost: Lost | None = None
+        last: Attempted | None = None
         for _ in range(MAX_ATTEMPTS):
-            choice = self._choose(request, service, excluded, digest, last)
-            last = yield from self._attempt(request, choice, reader)
+            wait_until = request.deadline
+            if reader.count:
+                wait_until = min(wait_until, time.monotonic() + RESUME_WAIT_S)
+            try:
+                choice = self._picker.pick(request, service, excluded, digest, wait_until)
+            except NoReplica as error:
+                raise _conclude(request, lost or NotTaken(error)) from error
+            if not request.is_stream:
+                reader = AnswerReader(request.id)
+            attempt = self._attempter.attempt(request, choice.member, choice.digest, reader)
+            try:
+                last = yield from attempt if request.is_stream else hold_until_whole(attempt)
+            finally:
+                self._picker.release(choice)
             if last is None:
                 return
-            digest = choice.digest if reader.count else ""
-            excluded.add(choice.member.id)
             self._metrics.count("attempts_failed_total", {"service": service.name})
-            if last.has_run and not request.is_idempotent:
+            digest = choice.digest if reader.count and request.is_stream else ""
+            if not (isinstance(last, Lost) and last.is_alive and not last.is_settled):
+                excluded.add(choice.member.id)
+            if isinstance(last, Lost):
+                lost = last
+                if not request.is_idempotent:
+                    break
+            if isinstance(last.error, LATE) or request.time_left() <= 0:
                 break
-            if isinstance(last.error, KeyReused) or request.time_left() <= 0:
-                break
-        raise self._conclude(request, last)
-
-    def _choose(self, request, service, excluded, digest, last: Attempted) -> Choice:
-        while True:
-            try:
-                return self._chooser.choose(service, excluded, digest)
-            except NoReplica as error:
-                if excluded and not isinstance(last.error, NoReplica):
-                    raise self._conclude(request, last) from error
-                if request.time_left() <= NO_REPLICA_WAIT_S:
-                    raise self._conclude(request, Attempted(last.has_run, error)) from error
-                time.sleep(NO_REPLICA_WAIT_S)
+        # An earlier attempt that may have run stands over a later one that did not.
+        raise _conclude(request, lost or last)
 
-    def _attempt(self, request: CallerRequest, choice: Choice, reader: AnswerReader):
-        time_left = request.time_left()
-        if time_left <= 0:
-            self._chooser.release(choice.member.id)
-            return Attempted(False, DeadlineExceeded("the deadline passed before an attempt"))
-        call = self._peers.get(choice.member.peer_address).open_attempt(
-            AttemptRequest(
-                attempt_id=uuid.uuid4().hex,
-                request_id=request.id,
-                team=request.team,
-                service=request.service,
-                digest=choice.digest,
-                path=request.path,
-                body=request.body,
-                timeout_s=time_left,
-                is_idempotent=request.is_idempotent,
-                key=request.key,
-                is_stream=request.is_stream,
-                skip=reader.count,
-                priority=request.priority,
-                weight=request.weight,
-            )
-        )
-        watch = self._watchdog.watch(call.cancel, request.deadline)
-        try:
-            for frame in call:
-                watch.touch()
-                match frame:
-                    case Data():
-                        yield from reader.accept(frame)
-                    case End():
-                        reader.finish(frame)
-                        self._chooser.report(choice.member.id, frame.load)
-                        yield frame
-                        return None
-                    case Beat(load=load):
-                        self._chooser.report(choice.member.id, load)
-                    case Refused(kind=kind, detail=detail, retry_after_s=retry_after):
-                        return Attempted(False, _make_refusal(kind, detail, retry_after))
-                    case Failed(detail=detail):
-                        return Attempted(True, OutcomeUnknown(detail))
-            return Attempted(True, PeerConnectionLost("the answer had no end"))
-        except PeerUnreachable as error:
-            return Attempted(False, error)
-        except PeerConnectionLost as error:
-            if watch.is_silent():
-                self._peers.renew(choice.member.peer_address)
-            return Attempted(True, error)
-        finally:
-            watch.close()
-            call.cancel()
-            self._chooser.release(choice.member.id)
 
-    def _conclude(self, request: CallerRequest, last: Attempted) -> Exception:
-        if last.has_run and request.time_left() <= 0:
+def _conclude(request: CallerRequest, last: Attempted) -> Exception:
+    match last:
+        case Lost(error=DeadlinePassedRunning() as error):
+            return error
+        case Lost() if request.time_left() <= 0:
             return DeadlinePassedRunning("the deadline passed while the request was running")
-        if last.has_run:
-            return OutcomeUnknown(f"the request may have run: {last.error}")
-        if isinstance(last.error, NotRun):
-            return last.error
-        return NoReplica(f"no replica took the request: {last.error}", 1.0)
-
-
-def _make_refusal(kind: str, detail: str, retry_after_s: float) -> NotRun:
-    if kind == KeyReused.kind:
-        return KeyReused(detail)
-    return NoReplica(f"{kind}: {detail}", retry_after_s or None)
+        case Lost(error=error):
+            return OutcomeUnknown(f"the request may have run: {error}", RETRY_AFTER_S)
+        case NotTaken(error=NotRun() as error):
+            return error
+    return NoReplica(f"no replica took the request: {last}", RETRY_AFTER_S)
--- /dev/null
+++ b/hibiscustray/entry/keyed.py
@@ -0,0 +1,198 @@
+"""Carries a non-idempotent request with a key to the one agent incarnation that may run it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+from hibiscustray.deployments import Service
+from hibiscustray.entry.attempt import (
+    LATE,
+    Attempter,
+    Binding,
+    Lost,
+    NotTaken,
+    TakenElsewhere,
+    hold_until_whole,
+)
+from hibiscustray.entry.replicas import ReplicaPicker
+from hibiscustray.exceptions import (
+    ClaimUnavailable,
+    DeadlinePassedRunning,
+    KeyReused,
+    NoReplica,
+    NotRun,
+    OutcomeUnknown,
+    TicketInvalid,
+)
+from hibiscustray.membership import MemberView
+from hibiscustray.peers import End, MemberRecord
+from hibiscustray.peers.messages import DEAD, LEFT
+from hibiscustray.requests import AnswerReader, CallerRequest, is_ticket, read_ticket
+from hibiscustray.telemetry import Metrics
+
+MAX_ATTEMPTS = 6
+CLAIM_ATTEMPTS = 2
+RETRY_PAUSE_S = 0.2
+RETRY_AFTER_S = 1.0
+
+
+class KeyedDispatcher:
+    """Makes attempts that carry the same key, which the agents run at most once."""
+
+    def __init__(
+        self,
+        picker: ReplicaPicker,
+        view: MemberView,
+        attempter: Attempter,
+        metrics: Metrics,
+    ) -> None:
+        self._picker = picker
+        self._view = view
+        self._attempter = attempter
+        self._metrics = metrics
+
+    def run(self, request: CallerRequest, service: Service) -> Iterator[bytes | End]:
+        """Yield the answer to the first request with the key; raise as `Dispatcher.run`."""
+        journey = _Journey(request, _read_binding(request.key))
+        for _ in range(MAX_ATTEMPTS):
+            owner = self._find_owner(journey)
+            attempt = self._start(journey, service, owner)
+            last = yield from attempt if request.is_stream else hold_until_whole(attempt)
+            if last is None:
+                return
+            self._metrics.count("attempts_failed_total", {"service": service.name})
+            if journey.is_over(last, owner):
+                break
+            time.sleep(max(0.0, min(RETRY_PAUSE_S, request.time_left())))
+        raise journey.conclude()
+
+    def _find_owner(self, journey: _Journey) -> MemberRecord | None:
+        """Return the agent that alone may run the key, None if any may or if it is gone."""
+        binding = journey.binding
+        if binding is None or journey.is_owner_gone:
+            return None
+        member = self._view.get(binding.agent)
+        is_present = (
+            member is not None
+            and member.incarnation == binding.incarnation
+            and member.status not in (DEAD, LEFT)
+        )
+        journey.is_owner_gone = not is_present
+        return member if is_present else None
+
+    def _start(self, journey: _Journey, service: Service, owner: MemberRecord | None):
+        request, reader = journey.request, journey.renew_reader()
+        if owner is not None:
+            incarnation = owner.incarnation
+            return (
+                yield from self._attempter.attempt(
+                    request, owner, owner.serving, reader, incarnation
+                )
+            )
+        try:
+            choice = self._picker.pick(request, service, journey.excluded, "", request.deadline)
+        except NoReplica as error:
+            return NotTaken(error)
+        journey.member = choice.member
+        try:
+            return (
+                yield from self._attempter.attempt(request, choice.member, choice.digest, reader)
+            )
+        finally:
+            self._picker.release(choice)
+
+
+class _Journey:
+    """What one request has learned of its key so far."""
+
+    def __init__(self, request: CallerRequest, binding: Binding | None) -> None:
+        self.request = request
+        self.binding = binding
+        self.is_owner_gone = False
+        self.excluded: set[str] = set()
+        self.member: MemberRecord | None = None
+        self._is_ticket = binding is not None
+        self._may_have_run = not request.is_first
+        self._error: Exception = NoReplica("no replica was tried", RETRY_AFTER_S)
+        self._reader = AnswerReader(request.id)
+        self._unclaimed = 0
+
+    def renew_reader(self) -> AnswerReader:
+        """Return the reader for the next attempt; that of a stream goes on."""
+        if not self.request.is_stream:
+            self._reader = AnswerReader(self.request.id)
+        return self._reader
+
+    def is_over(self, last, owner: MemberRecord | None) -> bool:
+        """Take in how an attempt ended; tell whether another one is of no use."""
+        match last:
+            case TakenElsewhere(binding=binding):
+                self._may_have_run = True
+                self._error = OutcomeUnknown(f"agent {binding.agent} holds the key")
+                if binding == self.binding:
+                    return self.is_owner_gone
+                self.binding = binding
+                self.is_owner_gone = False
+            case Lost(error=error, is_settled=is_settled):
+                # Others only look up what became of a ticket: they never run it.
+                is_looked_up = self._is_ticket and owner is None
+                self._may_have_run = self._may_have_run or not is_looked_up
+                self._error = error
+                self._bind_to(owner or self.member)
+                return is_settled or self.request.time_left() <= 0
+            case NotTaken(error=error):
+                self._error = error
+                return self._take_refusal(last, owner)
+        return False
+
+    def conclude(self) -> Exception:
+        """Return the failure that tells the caller what is known."""
+        if isinstance(self._error, KeyReused | TicketInvalid):
+            return self._error
+        if self._may_have_run and (isinstance(self._error, LATE) or self.request.time_left() <= 0):
+            return DeadlinePassedRunning("the deadline passed; repeat it with the same key")
+        if self._may_have_run:
+            detail = f"a request with this key may have run: {self._error}"
+            return OutcomeUnknown(detail, RETRY_AFTER_S)
+        if isinstance(self._error, ClaimUnavailable):
+            return ClaimUnavailable(
+                f"the table is down; a ticket from /v1/services/{self.request.service}/tickets "
+                f"works as a new key: {self._error}",
+                self._error.retry_after,
+            )
+        if isinstance(self._error, NotRun):
+            return self._error
+        return NoReplica(f"no replica took the request: {self._error}", RETRY_AFTER_S)
+
+    def _bind_to(self, member: MemberRecord | None) -> None:
+        # The agent may have the key in its memory; asking it again cannot run it twice.
+        if member is not None and not self._is_ticket and not self.is_owner_gone:
+            self.binding = Binding(member.id, member.incarnation)
+
+    def _take_refusal(self, last: NotTaken, owner: MemberRecord | None) -> bool:
+        if last.is_final or isinstance(last.error, (KeyReused, *LATE)):
+            return True
+        if isinstance(last.error, ClaimUnavailable):
+            self._unclaimed += 1
+            if self._unclaimed >= CLAIM_ATTEMPTS:
+                return True
+        if self.request.time_left() <= 0:
+            return True
+        if owner is not None and last.is_gone:
+            self.is_owner_gone = True
+        elif owner is not None and not self._is_ticket:
+            self.binding = None
+            self.excluded.add(owner.id)
+        elif owner is None and self.member is not None:
+            self.excluded.add(self.member.id)
+        return False
+
+
+def _read_binding(key: str) -> Binding | None:
+    if not is_ticket(key):
+        return None
+    ticket = read_ticket(key)
+    if ticket is None:
+        raise TicketInvalid("the ticket cannot be read")
+    return Binding(ticket.agent, ticket.incarnation)
--- a/hibiscustray/entry/problems.py
+++ b/hibiscustray/entry/problems.py
@@ -7,7 +7,13 @@
 
 import msgspec
 
-from hibiscustray.exceptions import NoConfiguration, NotRun, OutcomeUnknown, RequestError
+from hibiscustray.exceptions import (
+    CallerLeft,
+    NoConfiguration,
+    NotRun,
+    OutcomeUnknown,
+    RequestError,
+)
 from hibiscustray.web import Response
 
 log = logging.getLogger(__name__)
@@ -42,12 +48,21 @@
         title=error.kind.replace("-", " "),
         status=error.status,
         detail=error.detail,
-        outcome="not_run" if isinstance(error, NotRun) else "unknown",
+        outcome=_read_outcome(error),
         request_id=request_id,
         retry_after_s=error.retry_after,
     )
 
 
+def _read_outcome(error: RequestError) -> str:
+    match error:
+        case NotRun():
+            return "not_run"
+        case CallerLeft():
+            return "abandoned"
+    return "unknown"
+
+
 def make_problem_response(error: Exception, request_id: str) -> Response:
     """Return the HTTP answer for a failure."""
     problem = describe_problem(error, request_id)
--- a/hibiscustray/entry/process.py
+++ b/hibiscustray/entry/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 
 from hibiscustray.entry.application import EntryApplication
 from hibiscustray.entry.watchdog import Watchdog
@@ -26,6 +27,7 @@
         view: MemberView,
         peers: PeerPool,
         watchdog: Watchdog,
+        balancer_lag_s: float,
     ) -> None:
         self.application = application
         self.http = http
@@ -34,6 +36,7 @@
         self._exchange = exchange
         self._peers = peers
         self._watchdog = watchdog
+        self._balancer_lag_s = balancer_lag_s
 
     @property
     def url(self) -> str:
@@ -49,16 +52,18 @@
         log.info("entry started", extra={"url": self.url})
 
     def drain(self, timeout_s: float) -> bool:
-        """Turn health, then wait until no request runs; tell whether that was reached."""
+        """Turn health, serve on while the balancer notices, then wait until no request runs."""
+        deadline = time.monotonic() + timeout_s
         self.application.leave()
         self.view.update_own(status=LEAVING)
         self._exchange.announce()
-        return self.application.wait_until_idle(timeout_s)
+        time.sleep(min(self._balancer_lag_s, timeout_s))
+        return self.application.wait_until_idle(max(0.0, deadline - time.monotonic()))
 
     def stop(self) -> None:
         """End all servers and threads."""
-        self.view.update_own(status=LEFT)
         self.http.stop()
+        self.view.update_own(status=LEFT)
         self._exchange.stop()
         self._peer_server.stop()
         self._watchdog.stop()
--- /dev/null
+++ b/hibiscustray/entry/replicas.py
@@ -0,0 +1,46 @@
+"""Picks replicas for a request, waiting for one while there is none."""
+
+from __future__ import annotations
+
+import time
+
+from hibiscustray.deployments import Service
+from hibiscustray.exceptions import CallerLeft, NoReplica
+from hibiscustray.requests import CallerRequest
+from hibiscustray.routing import Choice, ReplicaChooser
+
+WAIT_TICK_S = 0.1
+
+
+class ReplicaPicker:
+    """Asks the chooser until it has a replica or the wait is over."""
+
+    def __init__(self, chooser: ReplicaChooser) -> None:
+        self._chooser = chooser
+
+    def pick(
+        self,
+        request: CallerRequest,
+        service: Service,
+        excluded: set[str],
+        digest: str,
+        wait_until: float,
+    ) -> Choice:
+        """Return a replica, to be released; raise `NoReplica` or `CallerLeft`.
+
+        When all replicas are excluded, they are taken back in after a pause.
+        """
+        while True:
+            try:
+                return self._chooser.choose(service, excluded, digest)
+            except NoReplica:
+                if time.monotonic() + WAIT_TICK_S >= wait_until:
+                    raise
+            if request.is_abandoned():
+                raise CallerLeft("the caller closed its connection")
+            time.sleep(WAIT_TICK_S)
+            excluded.clear()
+
+    def release(self, choice: Choice) -> None:
+        """Note that the attempt at a replica has ended."""
+        self._chooser.release(choice.member.id)
--- a/hibiscustray/entry/watchdog.py
+++ b/hibiscustray/entry/watchdog.py
@@ -17,20 +17,25 @@
         self._watchdog = watchdog
         self._cancel = cancel
         self._deadline = deadline
-        self._heard_at = time.monotonic()
+        self._heard_at: float | None = time.monotonic()
         self._silent = False
 
     def touch(self) -> None:
-        """Note that something was heard."""
+        """Note that something was heard, and listen on."""
         self._heard_at = time.monotonic()
 
+    def pause(self) -> None:
+        """Expect nothing until the next touch, while what was heard is passed on."""
+        self._heard_at = None
+
     def is_silent(self) -> bool:
         """Tell whether the call was cancelled for silence."""
         return self._silent
 
     def check(self, now: float) -> None:
         """Cancel the call if it is silent or late."""
-        if now - self._heard_at > SILENCE_LIMIT_S:
+        heard_at = self._heard_at
+        if heard_at is not None and now - heard_at > SILENCE_LIMIT_S:
             self._silent = True
             self._cancel()
         elif now > self._deadline:
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -59,6 +59,10 @@
     """The connection to the upstream broke after bytes were sent."""
 
 
+class AnswerCrossed(UpstreamConnectionLost):
+    """The upstream's answer is for another request or by other weights."""
+
+
 class UpstreamRejected(UpstreamError):
     """The upstream refused the request with an HTTP status."""
 
@@ -229,6 +233,12 @@
     kind = "no-replica"
 
 
+class ClaimUnavailable(NoReplica):
+    """The idempotency key could not be claimed, since the platform's table does not answer."""
+
+    kind = "claim-unavailable"
+
+
 class DeadlineExceeded(NotRun):
     """The deadline passed before the request was started."""
 
@@ -236,6 +246,13 @@
     kind = "deadline-exceeded"
 
 
+class TicketInvalid(NotRun):
+    """The ticket is forged or has expired."""
+
+    status = 400
+    kind = "ticket"
+
+
 class OutcomeUnknown(RequestError):
     """The request may or may not have run."""
 
@@ -250,5 +267,12 @@
     kind = "deadline-passed-running"
 
 
+class CallerLeft(OutcomeUnknown):
+    """The caller closed its connection before its answer was whole."""
+
+    status = 499
+    kind = "abandoned"
+
+
 class ShareExhausted(HibiscustrayError):
     """A bounded resource has no room left."""
--- a/hibiscustray/peers/client.py
+++ b/hibiscustray/peers/client.py
@@ -47,7 +47,7 @@
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
 )
-CONNECT_MARKS = ("failed to connect", "connection refused", "connect: ")
+CONNECT_MARK = "failed to connect to all addresses"
 
 
 class AttemptCall:
@@ -90,6 +90,14 @@
             for method in METHODS
         }
         self._decoders = {method.name: make_decoder(method.reply) for method in METHODS}
+        self._running = 0
+        self._lock = threading.Lock()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call is running."""
+        with self._lock:
+            return self._running == 0
 
     def exchange(self, message: ExchangeMessage, timeout_s: float) -> ExchangeMessage:
         """Swap heartbeats."""
@@ -117,20 +125,33 @@
 
     def open_attempt(self, request: AttemptRequest) -> AttemptCall:
         """Start an attempt; errors surface while its frames are read."""
-        call = self._calls[ATTEMPT.name](encode_message(request), timeout=request.timeout_s)
+        self._change_running(1)
+        try:
+            call = self._calls[ATTEMPT.name](encode_message(request), timeout=request.timeout_s)
+        except ValueError as error:
+            self._change_running(-1)
+            raise PeerUnreachable(f"{self.address}: channel closed") from error
+        call.add_done_callback(lambda _: self._change_running(-1))
         return AttemptCall(call)
 
     def close(self) -> None:
         """Close the channel, cutting running calls."""
         self._channel.close()
 
+    def _change_running(self, change: int) -> None:
+        with self._lock:
+            self._running += change
+
     def _call(self, name: str, message: Any, timeout_s: float) -> Any:
+        self._change_running(1)
         try:
             body = self._calls[name](encode_message(message), timeout=timeout_s)
         except grpc.RpcError as error:
             raise translate_error(error) from error
         except ValueError as error:
             raise PeerUnreachable(f"{self.address}: channel closed") from error
+        finally:
+            self._change_running(-1)
         return self._decoders[name](body)
 
 
@@ -140,6 +161,7 @@
     def __init__(self, credentials: grpc.ChannelCredentials | None = None) -> None:
         self._credentials = credentials
         self._clients: dict[str, PeerClient] = {}
+        self._retired: list[PeerClient] = []
         self._lock = threading.Lock()
 
     def get(self, address: str) -> PeerClient:
@@ -149,18 +171,26 @@
                 self._clients[address] = PeerClient(address, self._credentials)
             return self._clients[address]
 
-    def renew(self, address: str) -> None:
-        """Forget the connection to an address, so that the next call opens a new one."""
+    def renew(self, address: str, client: PeerClient | None = None) -> None:
+        """Let the next call to an address open a new connection, unless `client` was replaced.
+
+        The calls that run on the old connection go on; it is closed once they have ended.
+        """
         with self._lock:
-            client = self._clients.pop(address, None)
-        if client is not None:
-            client.close()
+            known = self._clients.get(address)
+            if known is not None and client in (None, known):
+                self._retired.append(self._clients.pop(address))
+            idle = [retired for retired in self._retired if retired.is_idle]
+            self._retired = [retired for retired in self._retired if retired not in idle]
+        for retired in idle:
+            retired.close()
 
     def close(self) -> None:
         """Close all connections."""
         with self._lock:
-            clients, self._clients = self._clients, {}
-        for client in clients.values():
+            clients = [*self._clients.values(), *self._retired]
+            self._clients, self._retired = {}, []
+        for client in clients:
             client.close()
 
 
@@ -169,6 +199,6 @@
     code = error.code()
     details = (error.details() or "").lower()
     text = f"{code.name}: {details[:200]}"
-    if code is grpc.StatusCode.UNAVAILABLE and any(mark in details for mark in CONNECT_MARKS):
+    if code is grpc.StatusCode.UNAVAILABLE and details.startswith(CONNECT_MARK):
         return PeerUnreachable(text)
     return PeerConnectionLost(text)
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -104,15 +104,17 @@
 
 
 class TicketReply(Message, frozen=True):
-    """The key issued."""
+    """The key issued, empty if none was, and how long it may be used."""
 
     key: str = ""
+    lifetime_s: float = 0.0
 
 
 class AttemptRequest(Message, frozen=True):
     """One attempt of a caller's request at one agent.
 
-    `timeout_s` is the time left; `skip` counts payloads that the caller already has.
+    `timeout_s` is the time left; `skip` counts payloads that the caller already has. An
+    `incarnation` other than 0 is the only one that may take the attempt.
     """
 
     attempt_id: str
@@ -129,13 +131,18 @@
     skip: int = 0
     priority: int = 5
     weight: float = 1.0
+    incarnation: int = 0
 
 
 class Data(Message, frozen=True, tag="data"):
-    """Payloads of an answer; `number` counts payloads before these."""
+    """Payloads of an answer.
+
+    `number` counts payloads before these; `check` digests the request's id and all payloads so far.
+    """
 
     number: int
     payloads: tuple[bytes, ...]
+    check: int = 0
 
 
 class End(Message, frozen=True, tag="end"):
@@ -155,12 +162,23 @@
 
 
 class Refused(Message, frozen=True, tag="refused"):
-    """The attempt did not run here and never will."""
+    """The attempt did not run here and never will.
+
+    `is_final` tells that no request with its key ran or ever will.
+    """
 
     kind: str
     detail: str
     retry_after_s: float = 0.0
     load: int = 0
+    is_final: bool = False
+
+
+class Claimed(Message, frozen=True, tag="claimed"):
+    """The attempt did not run here: another agent incarnation holds its idempotency key."""
+
+    agent: str
+    incarnation: int
 
 
 class Failed(Message, frozen=True, tag="failed"):
@@ -170,4 +188,4 @@
     detail: str
 
 
-Frame = Data | End | Beat | Refused | Failed
+Frame = Data | End | Beat | Refused | Claimed | Failed
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -90,9 +90,10 @@
         headers: Mapping[str, str],
         timeout_s: float,
         is_fresh: bool,
+        on_connect: Callable[[Callable[[], None]], None] | None = None,
     ) -> HttpStream:
         """Send a caller's request and return the answer with its body unread."""
-        return self._http.open("POST", path, body, headers, timeout_s, is_fresh)
+        return self._http.open("POST", path, body, headers, timeout_s, is_fresh, on_connect)
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/hibiscustray/requests/answer.py
+++ b/hibiscustray/requests/answer.py
@@ -1,4 +1,4 @@
-"""Whole answers: payloads are numbered, and the end carries their count and digest."""
+"""Whole answers: payloads are numbered, and each frame carries a digest bound to the request."""
 
 from __future__ import annotations
 
@@ -9,12 +9,14 @@
 from hibiscustray.exceptions import PeerConnectionLost
 from hibiscustray.peers.messages import Data, End
 
+CHECK_MASK = (1 << 64) - 1
+
 
 class AnswerDigest:
-    """A running digest over the payloads of one answer."""
+    """A running digest over a request's id and the payloads of its answer."""
 
-    def __init__(self) -> None:
-        self._hash = xxhash.xxh3_128()
+    def __init__(self, request_id: str) -> None:
+        self._hash = xxhash.xxh3_128(request_id.encode())
         self.count = 0
 
     def add(self, payloads: Iterable[bytes]) -> None:
@@ -24,16 +26,27 @@
             self._hash.update(payload)
             self.count += 1
 
+    def copy(self) -> AnswerDigest:
+        """Return an independent digest with the same content."""
+        other = AnswerDigest("")
+        other._hash = self._hash.copy()
+        other.count = self.count
+        return other
+
+    def check(self) -> int:
+        """Return a short form of the digest so far."""
+        return self._hash.intdigest() & CHECK_MASK
+
     def value(self) -> str:
         """Return the digest so far, in hex."""
         return self._hash.hexdigest()
 
 
 class AnswerReader:
-    """Checks the frames of one answer, across attempts that resume it."""
+    """Checks the frames of one request's answer, across attempts that resume it."""
 
-    def __init__(self) -> None:
-        self._digest = AnswerDigest()
+    def __init__(self, request_id: str) -> None:
+        self._digest = AnswerDigest(request_id)
 
     @property
     def count(self) -> int:
@@ -41,10 +54,14 @@
         return self._digest.count
 
     def accept(self, frame: Data) -> tuple[bytes, ...]:
-        """Return the payloads of the next frame; raise `PeerConnectionLost` on a gap."""
+        """Return the payloads of the next frame; raise `PeerConnectionLost` on any other."""
         if frame.number != self._digest.count:
             raise PeerConnectionLost(f"payload {frame.number} came, {self._digest.count} expected")
-        self._digest.add(frame.payloads)
+        digest = self._digest.copy()
+        digest.add(frame.payloads)
+        if frame.check != digest.check():
+            raise PeerConnectionLost(f"payload {frame.number} is not of this answer")
+        self._digest = digest
         return frame.payloads
 
     def finish(self, frame: End) -> None:
--- /dev/null
+++ b/hibiscustray/requests/claims.py
@@ -0,0 +1,181 @@
+"""Claims on caller-chosen idempotency keys in the platform's table.
+
+A row, once written, is never removed: its version only grows, so that a write which lands late
+fails on its expected version.
+"""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Literal
+
+import msgspec
+
+from hibiscustray.exceptions import PreconditionFailed, StoreAnswerLost
+from hibiscustray.platform import Put, Row, Table
+from hibiscustray.requests.ledger import KEPT_S, Mismatch, Repeat, Uncertain
+
+PARTITION_PREFIX = "claim/"
+SORT = "claim"
+CLAIM_TRIES = 4
+MEMORY_MARGIN_S = 60.0
+
+
+class ClaimBody(msgspec.Struct, frozen=True):
+    """What a claim's row holds; `claimed_at_s` is on the holder's monotonic clock."""
+
+    agent: str
+    incarnation: int
+    nonce: str
+    body_digest: str
+    claimed_at_s: float
+    state: Literal["running", "released", "answered", "uncertain"] = "running"
+    payloads: tuple[bytes, ...] = ()
+    status: int = 0
+    content_type: str = ""
+
+
+@dataclass(frozen=True)
+class Claim:
+    """A claim held by this incarnation, written during the attempt that may now run."""
+
+    key: str
+    version: int
+    body: ClaimBody
+
+
+@dataclass(frozen=True)
+class Elsewhere:
+    """Another incarnation holds the claim, and alone may run the request."""
+
+    agent: str
+    incarnation: int
+
+
+class ClaimStore:
+    """Takes, releases and settles claims for one agent incarnation."""
+
+    def __init__(
+        self,
+        table: Table,
+        agent: str,
+        incarnation: int,
+        timer: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._table = table
+        self._agent = agent
+        self._incarnation = incarnation
+        self._timer = timer
+
+    def claim(
+        self, key: str, body_digest: str
+    ) -> Claim | Elsewhere | Repeat | Uncertain | Mismatch:
+        """Claim a key that the ledger has just taken, or tell who did and what became of it.
+
+        Raises `StoreUnavailable` or `StoreAnswerLost` when the claim could not be confirmed; the
+        caller then does not run the request, and a write that lands later names this incarnation.
+        """
+        claim = Claim(key, 1, self._make_body(body_digest))
+        change_id = uuid.uuid4().hex
+        for _ in range(CLAIM_TRIES):
+            if self._write(claim, claim.version - 1, change_id):
+                return claim
+            row = self._table.get(PARTITION_PREFIX + key, SORT)
+            if row is None:
+                continue
+            held = msgspec.msgpack.decode(row.body, type=ClaimBody)
+            if held.nonce == claim.body.nonce:
+                return claim
+            judged = self._judge(held, body_digest)
+            if judged is not None:
+                return judged
+            claim = Claim(key, row.version + 1, claim.body)
+            change_id = uuid.uuid4().hex
+        raise StoreAnswerLost(f"the claim on {key} could not be confirmed")
+
+    def look_up(self, key: str, body_digest: str) -> Repeat | Uncertain | Mismatch | None:
+        """Return the outcome that was settled for a key, None if there is none."""
+        row = self._table.get(PARTITION_PREFIX + key, SORT)
+        if row is None:
+            return None
+        held = msgspec.msgpack.decode(row.body, type=ClaimBody)
+        if held.body_digest != body_digest:
+            return Mismatch()
+        return _read_outcome(held)
+
+    def release(self, claim: Claim, change_id: str) -> None:
+        """Let others claim a key whose request did not run."""
+        self._replace(claim, msgspec.structs.replace(claim.body, state="released"), change_id)
+
+    def settle(self, claim: Claim, outcome: Repeat | Uncertain, change_id: str) -> None:
+        """Keep what became of the request for repeats at other agents."""
+        match outcome:
+            case Repeat(payloads=payloads, status=status, content_type=content_type):
+                body = msgspec.structs.replace(
+                    claim.body,
+                    state="answered",
+                    payloads=payloads,
+                    status=status,
+                    content_type=content_type,
+                )
+            case Uncertain():
+                body = msgspec.structs.replace(claim.body, state="uncertain")
+        self._replace(claim, body, change_id)
+
+    def make_unclaimed(self, key: str, body_digest: str) -> Claim:
+        """Return a claim for a key that was run without one, to be settled at a planned stop."""
+        return Claim(key, 0, self._make_body(body_digest))
+
+    def _make_body(self, body_digest: str) -> ClaimBody:
+        return ClaimBody(
+            self._agent, self._incarnation, uuid.uuid4().hex, body_digest, self._timer()
+        )
+
+    def _judge(self, held: ClaimBody, body_digest: str):
+        """Return why the key may not be claimed, None if it may."""
+        if held.body_digest != body_digest:
+            return Mismatch()
+        outcome = _read_outcome(held)
+        if outcome is not None or held.state == "released":
+            return outcome
+        if (held.agent, held.incarnation) != (self._agent, self._incarnation):
+            return Elsewhere(held.agent, held.incarnation)
+        # The ledger took the key anew, which proves that it did not run only while it remembers.
+        if self._timer() - held.claimed_at_s < KEPT_S - MEMORY_MARGIN_S:
+            return None
+        return Uncertain("the claim is older than this agent's memory")
+
+    def _write(self, claim: Claim, expected: int, change_id: str) -> bool:
+        row = Row(
+            PARTITION_PREFIX + claim.key, SORT, claim.version, msgspec.msgpack.encode(claim.body)
+        )
+        try:
+            self._table.transact(change_id, [Put(row, expected)])
+            return True
+        except (PreconditionFailed, StoreAnswerLost):
+            return False
+
+    def _replace(self, claim: Claim, body: ClaimBody, change_id: str) -> None:
+        row = Row(
+            PARTITION_PREFIX + claim.key, SORT, claim.version + 1, msgspec.msgpack.encode(body)
+        )
+        try:
+            self._table.transact(change_id, [Put(row, claim.version)])
+        except PreconditionFailed:
+            return
+        except StoreAnswerLost:
+            stored = self._table.get(row.partition, row.sort)
+            if stored is None or stored.version < row.version:
+                raise
+
+
+def _read_outcome(held: ClaimBody) -> Repeat | Uncertain | None:
+    match held.state:
+        case "answered":
+            return Repeat(held.payloads, held.status, held.content_type)
+        case "uncertain":
+            return Uncertain("the first request with this key ended without a known answer")
+    return None
--- a/hibiscustray/requests/ledger.py
+++ b/hibiscustray/requests/ledger.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import threading
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cachetools import TTLCache
 
-KEPT_S = 3600.0
-KEPT_COUNT = 100_000
+KEPT_S = 900.0
+KEPT_B = 16 * 1024 * 1024
+RECORD_B = 512
+ANSWER_LIMIT_B = 64 * 1024
 
 
 @dataclass(frozen=True)
@@ -29,46 +33,114 @@
     status: int
     content_type: str
 
+    @property
+    def size(self) -> int:
+        """Return the bytes of the answer."""
+        return sum(map(len, self.payloads))
+
+
+@dataclass(frozen=True)
+class Uncertain:
+    """The first request with this key was started and its answer is not known."""
+
+    detail: str
+
 
 @dataclass(frozen=True)
 class Mismatch:
     """The key was used before with another body."""
 
 
+@dataclass(frozen=True)
+class Full:
+    """There is no room to remember another key."""
+
+
+Outcome = Running | Repeat | Uncertain
+
+
 @dataclass(frozen=True)
 class Record:
     """What is kept of a key."""
 
     body_digest: str
-    outcome: Running | Repeat
+    outcome: Outcome
 
 
 class Ledger:
-    """An aggregate of keys; a key once taken is given back only if its request did not run."""
+    """An aggregate of keys; a key once taken is given back only if its request did not run.
+
+    A record is never dropped before `KEPT_S`: when the memory is full, new keys are refused.
+    """
 
-    def __init__(self) -> None:
-        self._records: TTLCache[str, Record] = TTLCache(KEPT_COUNT, KEPT_S)
-        self._lock = threading.Lock()
+    def __init__(
+        self, timer: Callable[[], float] = time.monotonic, capacity_b: int = KEPT_B
+    ) -> None:
+        self._records: TTLCache[str, Record] = TTLCache(capacity_b, KEPT_S, timer, _measure_record)
+        self._changed = threading.Condition()
 
-    def begin(self, key: str, body_digest: str) -> Fresh | Running | Repeat | Mismatch:
+    def begin(self, key: str, body_digest: str) -> Fresh | Outcome | Mismatch | Full:
         """Take a key, or tell what became of the first request that took it."""
-        with self._lock:
+        with self._changed:
             record = self._records.get(key)
             if record is None:
-                self._records[key] = Record(body_digest, Running())
-                return Fresh()
+                return self._take(key, body_digest)
             if record.body_digest != body_digest:
                 return Mismatch()
             return record.outcome
 
-    def finish(self, key: str, answer: Repeat) -> None:
-        """Keep the answer for later requests with the same key."""
-        with self._lock:
+    def finish(self, key: str, outcome: Repeat | Uncertain) -> None:
+        """Keep what became of the request for later ones with the same key."""
+        with self._changed:
             record = self._records.get(key)
-            if record is not None:
-                self._records[key] = Record(record.body_digest, answer)
+            if record is None:
+                return
+            self._records[key] = Record(record.body_digest, self._fit(outcome))
+            self._changed.notify_all()
 
     def give_back(self, key: str) -> None:
         """Forget a key whose request certainly did not run."""
-        with self._lock:
+        with self._changed:
             self._records.pop(key, None)
+            self._changed.notify_all()
+
+    def wait(self, key: str, timeout_s: float) -> Outcome | None:
+        """Wait while the first request runs; None when its key was given back."""
+        with self._changed:
+            self._changed.wait_for(lambda: not self._is_running(key), timeout_s)
+            record = self._records.get(key)
+            return record.outcome if record else None
+
+    def finished(self) -> list[tuple[str, Record]]:
+        """Return the records of requests that are over."""
+        with self._changed:
+            return [
+                (key, record)
+                for key, record in self._records.items()
+                if not isinstance(record.outcome, Running)
+            ]
+
+    def _is_running(self, key: str) -> bool:
+        record = self._records.get(key)
+        return record is not None and isinstance(record.outcome, Running)
+
+    def _take(self, key: str, body_digest: str) -> Fresh | Full:
+        self._records.expire()
+        if self._records.currsize + RECORD_B > self._records.maxsize:
+            return Full()
+        self._records[key] = Record(body_digest, Running())
+        return Fresh()
+
+    def _fit(self, outcome: Repeat | Uncertain) -> Repeat | Uncertain:
+        if isinstance(outcome, Uncertain):
+            return outcome
+        is_small = outcome.size <= ANSWER_LIMIT_B
+        if is_small and self._records.currsize + outcome.size <= self._records.maxsize:
+            return outcome
+        return Uncertain("the request ran, but its answer is too large to be kept")
+
+
+def _measure_record(record: Record) -> int:
+    if isinstance(record.outcome, Repeat):
+        return RECORD_B + record.outcome.size
+    return RECORD_B
--- a/hibiscustray/requests/request.py
+++ b/hibiscustray/requests/request.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 
+def _never() -> bool:
+    return False
+
+
 @dataclass(frozen=True)
 class CallerRequest:
-    """Facts of one request; `deadline` is in monotonic seconds."""
+    """Facts of one request; `deadline` is in monotonic seconds.
+
+    `is_first` is the caller's word that it never sent this key before; `is_abandoned` tells
+    whether the caller has closed its connection.
+    """
 
     id: str
     team: str
@@ -21,6 +30,8 @@
     key: str = ""
     priority: int = 5
     weight: float = 1.0
+    is_first: bool = False
+    is_abandoned: Callable[[], bool] = _never
 
     def time_left(self) -> float:
         """Return the seconds until the deadline, negative once past."""
--- /dev/null
+++ b/hibiscustray/requests/tickets.py
@@ -0,0 +1,116 @@
+"""Idempotency keys that an agent issues and that only its present incarnation can run."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hmac
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from hibiscustray.requests.ledger import KEPT_S
+
+TICKET_PREFIX = "hbt1."
+TICKET_LIFETIME_S = 300.0
+MAC_B = 16
+NONCE_B = 9
+
+
+class Ticket(msgspec.Struct, frozen=True, array_like=True):
+    """What a ticket says; `expires_at_s` is on the issuer's monotonic clock."""
+
+    agent: str
+    incarnation: int
+    team: str
+    service: str
+    expires_at_s: float
+    nonce: bytes
+
+
+@dataclass(frozen=True)
+class Valid:
+    """The ticket is of this incarnation and may run."""
+
+
+@dataclass(frozen=True)
+class Expired:
+    """The ticket may not run; `is_remembered` tells whether an earlier run would be known."""
+
+    is_remembered: bool
+
+
+@dataclass(frozen=True)
+class Foreign:
+    """The ticket is of another incarnation, which alone could run it."""
+
+
+@dataclass(frozen=True)
+class Forged:
+    """The ticket names this incarnation, team or service falsely."""
+
+
+class TicketIssuer:
+    """Issues and checks the tickets of one agent incarnation."""
+
+    def __init__(
+        self, agent: str, incarnation: int, timer: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._agent = agent
+        self._incarnation = incarnation
+        self._timer = timer
+        self._secret = secrets.token_bytes(32)
+
+    def issue(self, team: str, service: str) -> str:
+        """Return a new ticket."""
+        ticket = Ticket(
+            agent=self._agent,
+            incarnation=self._incarnation,
+            team=team,
+            service=service,
+            expires_at_s=self._timer() + TICKET_LIFETIME_S,
+            nonce=secrets.token_bytes(NONCE_B),
+        )
+        body = msgspec.msgpack.encode(ticket)
+        return TICKET_PREFIX + base64.urlsafe_b64encode(self._sign(body) + body).decode()
+
+    def check(self, key: str, team: str, service: str) -> Valid | Expired | Foreign | Forged:
+        """Judge a ticket that a request carries."""
+        ticket = read_ticket(key)
+        if ticket is None:
+            return Forged()
+        if (ticket.agent, ticket.incarnation) != (self._agent, self._incarnation):
+            return Foreign()
+        mac, body = _split(key)
+        if not hmac.compare_digest(mac, self._sign(body)):
+            return Forged()
+        if (ticket.team, ticket.service) != (team, service):
+            return Forged()
+        now = self._timer()
+        if now < ticket.expires_at_s:
+            return Valid()
+        return Expired(now < ticket.expires_at_s - TICKET_LIFETIME_S + KEPT_S)
+
+    def _sign(self, body: bytes) -> bytes:
+        return hmac.digest(self._secret, body, "sha256")[:MAC_B]
+
+
+def is_ticket(key: str) -> bool:
+    """Tell whether a key claims to be a ticket."""
+    return key.startswith(TICKET_PREFIX)
+
+
+def read_ticket(key: str) -> Ticket | None:
+    """Return what a ticket says, unverified; None if it cannot be read."""
+    try:
+        return msgspec.msgpack.decode(_split(key)[1], type=Ticket)
+    except (msgspec.DecodeError, binascii.Error, ValueError):
+        return None
+
+
+def _split(key: str) -> tuple[bytes, bytes]:
+    raw = base64.b64decode(key.removeprefix(TICKET_PREFIX), altchars=b"-_", validate=True)
+    return raw[:MAC_B], raw[MAC_B:]
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -9,6 +9,7 @@
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Positive = Annotated[float, Meta(ge=0.001)]
+NotNegative = Annotated[float, Meta(ge=0.0)]
 Count = Annotated[int, Meta(ge=1)]
 
 
@@ -38,11 +39,15 @@
 
 @dataclass(frozen=True)
 class UpstreamSettings:
-    """The upstream beside an agent and the service that it belongs to."""
+    """The upstream beside an agent and the service that it belongs to.
+
+    `busy_means_not_run` tells that its 429 and 503 prove that a request did not start.
+    """
 
     url: str
     service: str
     concurrency: Count = 32
+    busy_means_not_run: bool = False
 
 
 @dataclass(frozen=True)
@@ -72,6 +77,7 @@
     body_kib: Count = 1024
     longest_deadline_s: Positive = 120.0
     default_deadline_s: Positive = 30.0
+    balancer_lag_s: NotNegative = 5.0
     threads: Count = 64
 
 
--- a/hibiscustray/standins/service.py
+++ b/hibiscustray/standins/service.py
@@ -19,6 +19,7 @@
     def __init__(self, address: str, port: int, delay_s: float = 0.005) -> None:
         self.runs: Counter[str] = Counter()
         self.delay_s = delay_s
+        self.busy_status = 0
         self._lock = threading.Lock()
         router = Router(lambda error: Response.json({"error": str(error)}, 500))
         router.add("POST", "/", self._serve_call)
@@ -45,4 +46,6 @@
         with self._lock:
             self.runs[reference] += 1
             run = self.runs[reference]
+        if self.busy_status:
+            return Response.json({"error": "busy"}, self.busy_status)
         return Response.json({"reference": reference, "confirmed": True, "run": run})
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import socket
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from functools import partial
 from urllib.parse import urlsplit
 
 from hibiscustray.exceptions import UpstreamConnectionLost, UpstreamUnreachable
@@ -27,8 +29,10 @@
 class HttpStream:
     """An HTTP answer whose body is read line by line or in blocks."""
 
-    def __init__(self, client: HttpClient, connection, response) -> None:
+    def __init__(self, client: HttpClient, connection, response, sock: socket.socket) -> None:
         self._client = client
+        # The connection forgets its socket when the server closes after the answer.
+        self._sock = sock
         self._connection = connection
         self._response = response
         self._lock = threading.Lock()
@@ -36,6 +40,11 @@
         self.status: int = response.status
         self.headers = {key.lower(): value for key, value in response.getheaders()}
 
+    @property
+    def is_delimited(self) -> bool:
+        """Tell whether the answer's framing shows its end, so that a cut cannot pass as one."""
+        return self._response.chunked or "content-length" in self.headers
+
     def read_lines(self) -> Iterator[bytes]:
         """Yield body lines as they arrive; raise `UpstreamConnectionLost` on a cut."""
         while True:
@@ -56,18 +65,13 @@
 
     def set_timeout(self, seconds: float) -> None:
         """Bound the wait for the next bytes."""
-        if self._connection.sock is not None:
-            self._connection.sock.settimeout(seconds)
+        self._sock.settimeout(seconds)
 
     def abort(self) -> None:
         """Cut the connection from any thread, which wakes a reader blocked on it."""
         with self._lock:
-            if self._is_closed or self._connection.sock is None:
-                return
-            try:
-                self._connection.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                return
+            if not self._is_closed:
+                _cut_socket(self._sock)
 
     def close(self) -> None:
         """Give the connection back if its answer was read to the end, else close it."""
@@ -117,21 +121,26 @@
         headers: Mapping[str, str] | None = None,
         timeout_s: float | None = None,
         is_fresh: bool = False,
+        on_connect: Callable[[Callable[[], None]], None] | None = None,
     ) -> HttpStream:
         """Send a request and return its answer with the body unread.
 
-        A fresh connection cannot have been closed by the server while it was idle.
+        A fresh connection cannot have been closed by the server while it was idle. `on_connect`
+        is given a function that cuts the connection, also while the answer is waited for.
         Raises `UpstreamUnreachable` when nothing was sent, `UpstreamConnectionLost` otherwise.
         """
         timeout_s = timeout_s or self._timeout_s
         connection = self._connect(timeout_s) if is_fresh else self._take(timeout_s)
+        if on_connect is not None:
+            on_connect(partial(_cut_socket, connection.sock))
+        sock = connection.sock
         try:
             connection.request(method, self._prefix + path, body, dict(headers or {}))
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise UpstreamConnectionLost(f"{self.base_url}: {error}") from error
-        return HttpStream(self, connection, response)
+        return HttpStream(self, connection, response, sock)
 
     def release(self, connection: http.client.HTTPConnection) -> None:
         """Keep an idle connection for the next request."""
@@ -169,6 +178,11 @@
         return connection
 
 
+def _cut_socket(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def _is_usable(connection: http.client.HTTPConnection) -> bool:
     """Tell whether an idle connection is open with nothing waiting to be read."""
     if connection.sock is None:
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,6 +19,8 @@
 
 JSON = "application/json"
 LOOP_TIMEOUT_S = 0.5
+FINISH_S = 5.0
+FINISH_TICK_S = 0.02
 REASONS = {
     200: "OK",
     201: "Created",
@@ -145,7 +148,7 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop accepting, end the workers and close all connections."""
+        """Stop accepting, finish the answers being written, then close all connections."""
         self._stopping.set()
         self._server.pull_trigger()
         if self._thread.is_alive():
@@ -155,7 +158,20 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            wasyncore.loop(timeout=LOOP_TIMEOUT_S, use_poll=True, map=self._map, count=1)
+            self._loop(LOOP_TIMEOUT_S)
+        self._server.accepting = False
+        self._map.pop(self._server.socket.fileno(), None)
+        self._server.socket.close()
+        deadline = time.monotonic() + FINISH_S
+        while time.monotonic() < deadline and self._is_writing():
+            self._loop(FINISH_TICK_S)
+
+    def _loop(self, timeout_s: float) -> None:
+        wasyncore.loop(timeout=timeout_s, use_poll=True, map=self._map, count=1)
+
+    def _is_writing(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(channel.requests or channel.total_outbufs_len for channel in channels)
 
 
 def _listen(address: str, port: int) -> socket.socket:
--- /dev/null
+++ b/tests/entry/callers.py
@@ -0,0 +1,66 @@
+"""Callers that send one request each, and faults that tests bring about."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from hibiscustray.standins.site import TEAM_KEY, Site
+from hibiscustray.web import HttpClient
+
+
+@dataclass(frozen=True)
+class Sent:
+    """An answer with its outcome as the caller reads it."""
+
+    status: int
+    outcome: str
+    body: dict
+
+
+class Caller:
+    """Sends requests to one entry of a site."""
+
+    def __init__(self, site: Site, entry: int = 0) -> None:
+        self.http = HttpClient(site.entries[entry].url, 60.0)
+        self.service = site.shape.plain_service
+
+    def headers(self, **extra: str) -> dict[str, str]:
+        named = {name.replace("_", "-"): value for name, value in extra.items()}
+        return {"Authorization": f"Bearer {TEAM_KEY}"} | named
+
+    def book(self, reference: str, key: str = "", **extra: str) -> Sent:
+        if key:
+            extra["Idempotency_Key"] = key
+        body = msgspec.json.encode({"reference": reference})
+        reply = self.http.call("POST", f"/v1/services/{self.service}", body, self.headers(**extra))
+        answer = msgspec.json.decode(reply.body)
+        return Sent(reply.status, answer.get("outcome", "answered"), answer)
+
+    def take_ticket(self) -> str:
+        reply = self.http.call("POST", f"/v1/services/{self.service}/tickets", b"", self.headers())
+        assert reply.status == 201
+        return msgspec.json.decode(reply.body)["key"]
+
+    def open_stream(self, tokens: int):
+        body = {
+            "model": "guide-llm",
+            "messages": [{"role": "user", "content": "where does the railcar stop"}],
+            "max_tokens": tokens,
+            "stream": True,
+        }
+        return self.http.open(
+            "POST", "/v1/chat/completions", msgspec.json.encode(body), self.headers()
+        )
+
+
+def count_runs(site: Site, reference: str) -> int:
+    return sum(plain.service.runs[reference] for plain in site.plains)
+
+
+def kill(agent) -> None:
+    """Cut an agent off at once, as when its VM dies."""
+    agent._peer_server.stop()
+    agent._keyed._writer.stop()
+    agent._exchange.stop()
--- /dev/null
+++ b/tests/entry/test_keyed.py
@@ -0,0 +1,152 @@
+"""Bookings run at most once, whatever dies, is lost, is down or is repeated."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.entry.callers import Caller, count_runs, kill
+
+SETTLE_S = 10.0
+
+
+def find_runner(site, reference):
+    return next(plain for plain in site.plains if plain.service.runs[reference])
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + SETTLE_S
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.02)
+    assert condition()
+
+
+def test_duplicates_through_two_entries_run_once(booking_site):
+    for plain in booking_site.plains:
+        plain.service.delay_s = 0.3
+    callers = [Caller(booking_site, entry) for entry in (0, 1, 0, 1)]
+    with ThreadPoolExecutor(len(callers)) as pool:
+        sent = list(pool.map(lambda caller: caller.book("r1", "k1"), callers))
+    assert [one.outcome for one in sent] == ["answered"] * len(callers)
+    assert all(one.body == sent[0].body for one in sent)
+    assert count_runs(booking_site, "r1") == 1
+
+
+def test_repeat_after_death_gets_first_answer(booking_site):
+    first = Caller(booking_site, 0).book("r1", "k1")
+    runner = find_runner(booking_site, "r1")
+    wait_until(lambda: booking_site.platform.table_writes >= 3)
+    kill(runner.agent)
+    second = Caller(booking_site, 1).book("r1", "k1")
+    assert (first.outcome, second.outcome) == ("answered", "answered")
+    assert second.body == first.body
+    assert count_runs(booking_site, "r1") == 1
+
+
+@pytest.mark.parametrize("has_ticket", [False, True])
+def test_death_while_running_is_unknown_and_never_runs_again(booking_site, has_ticket):
+    for plain in booking_site.plains:
+        plain.service.delay_s = 1.0
+    caller = Caller(booking_site, 0)
+    key = caller.take_ticket() if has_ticket else "k1"
+    with ThreadPoolExecutor(1) as pool:
+        sending = pool.submit(caller.book, "r1", key, Hibiscustray_Deadline_Ms="8000")
+        wait_until(lambda: any(plain.agent.state.running for plain in booking_site.plains))
+        runner = next(plain for plain in booking_site.plains if plain.agent.state.running)
+        kill(runner.agent)
+        first = sending.result()
+    second = Caller(booking_site, 1).book("r1", key, Hibiscustray_Deadline_Ms="3000")
+    assert (first.outcome, second.outcome) == ("unknown", "unknown")
+    time.sleep(1.0)
+    assert count_runs(booking_site, "r1") == 1
+
+
+def test_outage_stops_claims_truthfully_but_not_tickets(booking_site):
+    caller = Caller(booking_site, 0)
+    ticket = caller.take_ticket()
+    booking_site.platform.set_faults(is_store_down=True)
+    declared = caller.book("r1", "k1", Hibiscustray_Retry_Count="0")
+    undeclared = caller.book("r2", "k2")
+    by_ticket = caller.book("r3", ticket)
+    in_outage = caller.book("r4", caller.take_ticket())
+    assert (declared.status, declared.outcome) == (503, "not_run")
+    assert "/tickets" in declared.body["detail"]
+    assert declared.body["retry_after_s"] > 0
+    assert undeclared.outcome == "unknown"
+    assert (by_ticket.outcome, in_outage.outcome) == ("answered", "answered")
+    assert [count_runs(booking_site, r) for r in ("r1", "r2", "r3", "r4")] == [0, 0, 1, 1]
+
+
+def test_repeat_in_outage_of_a_claimed_key_is_not_called_not_run(booking_site):
+    Caller(booking_site, 0).book("r1", "k1")
+    kill(find_runner(booking_site, "r1").agent)
+    booking_site.platform.set_faults(is_store_down=True)
+    assert Caller(booking_site, 1).book("r1", "k1").outcome == "unknown"
+
+
+def test_lost_store_answers_do_not_run_twice(booking_site):
+    booking_site.platform.set_faults(loses_answers=True)
+    sent = [Caller(booking_site, entry).book("r1", "k1") for entry in (0, 1)]
+    assert [one.outcome for one in sent] == ["answered", "answered"]
+    assert count_runs(booking_site, "r1") == 1
+
+
+@pytest.mark.parametrize("has_ticket", [False, True])
+def test_key_reused_with_another_body_is_refused(booking_site, has_ticket):
+    caller = Caller(booking_site, 0)
+    key = caller.take_ticket() if has_ticket else "k1"
+    assert caller.book("r1", key).outcome == "answered"
+    for entry in (0, 1):
+        reused = Caller(booking_site, entry).book("r2", key)
+        assert (reused.status, reused.outcome) == (422, "not_run")
+    assert count_runs(booking_site, "r2") == 0
+
+
+def test_repeat_of_ticket_after_planned_stop_gets_first_answer(booking_site):
+    caller = Caller(booking_site, 0)
+    ticket = caller.take_ticket()
+    first = caller.book("r1", ticket)
+    runner = find_runner(booking_site, "r1")
+    runner.agent.drain(5.0)
+    runner.agent.stop()
+    booking_site.plains.remove(runner)
+    second = Caller(booking_site, 1).book("r1", ticket)
+    assert second.outcome == "answered"
+    assert second.body == first.body
+    assert runner.service.runs["r1"] + count_runs(booking_site, "r1") == 1
+    runner.service.stop()
+
+
+@pytest.mark.parametrize("key", ["hbt1.", "hbt1.AAAA", "hbt1.%%%"])
+def test_unreadable_ticket_is_refused(booking_site, key):
+    sent = Caller(booking_site).book("r1", key)
+    assert (sent.status, sent.outcome) == (400, "not_run")
+
+
+def test_ambiguous_busy_answer_is_unknown(booking_site):
+    for plain in booking_site.plains:
+        plain.service.busy_status = 503
+    caller = Caller(booking_site)
+    assert caller.book("r1").outcome == "unknown"
+    assert caller.book("r2", "k2").outcome == "unknown"
+    assert [count_runs(booking_site, r) for r in ("r1", "r2")] == [1, 1]
+
+
+def test_long_call_is_not_taken_for_silent(booking_site):
+    for plain in booking_site.plains:
+        plain.service.delay_s = 3.6
+    sent = Caller(booking_site).book("r1", "k1")
+    assert sent.outcome == "answered"
+
+
+def test_deadline_of_a_running_booking_is_unknown_and_its_repeat_is_answered(booking_site):
+    for plain in booking_site.plains:
+        plain.service.delay_s = 1.0
+    caller = Caller(booking_site)
+    first = caller.book("r1", "k1", Hibiscustray_Deadline_Ms="400")
+    second = Caller(booking_site, 1).book("r1", "k1", Hibiscustray_Deadline_Ms="5000")
+    assert (first.status, first.outcome) == (504, "unknown")
+    assert second.outcome == "answered"
+    assert count_runs(booking_site, "r1") == 1
