--- a/hibiscustray/agent/attempts.py
+++ b/hibiscustray/agent/attempts.py
@@ -30,6 +30,7 @@
     TicketReply,
     TicketRequest,
 )
+from hibiscustray.peers.messages import BUSY
 from hibiscustray.platform import EngineClient
 from hibiscustray.requests import (
     TICKET_LIFETIME_S,
@@ -66,6 +67,7 @@
         self._incarnation = incarnation
         self._metrics = metrics
         self._trusts_busy = trusts_busy
+        self._concurrency = concurrency
         self._callers = ThreadPoolExecutor(concurrency * 2, thread_name_prefix="upstream")
 
     def serve(self, request: AttemptRequest, context: grpc.ServicerContext) -> Iterator[Frame]:
@@ -87,9 +89,9 @@
         return TicketReply(self._keyed.issue(request.team, request.service), TICKET_LIFETIME_S)
 
     def _serve_unkeyed(self, request: AttemptRequest, context, deadline) -> Iterator[Frame]:
-        refusal = self._state.begin(request.digest)
-        if refusal:
-            yield self._refuse(NotStarted(refusal, ""))
+        refusal = self._begin(request)
+        if refusal is not None:
+            yield self._refuse(refusal)
             return
         call = self._make_call(request, deadline, lambda: None, self._settle_unkeyed)
         yield from self._run(request, call, context, deadline)
@@ -112,9 +114,9 @@
     def _run_keyed(
         self, request: AttemptRequest, keyed: KeyedRequest, context, deadline: float
     ) -> Iterator[Frame]:
-        refusal = self._state.begin(request.digest)
-        if refusal:
-            yield self._refuse(self._keyed.settle(keyed, NotStarted(refusal, "")))
+        refusal = self._begin(request)
+        if refusal is not None:
+            yield self._refuse(self._keyed.settle(keyed, refusal))
             return
         prepare, settle = self._keyed.bind(keyed)
 
@@ -127,6 +129,16 @@
         call = self._make_call(request, deadline, prepare, settle_and_end)
         yield from self._run(request, call, context, deadline)
 
+    def _begin(self, request: AttemptRequest) -> NotStarted | None:
+        """Count an attempt as running, or tell why it may not start."""
+        refusal = self._state.begin(request.digest)
+        if refusal:
+            return NotStarted(refusal, "")
+        if self._state.running > self._concurrency:
+            self._state.end()
+            return NotStarted(BUSY, f"{self._concurrency} attempts are running")
+        return None
+
     def _wait_for_first(self, keyed: KeyedRequest, deadline: float):
         """Beat while the first request with the key runs; return what became of it."""
         while True:
--- /dev/null
+++ b/hibiscustray/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of real entries and agents over loopback, with faults brought about."""
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -4,32 +4,48 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
 from hibiscustray.agent.keyed import KeyedRequests
 from hibiscustray.agent.outcomes import OutcomeWriter
 from hibiscustray.agent.state import ServingState
-from hibiscustray.deployments import Configuration, RevisionStore
+from hibiscustray.deployments import Configuration, RevisionStore, load_operator_keys
 from hibiscustray.entry import Attempter, Dispatcher, EntryApplication, EntryProcess, TicketOffice
+from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.membership import Exchange, MemberView
-from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply
-from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION, TICKET
+from hibiscustray.operator import Operator, SiteStatus, read_status
+from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply, StatusReply
+from hibiscustray.peers.codec import (
+    ATTEMPT,
+    CHUNK,
+    EXCHANGE,
+    HOLDINGS,
+    MANIFEST,
+    REVISION,
+    STATUS,
+    TICKET,
+)
+from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
+from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
-from hibiscustray.routing import ReplicaChooser
-from hibiscustray.settings import Settings
+from hibiscustray.routing import Admission, ReplicaChooser, make_policy
+from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
-from hibiscustray.web import HttpServer, Response, Router
-from hibiscustray.weights import ChunkCache, LinkBudget, TransferEnvironment
+from hibiscustray.web import HttpServer, Response, Router, make_server_context
+from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry, TransferEnvironment
 
 AGENT_HTTP_THREADS = 4
+AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
-MIB = 1024 * 1024
+KIB = 1024
+MIB = 1024 * KIB
 MS_PER_S = 1000
 
 
@@ -41,6 +57,42 @@
     table: Table
     configuration: Configuration
     peers: PeerPool
+    credentials: PeerCredentials
+
+
+def build_operator(settings: OperatorSettings) -> Operator:
+    """Wire an operator's client."""
+    platform = settings.platform
+    return Operator(
+        settings.operator.name,
+        platform.table_url,
+        platform.object_url,
+        settings.key,
+        platform.timeout_s,
+    )
+
+
+def build_status_reader(settings: OperatorSettings) -> Callable[[], SiteStatus]:
+    """Wire the reading of a site's status."""
+    operator = build_operator(settings)
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    peers = PeerPool(load_peer_credentials(settings.security).channel)
+    return lambda: read_status(operator.read(), machines, peers)
+
+
+def _keep(part):
+    return part
+
+
+@dataclass(frozen=True)
+class Wrappers:
+    """Functions that stand between an agent and its links, for stand-ins that shape them."""
+
+    peers: Callable[[PeerPool], PeerPool] = _keep
+    origin: Callable[[Origin], Origin] = _keep
+
+
+UNSHAPED = Wrappers()
 
 
 def build_entry(settings: Settings) -> EntryProcess:
@@ -52,26 +104,30 @@
         settings.process.peer_port,
         exchange_slot.handlers(),
         ENTRY_PEER_THREADS,
+        core.credentials.server,
     )
     router = _LateRouter()
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, settings.limits.threads
-    )
+    http = _build_http(settings, router, settings.limits.threads, settings.limits.body_kib * KIB)
     view = MemberView(_make_record(settings, "entry", peer_server, http, _make_incarnation()))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
-    chooser = ReplicaChooser(view, core.configuration, settings.process.id)
+    policy = make_policy(settings.routing)
+    chooser = ReplicaChooser(view, core.configuration, policy, settings.process.id)
+    admission = Admission(policy, chooser, settings.limits.threads)
     watchdog = Watchdog()
     attempter = Attempter(chooser, core.peers, watchdog)
-    dispatcher = Dispatcher(chooser, view, attempter, core.metrics)
+    dispatcher = Dispatcher(chooser, admission, view, attempter, core.metrics)
     application = EntryApplication(
         core.configuration,
         dispatcher,
         load_teams(settings.security.teams),
         settings.limits,
         core.metrics,
+        ServiceLevelRecorder(core.configuration, core.metrics),
+        ProcessIdentity(view.own.id, view.own.incarnation),
         TicketOffice(chooser, core.peers),
     )
+    sampler = Sampler(SampleStore(core.table), core.metrics, view.own.id, view.own.incarnation)
     router.target = application.router
     return EntryProcess(
         application,
@@ -81,17 +137,20 @@
         view,
         core.peers,
         watchdog,
+        sampler,
         settings.limits.balancer_lag_s,
     )
 
 
-def build_agent(settings: Settings) -> AgentProcess:
+def build_agent(settings: Settings, wrappers: Wrappers = UNSHAPED) -> AgentProcess:
     """Wire an agent."""
     assert settings.upstream is not None
-    core = _build_core(settings)
+    core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    chunks = ChunkServer(cache, LinkBudget(settings.links.up_mbit_s), core.metrics)
     state = ServingState()
+    swarms = SwarmRegistry()
+    uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
+    chunks = ChunkServer(cache, swarms, uplink, core.metrics)
     engine = EngineClient(settings.upstream.url)
     incarnation = _make_incarnation()
     keyed = _build_keyed(settings, core, incarnation)
@@ -117,11 +176,10 @@
         settings.process.peer_port,
         handlers,
         settings.upstream.concurrency + AGENT_PEER_EXTRA_THREADS,
+        core.credentials.server,
     )
     router = _build_agent_router(core, chunks, state)
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, AGENT_HTTP_THREADS
-    )
+    http = _build_http(settings, router, AGENT_HTTP_THREADS, AGENT_BODY_KIB * KIB)
     view = MemberView(_make_record(settings, "agent", peer_server, http, incarnation))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
@@ -138,9 +196,11 @@
         view=view,
         peers=core.peers,
         objects=ObjectStore(settings.platform.object_url, settings.platform.timeout_s),
-        origin=Origin(settings.platform.origin_url),
+        origin=wrappers.origin(Origin(settings.platform.origin_url)),
         cache=cache,
+        swarms=swarms,
         metrics=core.metrics,
+        origin_region=settings.platform.origin_region,
     )
     deployer = Deployer(
         settings.upstream.service,
@@ -167,12 +227,20 @@
         self._configuration = configuration
 
     def handlers(self):
-        return {EXCHANGE.name: self._serve_exchange, REVISION.name: self._serve_revision}
+        return {
+            EXCHANGE.name: self._serve_exchange,
+            REVISION.name: self._serve_revision,
+            STATUS.name: self._serve_status,
+        }
 
     def _serve_exchange(self, message, context):
         assert self.exchange is not None
         return self.exchange.serve(message)
 
+    def _serve_status(self, message, context) -> StatusReply:
+        assert self.exchange is not None
+        return StatusReply(self.exchange.own)
+
     def _serve_revision(self, message, context) -> RevisionReply:
         held = self._configuration.number > 0
         return RevisionReply(self._configuration.revision if held else None)
@@ -189,12 +257,21 @@
         return self.target(environ, start_response)
 
 
-def _build_core(settings: Settings) -> Core:
+def _build_http(settings: Settings, app, threads: int, max_body_b: int) -> HttpServer:
+    security = settings.security
+    context = make_server_context(security.http_certificate, security.http_key)
+    process = settings.process
+    return HttpServer(app, process.address, process.http_port, threads, max_body_b, context)
+
+
+def _build_core(settings: Settings, wrappers: Wrappers = UNSHAPED) -> Core:
+    credentials = load_peer_credentials(settings.security)
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
-        configuration=Configuration(),
-        peers=PeerPool(),
+        configuration=Configuration(load_operator_keys(settings.security.operators)),
+        peers=wrappers.peers(PeerPool(credentials.channel)),
+        credentials=credentials,
     )
 
 
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -6,6 +6,7 @@
 import time
 import uuid
 from collections.abc import Iterator
+from dataclasses import dataclass
 from itertools import chain
 
 import msgspec
@@ -19,13 +20,13 @@
 from hibiscustray.exceptions import (
     DeadlineInvalid,
     HibiscustrayError,
-    OutcomeUnknown,
     RequestMalformed,
     RequestTooLarge,
     ServiceUnknown,
 )
 from hibiscustray.peers import End
-from hibiscustray.requests import CallerRequest
+from hibiscustray.reports import ServiceLevelRecorder
+from hibiscustray.requests import CallerRequest, estimate_call, estimate_chat
 from hibiscustray.settings import LimitSettings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import Request, Response, Router
@@ -48,6 +49,23 @@
     lifetime_s: float
 
 
+@dataclass(frozen=True)
+class ProcessIdentity:
+    """Which incarnation of which process answers."""
+
+    process: str
+    incarnation: int
+
+
+@dataclass(frozen=True)
+class Health:
+    """The body of the health answer; `ready` is what the balancer follows."""
+
+    ready: bool
+    process: str
+    incarnation: int
+
+
 class EntryApplication:
     """Reads callers' requests, hands them to the dispatcher and writes answers."""
 
@@ -58,8 +76,12 @@
         credentials: TeamCredentials,
         limits: LimitSettings,
         metrics: Metrics,
+        recorder: ServiceLevelRecorder,
+        identity: ProcessIdentity,
         tickets: TicketOffice,
     ) -> None:
+        self._recorder = recorder
+        self._identity = identity
         self._tickets = tickets
         self._configuration = configuration
         self._dispatcher = dispatcher
@@ -87,7 +109,8 @@
 
     def _serve_health(self, request: Request) -> Response:
         is_ready = self._configuration.number > 0 and not self._is_leaving
-        return Response.json({"ready": is_ready}, 200 if is_ready else 503)
+        health = Health(is_ready, self._identity.process, self._identity.incarnation)
+        return Response.json(health, 200 if is_ready else 503)
 
     def _serve_metrics(self, request: Request) -> Response:
         body, content_type = self._metrics.render_text()
@@ -112,7 +135,7 @@
 
     def _serve(self, request: Request, name_service, path: str) -> Response:
         request_id = uuid.uuid4().hex
-        record = RequestRecord(self._metrics, self._note_end)
+        record = RequestRecord(self._recorder, self._metrics, self._note_end)
         self._change_running(1)
         try:
             record.team = self._credentials.identify(request.headers.get("authorization", ""))
@@ -120,31 +143,28 @@
             answer = record.follow(self._dispatcher.run(caller, service))
             first = next(answer)
         except Exception as error:
-            record.finish(describe_problem(error, request_id).outcome)
+            record.fail(describe_problem(error, request_id))
             return make_problem_response(error, request_id)
         items = chain([first], answer)
         headers = (("Hibiscustray-Request-Id", request_id),)
         if caller.is_stream:
             body = RecordedBody(self._stream_events(items, request_id, record), answer, record)
             return Response(200, body, EVENT_STREAM, headers)
-        try:
-            return self._collect(items, request_id, headers)
-        finally:
-            record.finish("unknown")
+        *parts, end = items
+        return Response(end.status, b"".join(parts), end.content_type, headers)
 
     def _read_request(
-        self, request: Request, request_id: str, record: RequestRecord, name_service, path
-    ):
+        self, request: Request, request_id: str, record: RequestRecord, name_service, path: str
+    ) -> tuple[CallerRequest, Service]:
         if len(request.body) > self._limits.body_kib * KIB:
             raise RequestTooLarge(f"the body is over {self._limits.body_kib} KiB")
         body = _decode_body(request.body)
         service = self._find_service(name_service(body))
         record.service = service.name
-        team = record.team
-        known_team = self._configuration.deployment.find_team(team)
+        known_team = self._configuration.deployment.find_team(record.team)
         caller = CallerRequest(
             id=request_id,
-            team=team,
+            team=record.team,
             service=service.name,
             path=path or (CHAT_PATH if service.kind == "model" else "/"),
             body=request.body,
@@ -154,6 +174,7 @@
             key=_read_key(request),
             priority=known_team.priority if known_team else 5,
             weight=known_team.weight if known_team else 1.0,
+            estimate=estimate_chat(body) if service.kind == "model" else estimate_call(),
             is_first=_read_first(request),
             is_abandoned=request.is_disconnected,
         )
@@ -186,17 +207,6 @@
     def _note_end(self) -> None:
         self._change_running(-1)
 
-    def _collect(self, answer: Iterator[bytes | End], request_id: str, headers) -> Response:
-        parts: list[bytes] = []
-        try:
-            for item in answer:
-                if isinstance(item, End):
-                    return Response(item.status, b"".join(parts), item.content_type, headers)
-                parts.append(item)
-        except HibiscustrayError as error:
-            return make_problem_response(error, request_id)
-        return make_problem_response(OutcomeUnknown("the answer had no end"), request_id)
-
     def _stream_events(
         self, answer: Iterator[bytes | End], request_id: str, record: RequestRecord
     ) -> Iterator[bytes]:
@@ -208,7 +218,7 @@
                     yield b"data: " + item + b"\n\n"
         except Exception as error:
             problem = describe_problem(error, request_id)
-            record.finish(problem.outcome)
+            record.fail(problem)
             yield b"event: error\ndata: " + msgspec.json.encode({"error": problem}) + b"\n\n"
 
 
--- a/hibiscustray/entry/attempt.py
+++ b/hibiscustray/entry/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import uuid
 from collections.abc import Generator
 from dataclasses import dataclass
@@ -33,8 +34,9 @@
     PeerPool,
     Refused,
 )
+from hibiscustray.peers.messages import BUSY
 from hibiscustray.requests import AnswerReader, CallerRequest
-from hibiscustray.routing import ReplicaChooser
+from hibiscustray.routing import Choice, Permit, ReplicaChooser
 
 PROBE_TIMEOUT_S = 1.0
 DEADLINE_KIND = "deadline"
@@ -92,9 +94,9 @@
     def attempt(
         self,
         request: CallerRequest,
-        member: MemberRecord,
-        digest: str,
+        choice: Choice,
         reader: AnswerReader,
+        permit: Permit,
         incarnation: int = 0,
     ):
         """Yield payloads, then the `End` of the whole answer; return how it ended without one.
@@ -103,9 +105,12 @@
         """
         if request.time_left() <= 0:
             return NotTaken(DeadlineExceeded("the deadline passed before an attempt"))
+        member = choice.member
         client = self._peers.get(member.peer_address)
+        priority = permit.adjust_priority(request.priority)
+        message = _make_message(request, choice.digest, reader.count, priority, incarnation)
         try:
-            call = client.open_attempt(_make_message(request, digest, reader.count, incarnation))
+            call = client.open_attempt(message)
         except PeerUnreachable as error:
             return NotTaken(error, is_gone=True)
         watch = self._watchdog.watch(call.cancel, request.deadline)
@@ -114,7 +119,7 @@
                 watch.pause()
                 if request.is_abandoned():
                     raise CallerLeft("the caller closed its connection")
-                ended = yield from self._take(frame, member, reader)
+                ended = yield from self._take(frame, choice, reader)
                 watch.touch()
                 if ended is not None:
                     return None if isinstance(ended, End) else ended
@@ -128,19 +133,22 @@
             watch.close()
             call.cancel()
 
-    def _take(self, frame, member: MemberRecord, reader: AnswerReader):
+    def _take(self, frame, choice: Choice, reader: AnswerReader):
         """Yield what a frame brings; return how the attempt ended, None if it goes on."""
         match frame:
-            case Data():
+            case Data(payloads=payloads):
+                choice.progress.note_payloads(len(payloads), time.monotonic())
                 yield from reader.accept(frame)
             case End():
                 reader.finish(frame)
-                self._chooser.report(member.id, frame.load)
+                self._chooser.report(choice.member.id, frame.load)
                 yield frame
                 return frame
             case Beat(load=load):
-                self._chooser.report(member.id, load)
-            case Refused():
+                self._chooser.report(choice.member.id, load)
+            case Refused(kind=kind):
+                if kind == BUSY:
+                    self._chooser.note_busy(choice)
                 return _read_refusal(frame)
             case Claimed(agent=agent, incarnation=incarnation):
                 return TakenElsewhere(Binding(agent, incarnation))
@@ -175,7 +183,7 @@
 
 
 def _make_message(
-    request: CallerRequest, digest: str, skip: int, incarnation: int
+    request: CallerRequest, digest: str, skip: int, priority: int, incarnation: int
 ) -> AttemptRequest:
     return AttemptRequest(
         attempt_id=uuid.uuid4().hex,
@@ -190,7 +198,7 @@
         key=request.key,
         is_stream=request.is_stream,
         skip=skip,
-        priority=request.priority,
+        priority=priority,
         weight=request.weight,
         incarnation=incarnation,
     )
--- a/hibiscustray/entry/dispatch.py
+++ b/hibiscustray/entry/dispatch.py
@@ -18,7 +18,7 @@
 from hibiscustray.membership import MemberView
 from hibiscustray.peers import End
 from hibiscustray.requests import AnswerReader, CallerRequest
-from hibiscustray.routing import ReplicaChooser
+from hibiscustray.routing import Admission, Permit, ReplicaChooser, RetryBudgets
 from hibiscustray.telemetry import Metrics
 
 MAX_ATTEMPTS = 4
@@ -30,8 +30,15 @@
     """Makes attempts one after another; yields payloads, then the `End` of the whole answer."""
 
     def __init__(
-        self, chooser: ReplicaChooser, view: MemberView, attempter: Attempter, metrics: Metrics
+        self,
+        chooser: ReplicaChooser,
+        admission: Admission,
+        view: MemberView,
+        attempter: Attempter,
+        metrics: Metrics,
     ) -> None:
+        self._admission = admission
+        self._budgets = RetryBudgets()
         self._picker = ReplicaPicker(chooser)
         self._attempter = attempter
         self._metrics = metrics
@@ -43,12 +50,17 @@
         Payloads of a stream already yielded stand: a later attempt resumes after them on the same
         digest. Other answers are yielded only once they are whole.
         """
-        if request.key and not request.is_idempotent:
-            yield from self._keyed.run(request, service)
-        else:
-            yield from self._run_unkeyed(request, service)
+        with self._admission.enter(request, service) as permit:
+            if request.key and not request.is_idempotent:
+                yield from self._keyed.run(request, service, permit)
+            else:
+                yield from self._run_unkeyed(request, service, permit)
 
-    def _run_unkeyed(self, request: CallerRequest, service: Service) -> Iterator[bytes | End]:
+    def _run_unkeyed(
+        self, request: CallerRequest, service: Service, permit: Permit
+    ) -> Iterator[bytes | End]:
+        budget = self._budgets.get(service.name)
+        budget.earn()
         reader = AnswerReader(request.id)
         excluded: set[str] = set()
         digest = ""
@@ -64,11 +76,13 @@
                 raise _conclude(request, lost or NotTaken(error)) from error
             if not request.is_stream:
                 reader = AnswerReader(request.id)
-            attempt = self._attempter.attempt(request, choice.member, choice.digest, reader)
+            attempt = self._attempter.attempt(request, choice, reader, permit)
+            is_answered = False
             try:
                 last = yield from attempt if request.is_stream else hold_until_whole(attempt)
+                is_answered = last is None
             finally:
-                self._picker.release(choice)
+                self._picker.release(choice, is_answered)
             if last is None:
                 return
             self._metrics.count("attempts_failed_total", {"service": service.name})
@@ -81,6 +95,8 @@
                     break
             if isinstance(last.error, LATE) or request.time_left() <= 0:
                 break
+            if not budget.spend():
+                break
         # An earlier attempt that may have run stands over a later one that did not.
         raise _conclude(request, lost or last)
 
--- a/hibiscustray/entry/keyed.py
+++ b/hibiscustray/entry/keyed.py
@@ -29,6 +29,8 @@
 from hibiscustray.peers import End, MemberRecord
 from hibiscustray.peers.messages import DEAD, LEFT
 from hibiscustray.requests import AnswerReader, CallerRequest, is_ticket, read_ticket
+from hibiscustray.routing import Choice, Permit
+from hibiscustray.routing.health import Progress
 from hibiscustray.telemetry import Metrics
 
 MAX_ATTEMPTS = 6
@@ -52,12 +54,14 @@
         self._attempter = attempter
         self._metrics = metrics
 
-    def run(self, request: CallerRequest, service: Service) -> Iterator[bytes | End]:
+    def run(
+        self, request: CallerRequest, service: Service, permit: Permit
+    ) -> Iterator[bytes | End]:
         """Yield the answer to the first request with the key; raise as `Dispatcher.run`."""
         journey = _Journey(request, _read_binding(request.key))
         for _ in range(MAX_ATTEMPTS):
             owner = self._find_owner(journey)
-            attempt = self._start(journey, service, owner)
+            attempt = self._start(journey, service, owner, permit)
             last = yield from attempt if request.is_stream else hold_until_whole(attempt)
             if last is None:
                 return
@@ -81,26 +85,26 @@
         journey.is_owner_gone = not is_present
         return member if is_present else None
 
-    def _start(self, journey: _Journey, service: Service, owner: MemberRecord | None):
+    def _start(
+        self, journey: _Journey, service: Service, owner: MemberRecord | None, permit: Permit
+    ):
         request, reader = journey.request, journey.renew_reader()
         if owner is not None:
-            incarnation = owner.incarnation
-            return (
-                yield from self._attempter.attempt(
-                    request, owner, owner.serving, reader, incarnation
-                )
-            )
+            choice = _bind_choice(owner, request)
+            attempt = self._attempter.attempt(request, choice, reader, permit, owner.incarnation)
+            return (yield from attempt)
         try:
             choice = self._picker.pick(request, service, journey.excluded, "", request.deadline)
         except NoReplica as error:
             return NotTaken(error)
         journey.member = choice.member
+        is_answered = False
         try:
-            return (
-                yield from self._attempter.attempt(request, choice.member, choice.digest, reader)
-            )
+            last = yield from self._attempter.attempt(request, choice, reader, permit)
+            is_answered = last is None
+            return last
         finally:
-            self._picker.release(choice)
+            self._picker.release(choice, is_answered)
 
 
 class _Journey:
@@ -189,6 +193,13 @@
         return False
 
 
+def _bind_choice(owner: MemberRecord, request: CallerRequest) -> Choice:
+    """Return the one replica that may run the key, which the chooser has no say in."""
+    now = time.monotonic()
+    units = max(1, request.estimate.output_tokens)
+    return Choice(owner, owner.serving, Progress(owner.id, units, request.is_stream, now, now))
+
+
 def _read_binding(key: str) -> Binding | None:
     if not is_ticket(key):
         return None
--- a/hibiscustray/entry/process.py
+++ b/hibiscustray/entry/process.py
@@ -10,6 +10,7 @@
 from hibiscustray.membership import Exchange, MemberView
 from hibiscustray.peers import PeerPool, PeerServer
 from hibiscustray.peers.messages import LEAVING, LEFT
+from hibiscustray.reports import Sampler
 from hibiscustray.web import HttpServer
 
 log = logging.getLogger(__name__)
@@ -27,6 +28,7 @@
         view: MemberView,
         peers: PeerPool,
         watchdog: Watchdog,
+        sampler: Sampler,
         balancer_lag_s: float,
     ) -> None:
         self.application = application
@@ -36,6 +38,7 @@
         self._exchange = exchange
         self._peers = peers
         self._watchdog = watchdog
+        self._sampler = sampler
         self._balancer_lag_s = balancer_lag_s
 
     @property
@@ -49,6 +52,7 @@
         self._peer_server.start()
         self._exchange.start()
         self.http.start()
+        self._sampler.start()
         log.info("entry started", extra={"url": self.url})
 
     def drain(self, timeout_s: float) -> bool:
@@ -64,6 +68,7 @@
         """End all servers and threads."""
         self.http.stop()
         self.view.update_own(status=LEFT)
+        self._sampler.stop()
         self._exchange.stop()
         self._peer_server.stop()
         self._watchdog.stop()
--- a/hibiscustray/entry/replicas.py
+++ b/hibiscustray/entry/replicas.py
@@ -32,7 +32,9 @@
         """
         while True:
             try:
-                return self._chooser.choose(service, excluded, digest)
+                return self._chooser.choose(
+                    service, excluded, digest, request.estimate, request.is_stream
+                )
             except NoReplica:
                 if time.monotonic() + WAIT_TICK_S >= wait_until:
                     raise
@@ -41,6 +43,6 @@
             time.sleep(WAIT_TICK_S)
             excluded.clear()
 
-    def release(self, choice: Choice) -> None:
+    def release(self, choice: Choice, is_answered: bool) -> None:
         """Note that the attempt at a replica has ended."""
-        self._chooser.release(choice.member.id)
+        self._chooser.release(choice, is_answered)
--- a/hibiscustray/entry/tickets.py
+++ b/hibiscustray/entry/tickets.py
@@ -31,7 +31,7 @@
             except PeerError:
                 continue
             finally:
-                self._chooser.release(choice.member.id)
+                self._chooser.release(choice, is_answered=False)
             if reply.key:
                 return reply
         raise NoReplica("no agent issued a ticket", RETRY_AFTER_S)
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -39,6 +39,10 @@
     """A conditional write was refused because its condition did not hold."""
 
 
+class RecordInvalid(PlatformError):
+    """A row, object or list of the platform could not be decoded."""
+
+
 class ObjectMissing(PlatformError):
     """The object store or the origin holds no object of that name."""
 
@@ -97,6 +101,12 @@
         self.operator = operator
 
 
+class ProgramFailed(ConfigurationError):
+    """An operator program ended with an error or printed nothing."""
+
+    exit_code = 6
+
+
 class NoConfiguration(ConfigurationError):
     """This process holds no configuration that it can justify."""
 
@@ -226,6 +236,13 @@
     kind = "overloaded"
 
 
+class ConfigurationUnknown(NotRun):
+    """The process holds no configuration that it can justify."""
+
+    status = 503
+    kind = "no-configuration"
+
+
 class NoReplica(NotRun):
     """No replica can take the request now."""
 
@@ -271,7 +288,13 @@
     """The caller closed its connection before its answer was whole."""
 
     status = 499
-    kind = "abandoned"
+    kind = "caller-left"
+
+
+class MetricsUnreadable(HibiscustrayError):
+    """A process's metrics could not be read."""
+
+    exit_code = 6
 
 
 class ShareExhausted(HibiscustrayError):
--- a/hibiscustray/peers/__init__.py
+++ b/hibiscustray/peers/__init__.py
@@ -12,6 +12,7 @@
     ExchangeMessage,
     Failed,
     Frame,
+    HaveSet,
     HoldingsReply,
     HoldingsRequest,
     ManifestReply,
@@ -20,6 +21,8 @@
     Refused,
     RevisionReply,
     RevisionRequest,
+    StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -36,6 +39,7 @@
     "ExchangeMessage",
     "Failed",
     "Frame",
+    "HaveSet",
     "HoldingsReply",
     "HoldingsRequest",
     "ManifestReply",
@@ -47,6 +51,8 @@
     "Refused",
     "RevisionReply",
     "RevisionRequest",
+    "StatusReply",
+    "StatusRequest",
     "TicketReply",
     "TicketRequest",
 ]
--- a/hibiscustray/requests/__init__.py
+++ b/hibiscustray/requests/__init__.py
@@ -2,6 +2,7 @@
 
 from hibiscustray.requests.answer import AnswerDigest, AnswerReader
 from hibiscustray.requests.claims import Claim, ClaimStore, Elsewhere
+from hibiscustray.requests.estimate import Estimate, estimate_call, estimate_chat
 from hibiscustray.requests.ledger import (
     Fresh,
     Full,
@@ -31,6 +32,7 @@
     "Claim",
     "ClaimStore",
     "Elsewhere",
+    "Estimate",
     "Expired",
     "Foreign",
     "Forged",
@@ -43,6 +45,8 @@
     "TicketIssuer",
     "Uncertain",
     "Valid",
+    "estimate_call",
+    "estimate_chat",
     "is_ticket",
     "read_ticket",
 ]
--- a/hibiscustray/requests/request.py
+++ b/hibiscustray/requests/request.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from hibiscustray.requests.estimate import Estimate, estimate_call
+
 
 def _never() -> bool:
     return False
@@ -30,6 +32,7 @@
     key: str = ""
     priority: int = 5
     weight: float = 1.0
+    estimate: Estimate = estimate_call()
     is_first: bool = False
     is_abandoned: Callable[[], bool] = _never
 
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -34,6 +34,7 @@
     object_url: str
     machines_url: str
     origin_url: str
+    origin_region: str = ""
     timeout_s: Positive = 2.0
 
 
@@ -81,6 +82,14 @@
     threads: Count = 64
 
 
+@dataclass(frozen=True)
+class RoutingSettings:
+    """How an entry queues requests and chooses replicas; the other policies are baselines."""
+
+    policy: Literal["adaptive", "first_come", "least_outstanding", "round_robin"] = "adaptive"
+    subset: Count = 24
+
+
 @dataclass(frozen=True)
 class SecuritySettings:
     """Paths of key and credential files; empty means that the feature is off."""
@@ -91,6 +100,7 @@
     http_certificate: str = ""
     http_key: str = ""
     teams: str = ""
+    operators: str = ""
 
 
 @dataclass(frozen=True)
@@ -103,4 +113,5 @@
     links: LinkSettings = LinkSettings()
     membership: MembershipSettings = MembershipSettings()
     limits: LimitSettings = LimitSettings()
+    routing: RoutingSettings = RoutingSettings()
     security: SecuritySettings = SecuritySettings()
--- a/hibiscustray/standins/service.py
+++ b/hibiscustray/standins/service.py
@@ -18,6 +18,7 @@
 
     def __init__(self, address: str, port: int, delay_s: float = 0.005) -> None:
         self.runs: Counter[str] = Counter()
+        self.request_ids: set[str] = set()
         self.delay_s = delay_s
         self.busy_status = 0
         self._lock = threading.Lock()
@@ -45,6 +46,7 @@
         time.sleep(self.delay_s)
         with self._lock:
             self.runs[reference] += 1
+            self.request_ids.add(request.headers.get("x-request-id", ""))
             run = self.runs[reference]
         if self.busy_status:
             return Response.json({"error": "busy"}, self.busy_status)
