--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -107,7 +107,9 @@
             thread.start()
 
     def stop(self) -> None:
-        """Tell the neighbours of a planned stop, then stop the threads."""
+        """Tell the neighbours of a planned stop, then stop the threads, once."""
+        if self._stopping.is_set():
+            return
         self._stopping.set()
         self._poller.stop()
         self._news.set()
--- a/hibiscustray/peers/client.py
+++ b/hibiscustray/peers/client.py
@@ -61,7 +61,7 @@
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
 )
-CONNECT_MARKS = ("failed to connect", "connection refused", "connect: ")
+CONNECT_MARK = "failed to connect to all addresses"
 
 
 class AttemptCall:
@@ -107,6 +107,14 @@
             for method in METHODS
         }
         self._decoders = {method.name: make_decoder(method.reply) for method in METHODS}
+        self._running = 0
+        self._lock = threading.Lock()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call is running."""
+        with self._lock:
+            return self._running == 0
 
     def exchange(self, message: ExchangeMessage, timeout_s: float) -> ExchangeMessage:
         """Swap heartbeats."""
@@ -150,21 +158,34 @@
 
     def open_attempt(self, request: AttemptRequest) -> AttemptCall:
         """Start an attempt; errors surface while its frames are read."""
-        call = self._calls[ATTEMPT.name](encode_message(request), timeout=request.timeout_s)
+        self._change_running(1)
+        try:
+            call = self._calls[ATTEMPT.name](encode_message(request), timeout=request.timeout_s)
+        except ValueError as error:
+            self._change_running(-1)
+            raise PeerUnreachable(f"{self.address}: channel closed") from error
+        call.add_done_callback(lambda _: self._change_running(-1))
         return AttemptCall(call)
 
     def close(self) -> None:
         """Close the channel, cutting running calls."""
         self._channel.close()
 
+    def _change_running(self, change: int) -> None:
+        with self._lock:
+            self._running += change
+
     def _call(self, name: str, message: Any, timeout_s: float) -> Any:
         request = encode_message(message, self.codec)
+        self._change_running(1)
         try:
             body = self._calls[name](request, timeout=timeout_s)
         except grpc.RpcError as error:
             raise translate_error(error) from error
         except ValueError as error:
             raise PeerUnreachable(f"{self.address}: channel closed") from error
+        finally:
+            self._change_running(-1)
         self.calls_made += 1
         self.bytes_moved += len(request) + len(body)
         return self._decoders[name](body)
@@ -182,6 +203,7 @@
         self._codecs: dict[str, int] = {}
         self._closed_bytes = 0
         self._closed_calls = 0
+        self._retired: list[PeerClient] = []
         self._lock = threading.Lock()
 
     @property
@@ -198,7 +220,7 @@
 
     def get(self, address: str) -> PeerClient:
         """Return the client of an address."""
-        evicted = None
+        is_full = False
         with self._lock:
             client = self._clients.get(address)
             if client is None:
@@ -206,8 +228,10 @@
                 client.codec = self._codecs.get(address, PLAIN)
             self._clients.move_to_end(address)
             if self._limit is not None and len(self._clients) > self._limit:
-                _, evicted = self._clients.popitem(last=False)
-        self._close_client(evicted)
+                self._retired.append(self._clients.popitem(last=False)[1])
+                is_full = True
+        if is_full:
+            self._close_idle()
         return client
 
     def learn_codec(self, address: str, codec: int) -> None:
@@ -220,24 +244,36 @@
             if address in self._clients:
                 self._clients[address].codec = chosen
 
-    def renew(self, address: str) -> None:
-        """Forget the connection to an address, so that the next call opens a new one."""
+    def renew(self, address: str, client: PeerClient | None = None) -> None:
+        """Let the next call to an address open a new connection, unless `client` was replaced.
+
+        The calls that run on the old connection go on; it is closed once they have ended.
+        """
         with self._lock:
-            client = self._clients.pop(address, None)
-            self._codecs.pop(address, None)
-        self._close_client(client)
+            known = self._clients.get(address)
+            if known is not None and client in (None, known):
+                self._codecs.pop(address, None)
+                self._retired.append(self._clients.pop(address))
+        self._close_idle()
 
     def close(self) -> None:
         """Close all connections."""
         with self._lock:
-            clients = list(self._clients.values())
+            clients = [*self._clients.values(), *self._retired]
             self._clients.clear()
+            self._retired = []
         for client in clients:
             self._close_client(client)
 
-    def _close_client(self, client: PeerClient | None) -> None:
-        if client is None:
-            return
+    def _close_idle(self) -> None:
+        """Close the retired clients whose calls have ended."""
+        with self._lock:
+            idle = [client for client in self._retired if client.is_idle]
+            self._retired = [client for client in self._retired if client not in idle]
+        for client in idle:
+            self._close_client(client)
+
+    def _close_client(self, client: PeerClient) -> None:
         with self._lock:
             self._closed_bytes += client.bytes_moved
             self._closed_calls += client.calls_made
@@ -249,6 +285,6 @@
     code = error.code()
     details = (error.details() or "").lower()
     text = f"{code.name}: {details[:200]}"
-    if code is grpc.StatusCode.UNAVAILABLE and any(mark in details for mark in CONNECT_MARKS):
+    if code is grpc.StatusCode.UNAVAILABLE and details.startswith(CONNECT_MARK):
         return PeerUnreachable(text)
     return PeerConnectionLost(text)
