Measures the spread of changes; leases lapse by observation only

Cause: a contender compared the holder's wall clock with its own, so a skewed VM took a lease that was still trusted; many contenders read the table four times a second each; fencing numbers went back when a VM's clock did. Now a contender waits the whole duration since it first saw the row unchanged, by its own monotonic clock, and looks again after 0.2 to 8 s; the fencing floor is the incarnation as peers know it. A conflict seen through lagging reads still names its winner. 'bench configuration' runs real exchanges over sockets in threads.

--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -13,6 +13,16 @@
 
 os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
 
+CONFIGURATION_FAULTS = (
+    "none",
+    "store_outage",
+    "lost_answers",
+    "race",
+    "restart",
+    "partition",
+    "pause",
+    "all",
+)
 WEIGHTS_FAULTS = (
     "none",
     "corrupt",
@@ -86,6 +96,22 @@
     sys.exit(run_bench_weights(WeightsOptions(is_json=is_json, plot=plot, **shape)))
 
 
+@bench.command("configuration")
+@click.option("--nodes", type=click.IntRange(1), default=50, show_default=True)
+@click.option("--changes", type=click.IntRange(1), default=5, show_default=True)
+@click.option("--faults", type=click.Choice(CONFIGURATION_FAULTS), default="none")
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of all choices.")
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_configuration(nodes: int, changes: int, faults: str, seed: int, is_json: bool) -> None:
+    """Change the configuration of a fleet under faults and measure it."""
+    from hibiscustray.commands.bench_configuration import (
+        ConfigurationOptions,
+        run_bench_configuration,
+    )
+
+    sys.exit(run_bench_configuration(ConfigurationOptions(nodes, changes, faults, seed, is_json)))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
--- /dev/null
+++ b/hibiscustray/benchmarks/configuration.py
@@ -0,0 +1,274 @@
+"""Measures how changes of the configuration reach a fleet under faults, and what that costs."""
+
+from __future__ import annotations
+
+import math
+import resource
+import statistics
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from hibiscustray.benchmarks.configuration_faults import FaultInjector
+from hibiscustray.benchmarks.configuration_fleet import Fleet
+from hibiscustray.benchmarks.configuration_nodes import Node
+from hibiscustray.deployments import Deployment, Revision, RevisionStore, Team, render_deployment
+from hibiscustray.exceptions import RevisionConflict, StoreAnswerLost, StoreUnavailable
+from hibiscustray.membership import spread_revision
+from hibiscustray.peers import PeerPool
+from hibiscustray.platform import MachineList, Table
+
+OPERATORS = 8
+TIMEOUT_S = 2.0
+JOIN_LIMIT_S = 40.0
+IN_FORCE_LIMIT_S = 15.0
+LONGEST_IN_FORCE_S = 6.0
+POLL_S = 0.02
+COST_WINDOW_S = 8.0
+SIZE_SHARES = (4, 2)
+CALL_OVERHEAD_B = 330
+TARGET_NODES = 1110
+LARGEST_US = 60_000_000
+US_PER_S = 1_000_000
+MIB = 1024 * 1024
+PERCENT = 100.0
+
+
+@dataclass(frozen=True)
+class NodeCost:
+    """What a node spends at one size; bytes count both directions and transport headers."""
+
+    nodes: int
+    bytes_per_second: float
+    cpu_percent: float
+    rss_mib: float
+    store_reads_per_second: float
+    store_writes_per_second: float
+
+
+@dataclass(frozen=True)
+class ConfigurationReport:
+    """What was measured; counts of faults come from the nodes, engines and the history."""
+
+    nodes: int
+    changes: int
+    faults: str
+    seed: int
+    accepted: int
+    denied: int
+    conflicts: int
+    p50_seconds_in_force: float
+    p99_seconds_in_force: float
+    max_seconds_in_force: float
+    reverted: int
+    lost: int
+    applied_unaccepted: int
+    stale_orders_taken: int
+    false_suspicions: int
+    store_reads_per_second: float
+    store_writes_per_second: float
+    bytes_per_second: float
+    cpu_percent: float
+    rss_mib: float
+    sizes: tuple[NodeCost, ...]
+    worked_out_at_target: NodeCost
+
+    def is_right(self) -> bool:
+        """Tell whether no fault was counted and all changes were in force in time."""
+        faults = self.reverted + self.lost + self.applied_unaccepted + self.stale_orders_taken
+        is_in_time = self.max_seconds_in_force <= LONGEST_IN_FORCE_S
+        return faults == 0 and self.accepted > 0 and is_in_time
+
+
+class ConfigurationRun:
+    """One fleet, its operators and its faults."""
+
+    def __init__(self, nodes: int, changes: int, faults: str, seed: int) -> None:
+        self._size = nodes
+        self._changes = changes
+        self._faults = faults
+        self._seed = seed
+        self._accepted: dict[str, float] = {}
+        self._denied: set[str] = set()
+        self._unsettled: set[str] = set()
+        self._conflicts = 0
+        self._seconds = HdrHistogram(1, LARGEST_US, 3)
+        self._never = 0
+        self._started = 0.0
+        self._rss_before = _read_rss()
+
+    def measure(self) -> ConfigurationReport:
+        """Run the changes, then the quiet fleets of smaller sizes."""
+        sizes = sorted({max(1, self._size // share) for share in SIZE_SHARES} - {self._size})
+        smaller = tuple(self._measure_cost(size) for size in sizes)
+        fleet = Fleet(self._size, self._seed)
+        self._started = time.monotonic()
+        injector = FaultInjector(fleet, self._faults, self._seed)
+        fleet.start()
+        try:
+            self._wait_until_joined(fleet)
+            cost = _observe_cost(fleet, self._size, self._rss_before)
+            for index in range(self._changes):
+                self._change(fleet, injector, index)
+            return self._conclude(fleet, cost, smaller)
+        finally:
+            fleet.stop()
+
+    def _measure_cost(self, size: int) -> NodeCost:
+        fleet = Fleet(size, self._seed)
+        fleet.start()
+        try:
+            self._wait_until_joined(fleet)
+            return _observe_cost(fleet, size, self._rss_before)
+        finally:
+            fleet.stop()
+
+    def _wait_until_joined(self, fleet: Fleet) -> None:
+        """Put a first revision in force and wait until all views are whole."""
+        deadline = time.monotonic() + JOIN_LIMIT_S
+        _open_store(fleet).accept(_render_plan("first"), "first", 0, uuid.uuid4().hex)
+        while time.monotonic() < deadline:
+            nodes = fleet.list_nodes()
+            is_whole = all(node.view.count() == len(nodes) for node in nodes)
+            if is_whole and all(node.configuration.is_justified() for node in nodes):
+                return
+            time.sleep(POLL_S)
+
+    def _change(self, fleet: Fleet, injector: FaultInjector, index: int) -> None:
+        head = _open_store(fleet).read_head()
+        expected = head.number if head else 0
+        injector.disturb_before()
+        count = OPERATORS if injector.is_racing else 1
+        with ThreadPoolExecutor(count) as pool:
+            names = [f"operator-{index}-{i}" for i in range(count)]
+            results = list(pool.map(lambda name: self._accept(fleet, name, expected), names))
+        injector.disturb_after()
+        winner = next((result for result in results if result is not None), None)
+        if winner is not None:
+            self._wait_until_in_force(fleet, winner.number)
+        injector.settle()
+        if winner is not None:
+            self._record_seconds(fleet, winner.number, self._accepted[winner.change_id])
+
+    def _accept(self, fleet: Fleet, operator: str, expected: int) -> Revision | None:
+        change_id = uuid.uuid4().hex
+        store = _open_store(fleet)
+        try:
+            revision = store.accept(_render_plan(operator), operator, expected, change_id)
+        except RevisionConflict:
+            self._conflicts += 1
+            self._denied.add(change_id)
+            return None
+        except StoreUnavailable:
+            self._denied.add(change_id)
+            return None
+        except StoreAnswerLost:
+            self._unsettled.add(change_id)
+            return None
+        self._accepted[change_id] = time.monotonic()
+        spread_revision(revision, MachineList(fleet.platform.url, TIMEOUT_S), PeerPool())
+        return revision
+
+    def _wait_until_in_force(self, fleet: Fleet, number: int) -> None:
+        deadline = time.monotonic() + IN_FORCE_LIMIT_S
+        while time.monotonic() < deadline:
+            if all(node.configuration.number >= number for node in fleet.list_nodes()):
+                return
+            time.sleep(POLL_S)
+
+    def _record_seconds(self, fleet: Fleet, number: int, accepted_at: float) -> None:
+        """Count from acceptance, or from the end of a node's own pause or restart."""
+        for node in fleet.list_nodes():
+            at = node.find_adoption(number)
+            if at is None:
+                self._never += 1
+                continue
+            seconds = max(0.0, at - max(accepted_at, node.disturbed_until))
+            self._seconds.record_value(min(LARGEST_US, int(seconds * US_PER_S) + 1))
+
+    def _conclude(
+        self, fleet: Fleet, cost: NodeCost, smaller: tuple[NodeCost, ...]
+    ) -> ConfigurationReport:
+        seconds = time.monotonic() - self._started
+        history = _open_store(fleet).read_history()
+        known = {revision.change_id for revision in history}
+        nodes = fleet.list_nodes()
+        sizes = (*smaller, cost)
+        return ConfigurationReport(
+            nodes=self._size,
+            changes=self._changes,
+            faults=self._faults,
+            seed=self._seed,
+            accepted=len(self._accepted),
+            denied=len(self._denied),
+            conflicts=self._conflicts,
+            p50_seconds_in_force=self._seconds.get_value_at_percentile(50) / US_PER_S,
+            p99_seconds_in_force=self._seconds.get_value_at_percentile(99) / US_PER_S,
+            max_seconds_in_force=self._seconds.get_max_value() / US_PER_S,
+            reverted=fleet.reverted,
+            lost=self._never + len(set(self._accepted) - known),
+            applied_unaccepted=self._count_unaccepted([*fleet.retired, *nodes], known),
+            stale_orders_taken=fleet.stale_orders_taken,
+            false_suspicions=sum(node.view.false_suspicions for node in nodes),
+            store_reads_per_second=round(fleet.platform.table_reads / seconds, 2),
+            store_writes_per_second=round(fleet.platform.table_writes / seconds, 2),
+            bytes_per_second=cost.bytes_per_second,
+            cpu_percent=cost.cpu_percent,
+            rss_mib=cost.rss_mib,
+            sizes=sizes,
+            worked_out_at_target=work_out_cost(sizes, TARGET_NODES),
+        )
+
+    def _count_unaccepted(self, nodes: list[Node], known: set[str]) -> int:
+        adopted = {adoption.change_id for node in nodes for adoption in node.adoptions}
+        return len(adopted & self._denied) + len(adopted - known) + len(known & self._denied)
+
+
+def work_out_cost(sizes: tuple[NodeCost, ...], nodes: int) -> NodeCost:
+    """Fit each cost against the logarithm of the size and read it off at another size."""
+    names = [name for name in NodeCost.__dataclass_fields__ if name != "nodes"]
+    values = {name: _extrapolate(sizes, name, nodes) for name in names}
+    return NodeCost(nodes=nodes, **values)
+
+
+def _extrapolate(sizes: tuple[NodeCost, ...], name: str, nodes: int) -> float:
+    values = [getattr(size, name) for size in sizes]
+    if len(sizes) < 2:
+        return values[0]
+    line = statistics.linear_regression([math.log2(size.nodes) for size in sizes], values)
+    return round(max(0.0, line.intercept + line.slope * math.log2(nodes)), 2)
+
+
+def _observe_cost(fleet: Fleet, size: int, rss_before: float) -> NodeCost:
+    """Watch a fleet that nobody changes; CPU and memory include the platform's stand-in."""
+    started, cpu = time.monotonic(), time.process_time()
+    moved, calls = fleet.bytes_moved, fleet.calls_made
+    reads, writes = fleet.platform.table_reads, fleet.platform.table_writes
+    time.sleep(COST_WINDOW_S)
+    seconds = time.monotonic() - started
+    total = fleet.bytes_moved - moved + (fleet.calls_made - calls) * CALL_OVERHEAD_B
+    return NodeCost(
+        nodes=size,
+        bytes_per_second=round(2 * total / seconds / size, 1),
+        cpu_percent=round((time.process_time() - cpu) / seconds / size * PERCENT, 3),
+        rss_mib=round(rss_before + (_read_rss() - rss_before) / size, 1),
+        store_reads_per_second=round((fleet.platform.table_reads - reads) / seconds, 2),
+        store_writes_per_second=round((fleet.platform.table_writes - writes) / seconds, 2),
+    )
+
+
+def _read_rss() -> float:
+    with open("/proc/self/statm") as file:
+        pages = int(file.read().split()[1])
+    return pages * resource.getpagesize() / MIB
+
+
+def _render_plan(team: str) -> str:
+    return render_deployment(Deployment("bench", teams=(Team(team),)))
+
+
+def _open_store(fleet: Fleet) -> RevisionStore:
+    return RevisionStore(Table(fleet.platform.url, TIMEOUT_S))
--- /dev/null
+++ b/hibiscustray/benchmarks/configuration_faults.py
@@ -0,0 +1,83 @@
+"""Faults of the configuration benchmark, brought about around each change."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+
+from hibiscustray.benchmarks.configuration_fleet import Fleet
+
+FAULTS = ("none", "store_outage", "lost_answers", "race", "restart", "partition", "pause", "all")
+OUTAGE_S = 8.0
+PAUSE_S = 4.0
+PARTITION_S = 4.0
+LOST_SHARE = 0.3
+LATE_WRITE_S = 0.3
+STALE_READ_S = 0.5
+DISTURBED_SHARE = 0.1
+
+
+class FaultInjector:
+    """Disturbs a fleet before and after each accepted change."""
+
+    def __init__(self, fleet: Fleet, faults: str, seed: int) -> None:
+        self._fleet = fleet
+        self._active = set(FAULTS[1:-1]) if faults == "all" else {faults}
+        self._random = random.Random(seed)
+        self._timers: list[threading.Timer] = []
+
+    @property
+    def is_racing(self) -> bool:
+        """Tell whether several operators change the configuration at once."""
+        return "race" in self._active
+
+    def disturb_before(self) -> None:
+        """Set what is wrong while a change is being accepted."""
+        if "lost_answers" in self._active:
+            self._fleet.platform.set_faults(
+                lost_answer_share=LOST_SHARE, late_write_s=LATE_WRITE_S, stale_read_s=STALE_READ_S
+            )
+        if "partition" in self._active:
+            regions = self._random.sample(self._fleet.regions, 2)
+            self._fleet.cuts.cuts = frozenset({(regions[0], regions[1])})
+            self._later(PARTITION_S, self._heal)
+        if "pause" in self._active:
+            nodes = self._choose_nodes()
+            for node in nodes:
+                node.pause()
+            self._later(PAUSE_S, lambda: [node.resume() for node in nodes])
+
+    def disturb_after(self) -> None:
+        """Disturb the spread of a change that was just accepted."""
+        if "store_outage" in self._active:
+            self._fleet.platform.set_faults(is_store_down=True)
+            self._later(OUTAGE_S, lambda: self._fleet.platform.set_faults(is_store_down=False))
+        if "restart" in self._active:
+            for node in self._choose_nodes():
+                if node.running.is_set():
+                    self._fleet.restart(node.id)
+
+    def settle(self) -> None:
+        """Wait until all disturbances are over."""
+        for timer in self._timers:
+            timer.join()
+        self._timers.clear()
+        self._fleet.platform.set_faults(
+            is_store_down=False, lost_answer_share=0.0, late_write_s=0.0, stale_read_s=0.0
+        )
+        while self._fleet.platform.late_writes:
+            time.sleep(0.05)
+
+    def _choose_nodes(self):
+        nodes = self._fleet.list_nodes()
+        return self._random.sample(nodes, max(1, int(len(nodes) * DISTURBED_SHARE)))
+
+    def _heal(self) -> None:
+        self._fleet.cuts.cuts = frozenset()
+
+    def _later(self, delay_s: float, action) -> None:
+        timer = threading.Timer(delay_s, action)
+        timer.daemon = True
+        timer.start()
+        self._timers.append(timer)
--- /dev/null
+++ b/hibiscustray/benchmarks/configuration_nodes.py
@@ -0,0 +1,187 @@
+"""Nodes of the configuration benchmark: the membership and configuration of a process."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hibiscustray.deployments import Configuration, Justification, RevisionStore
+from hibiscustray.exceptions import PeerConnectionLost, StoreUnavailable
+from hibiscustray.membership import Exchange, MemberView
+from hibiscustray.peers import MemberRecord, PeerClient, PeerPool, PeerServer
+from hibiscustray.peers.codec import EXCHANGE, PROBE, PUSH, REVISION, STATUS, SYNC
+from hibiscustray.peers.packing import NEWEST
+from hibiscustray.platform import MachineList, Row, Table
+from hibiscustray.settings import MembershipSettings
+from hibiscustray.telemetry import Metrics
+
+ADDRESS = "127.0.0.1"
+REGIONS = ("akl", "wlg", "chc")
+SERVER_THREADS = 4
+POOL_CHANNELS = 16
+PLATFORM_TIMEOUT_S = 2.0
+PAUSE_LIMIT_S = 30.0
+MS_PER_S = 1000
+
+
+class CutTable:
+    """Which directions between regions are cut, and which region an address is in."""
+
+    def __init__(self) -> None:
+        self.cuts: frozenset[tuple[str, str]] = frozenset()
+        self._regions: dict[str, str] = {}
+
+    def place(self, address: str, region: str) -> None:
+        """Note the region of an address."""
+        self._regions[address] = region
+
+    def is_cut(self, region: str, address: str) -> bool:
+        """Tell whether calls from a region to an address get no answer."""
+        return (region, self._regions.get(address, region)) in self.cuts
+
+
+class CutPool(PeerPool):
+    """A pool whose calls wait while the process is paused and fail over cut directions."""
+
+    def __init__(self, region: str, cuts: CutTable, running: threading.Event) -> None:
+        super().__init__(limit=POOL_CHANNELS)
+        self._region = region
+        self._cut_table = cuts
+        self._running = running
+
+    def get(self, address: str) -> PeerClient:
+        """Return the client of an address; raise `PeerConnectionLost` over a cut direction."""
+        self._running.wait(PAUSE_LIMIT_S)
+        if self._cut_table.is_cut(self._region, address):
+            raise PeerConnectionLost(f"{address} is cut off")
+        return super().get(address)
+
+
+class PausableTable(Table):
+    """A table whose reads wait while the process is paused."""
+
+    def __init__(self, url: str, running: threading.Event) -> None:
+        super().__init__(url, PLATFORM_TIMEOUT_S)
+        self._running = running
+
+    def get(self, partition: str, sort: str) -> Row | None:
+        """Return a row once the process runs."""
+        if not self._running.wait(PAUSE_LIMIT_S):
+            raise StoreUnavailable("the process is paused")
+        return super().get(partition, sort)
+
+
+@dataclass(frozen=True)
+class Adoption:
+    """A revision put in force by a node."""
+
+    number: int
+    change_id: str
+    at: float
+
+
+@dataclass
+class Node:
+    """One process: configuration, membership and peer server, with what it adopted."""
+
+    id: str
+    view: MemberView
+    configuration: Configuration
+    exchange: Exchange
+    peers: PeerPool
+    server: PeerServer
+    metrics: Metrics
+    running: threading.Event
+    disturbed_until: float
+    adoptions: list[Adoption] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self.server.start()
+        self.exchange.start()
+
+    def stop(self) -> None:
+        """End without telling anyone."""
+        self.running.set()
+        self.server.stop()
+        self.exchange.stop()
+
+    def pause(self) -> None:
+        """Answer nothing and ask nothing."""
+        self.running.clear()
+
+    def resume(self) -> None:
+        """Go on where the process was paused."""
+        self.disturbed_until = time.monotonic()
+        self.running.set()
+
+    def find_adoption(self, number: int) -> float | None:
+        """Return when the node first held a revision or a higher one."""
+        return next((a.at for a in list(self.adoptions) if a.number >= number), None)
+
+
+def build_node(
+    node_id: str,
+    region: str,
+    port: int,
+    platform_url: str,
+    settings: MembershipSettings,
+    cuts: CutTable,
+) -> Node:
+    """Wire one node as the composition root wires a process."""
+    running = threading.Event()
+    running.set()
+    handlers: dict[str, Callable] = {}
+    server = PeerServer(ADDRESS, port, _bind_handlers(handlers, running), SERVER_THREADS)
+    cuts.place(server.address, region)
+    view = MemberView(_make_record(node_id, region, server.address))
+    justification = Justification(settings.isolation_grace_s, settings.suspect_after_s)
+    configuration = Configuration(justification=justification)
+    peers = CutPool(region, cuts, running)
+    metrics = Metrics(node_id)
+    exchange = Exchange(
+        view,
+        configuration,
+        RevisionStore(PausableTable(platform_url, running)),
+        MachineList(platform_url, PLATFORM_TIMEOUT_S),
+        peers,
+        settings,
+        metrics,
+    )
+    handlers.update(exchange.handlers)
+    now = time.monotonic()
+    node = Node(node_id, view, configuration, exchange, peers, server, metrics, running, now)
+    configuration.add_listener(
+        lambda revision, _: node.adoptions.append(
+            Adoption(revision.number, revision.change_id, time.monotonic())
+        )
+    )
+    return node
+
+
+def _bind_handlers(handlers: dict[str, Callable], running: threading.Event) -> dict[str, Callable]:
+    def bind(name: str) -> Callable:
+        def serve(message, context):
+            running.wait(PAUSE_LIMIT_S)
+            return handlers[name](message, context)
+
+        return serve
+
+    return {m.name: bind(m.name) for m in (EXCHANGE, REVISION, SYNC, PROBE, PUSH, STATUS)}
+
+
+def _make_record(node_id: str, region: str, address: str) -> MemberRecord:
+    return MemberRecord(
+        id=node_id,
+        role="agent",
+        region=region,
+        availability_zone=f"{region}-a",
+        peer_address=address,
+        http_url=f"http://{address}",
+        incarnation=int(time.time() * MS_PER_S),
+        service="guide-llm",
+        serving="-",
+        codec=NEWEST,
+    )
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -180,7 +180,7 @@
     activation = Activation(
         engine,
         LeaseStore(core.table, settings.process.id),
-        FencingCounter(view.own.incarnation),
+        FencingCounter(view.own.incarnation, lambda: view.own.incarnation),
         settings.process.id,
         lambda digest: f"{http.url}/weights/{digest}",
         stopping,
--- a/hibiscustray/deployments/revisions.py
+++ b/hibiscustray/deployments/revisions.py
@@ -30,6 +30,8 @@
 HEAD_SORT = "head"
 CHANGE_VERSION = 1
 RESOLVE_LIMIT_S = 30.0
+WINNER_LIMIT_S = 2.0
+WINNER_INTERVAL_S = 0.1
 
 
 class Revision(msgspec.Struct, frozen=True):
@@ -112,7 +114,7 @@
             fate = retrying(self._settle, revision.change_id)
             if fate.outcome == "accepted":
                 return revision
-            winner = retrying(self._find_winner, revision.number)
+            winner = retrying(self._await_winner, revision.number, cause)
         except (StoreUnavailable, StoreAnswerLost, PreconditionFailed) as error:
             raise StoreAnswerLost(
                 f"revision {revision.number} may have been accepted: {error}"
@@ -130,6 +132,16 @@
         self._table.transact(uuid.uuid4().hex, [Put(_make_fate_row(change_id, fate), 0)])
         return fate
 
+    def _await_winner(self, number: int, cause: Exception) -> Revision | None:
+        """Find who won, reading again while the store's reads lag behind its refusal."""
+        deadline = time.monotonic() + WINNER_LIMIT_S
+        while True:
+            winner = self._find_winner(number)
+            is_refused = isinstance(cause, PreconditionFailed)
+            if winner is not None or not is_refused or time.monotonic() >= deadline:
+                return winner
+            time.sleep(WINNER_INTERVAL_S)
+
     def _find_winner(self, number: int) -> Revision | None:
         """Return the revision that stands in the way of a number, if any."""
         row = self._table.get(HISTORY_PARTITION, _history_sort(number))
--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -76,6 +76,7 @@
             view, configuration, revisions, machines, settings, metrics, self._greet_later, self
         )
         self._busy: set[str] = set()
+        self._turn = self._random.randrange(NEIGHBOURS)
         self._long_link: MemberRecord | None = None
         self._next_sync = 0.0
         self._next_forget = 0.0
@@ -185,7 +186,8 @@
         if far is not None:
             near.append(far)
         if not has_news and near:
-            near = [self._random.choice(near)]
+            self._turn += 1
+            near = [near[self._turn % len(near)]]
         near.extend(self._detector.missing())
         chosen = {m.id: m for m in near if m.id not in self._busy}
         return list(chosen.values())
--- a/hibiscustray/rollout/leases.py
+++ b/hibiscustray/rollout/leases.py
@@ -2,24 +2,38 @@
 
 from __future__ import annotations
 
+import random
+import threading
 import time
 import uuid
 from dataclasses import dataclass
 
 import msgspec
 
-from hibiscustray.exceptions import LeaseHeld, PreconditionFailed, StoreAnswerLost
+from hibiscustray.exceptions import (
+    LeaseHeld,
+    LeaseLapsed,
+    PreconditionFailed,
+    RecordInvalid,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
 from hibiscustray.platform import Put, Row, Table
 
 LEASE_PARTITION = "lease"
+CLOCK_DRIFT = 1.05
+"""How much longer a contender waits than the holder may act, for clocks that run unequally."""
+FIRST_RECHECK_S = 0.2
+LONGEST_RECHECK_S = 8.0
+FREE = ""
 
 
 class LeaseBody(msgspec.Struct, frozen=True):
-    """What a lease's row holds; `expires_at` is wall-clock seconds."""
+    """What a lease's row holds; a row without a holder is free."""
 
     holder: str
     nonce: str
-    expires_at: float
+    duration_s: float
 
 
 @dataclass(frozen=True)
@@ -36,43 +50,112 @@
         return time.monotonic() < self.valid_until
 
 
+@dataclass(frozen=True)
+class _Sighting:
+    """A row of another holder: since when it has been seen unchanged, and when to look again."""
+
+    version: int
+    holder: str
+    since: float
+    recheck_s: float
+    recheck_at: float
+
+
 class LeaseStore:
-    """Acquires and releases leases by compare-and-set."""
+    """Acquires, renews and releases leases by compare-and-set.
+
+    No wall clock is compared with another VM's. A contender takes a lease over only after it has
+    itself seen the same row for the lease's whole duration.
+    """
 
     def __init__(self, table: Table, holder: str) -> None:
         self._table = table
         self._holder = holder
+        self._random = random.Random(holder)
+        self._sightings: dict[str, _Sighting] = {}
+        self._lock = threading.Lock()
 
     def acquire(self, name: str, duration_s: float) -> Lease:
-        """Take a free or lapsed lease; raise `LeaseHeld`, `StoreUnavailable`."""
-        started = time.monotonic()
+        """Take a free or lapsed lease; raise `LeaseHeld`, `StoreUnavailable`.
+
+        While another holds it, most calls are answered from memory, so that many contenders
+        that ask often read the table seldom.
+        """
+        self._check_memory(name)
         row = self._table.get(LEASE_PARTITION, name)
-        number = row.version if row else 0
         if row is not None:
-            body = msgspec.msgpack.decode(row.body, type=LeaseBody)
-            if body.holder != self._holder and body.expires_at > time.time():
-                raise LeaseHeld(f"{name} is held by {body.holder}")
-        lease = Lease(name, uuid.uuid4().hex, number + 1, started + duration_s)
-        body = LeaseBody(self._holder, lease.nonce, time.time() + duration_s)
-        self._write(lease, body, number)
-        return lease
+            self._check_row(name, row)
+        return self._write(name, duration_s, row.version if row else 0)
+
+    def renew(self, lease: Lease, duration_s: float) -> Lease:
+        """Extend a lease that is still valid; raise `LeaseLapsed`, `LeaseHeld`."""
+        if not lease.is_valid():
+            raise LeaseLapsed(f"{lease.name} lapsed before it was renewed")
+        return self._write(lease.name, duration_s, lease.number)
 
     def release(self, lease: Lease) -> None:
         """Free a lease that is still held; one that was taken over stays untouched."""
+        body = LeaseBody(FREE, lease.nonce, 0.0)
+        row = Row(LEASE_PARTITION, lease.name, lease.number + 1, msgspec.msgpack.encode(body))
         try:
-            self._write(lease, LeaseBody("", lease.nonce, 0.0), lease.number, lease.number + 1)
-        except LeaseHeld:
+            self._table.transact(uuid.uuid4().hex, [Put(row, lease.number)])
+        except (PreconditionFailed, StoreAnswerLost):
             return
 
-    def _write(self, lease: Lease, body: LeaseBody, expected: int, version: int = 0) -> None:
-        row = Row(
-            LEASE_PARTITION, lease.name, version or lease.number, msgspec.msgpack.encode(body)
-        )
+    def _check_memory(self, name: str) -> None:
+        with self._lock:
+            sighting = self._sightings.get(name)
+        if sighting is not None and time.monotonic() < sighting.recheck_at:
+            raise LeaseHeld(f"{name} is held by {sighting.holder}")
+
+    def _check_row(self, name: str, row: Row) -> None:
+        body = _decode_body(row.body)
+        if body.holder in (FREE, self._holder):
+            return
+        now = time.monotonic()
+        with self._lock:
+            sighting = self._note_sighting(name, row.version, body, now)
+        if now - sighting.since < body.duration_s * CLOCK_DRIFT:
+            raise LeaseHeld(f"{name} is held by {body.holder}")
+
+    def _note_sighting(self, name: str, version: int, body: LeaseBody, now: float) -> _Sighting:
+        """Remember a row and look again later, each time twice as late while it is unchanged."""
+        known = self._sightings.get(name)
+        if known is None or known.version != version:
+            since, recheck_s = now, FIRST_RECHECK_S
+        else:
+            since, recheck_s = known.since, min(LONGEST_RECHECK_S, known.recheck_s * 2)
+        lapses_at = since + body.duration_s * CLOCK_DRIFT
+        recheck_at = min(now + recheck_s * self._random.uniform(0.5, 1.0), max(now, lapses_at))
+        sighting = _Sighting(version, body.holder, since, recheck_s, recheck_at)
+        self._sightings[name] = sighting
+        return sighting
+
+    def _write(self, name: str, duration_s: float, expected: int) -> Lease:
+        """Write the holder's row; the time that it may act for counts from before the request."""
+        started = time.monotonic()
+        lease = Lease(name, uuid.uuid4().hex, expected + 1, started + duration_s)
+        body = msgspec.msgpack.encode(LeaseBody(self._holder, lease.nonce, duration_s))
+        row = Row(LEASE_PARTITION, name, lease.number, body)
         try:
             self._table.transact(uuid.uuid4().hex, [Put(row, expected)])
         except PreconditionFailed as error:
-            raise LeaseHeld(f"{lease.name} was taken by another holder") from error
-        except StoreAnswerLost:
-            stored = self._table.get(LEASE_PARTITION, lease.name)
-            if stored is None or stored.body != row.body:
-                raise LeaseHeld(f"{lease.name} could not be confirmed") from None
+            raise LeaseHeld(f"{name} was taken by another holder") from error
+        except StoreAnswerLost as error:
+            self._confirm(row, error)
+        with self._lock:
+            self._sightings.pop(name, None)
+        return lease
+
+    def _confirm(self, row: Row, error: StoreAnswerLost) -> None:
+        """Find out by reading whether a write took effect; one that lands later only lapses."""
+        stored = self._table.get(LEASE_PARTITION, row.sort)
+        if stored is None or stored.body != row.body:
+            raise StoreUnavailable(f"{row.sort} could not be confirmed") from error
+
+
+def _decode_body(body: bytes) -> LeaseBody:
+    try:
+        return msgspec.msgpack.decode(body, type=LeaseBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordInvalid(f"unreadable lease: {error}") from error
