--- a/hibiscustray/benchmarks/configuration_fleet.py
+++ b/hibiscustray/benchmarks/configuration_fleet.py
@@ -15,18 +15,19 @@
 WATCH_INTERVAL_S = 0.05
 START_BATCH = 20
 START_GAP_S = 0.1
+SETTINGS = MembershipSettings()
 
 
 class Fleet:
     """Builds, restarts and watches nodes in this process."""
 
-    def __init__(self, size: int, seed: int) -> None:
+    def __init__(self, size: int, seed: int, settings: MembershipSettings = SETTINGS) -> None:
         self.platform = PlatformStandIn(ADDRESS, 0, 0, ORIGIN_MBIT_S, {}, seed)
         self.cuts = CutTable()
         self.regions = list(REGIONS)
         self.reverted = 0
         self.retired: list[Node] = []
-        self._settings = MembershipSettings()
+        self._settings = settings
         self._highest: dict[str, int] = {}
         self._nodes: dict[str, Node] = {}
         self._orders: dict[str, OrderThread] = {}
--- a/hibiscustray/benchmarks/configuration_nodes.py
+++ b/hibiscustray/benchmarks/configuration_nodes.py
@@ -32,29 +32,41 @@
     def __init__(self) -> None:
         self.cuts: frozenset[tuple[str, str]] = frozenset()
         self._regions: dict[str, str] = {}
+        self._isolated: set[str] = set()
 
     def place(self, address: str, region: str) -> None:
         """Note the region of an address."""
         self._regions[address] = region
 
-    def is_cut(self, region: str, address: str) -> bool:
-        """Tell whether calls from a region to an address get no answer."""
-        return (region, self._regions.get(address, region)) in self.cuts
+    def isolate(self, address: str) -> None:
+        """Cut one process off from all others, both ways."""
+        self._isolated.add(address)
+
+    def rejoin(self, address: str) -> None:
+        """Undo `isolate`."""
+        self._isolated.discard(address)
+
+    def is_cut(self, source: str, address: str) -> bool:
+        """Tell whether calls from one address to another get no answer."""
+        if source in self._isolated or address in self._isolated:
+            return True
+        regions = (self._regions.get(source, ""), self._regions.get(address, ""))
+        return regions in self.cuts
 
 
 class CutPool(PeerPool):
     """A pool whose calls wait while the process is paused and fail over cut directions."""
 
-    def __init__(self, region: str, cuts: CutTable, running: threading.Event) -> None:
+    def __init__(self, source: str, cuts: CutTable, running: threading.Event) -> None:
         super().__init__(limit=POOL_CHANNELS)
-        self._region = region
+        self._source = source
         self._cut_table = cuts
         self._running = running
 
     def get(self, address: str) -> PeerClient:
         """Return the client of an address; raise `PeerConnectionLost` over a cut direction."""
         self._running.wait(PAUSE_LIMIT_S)
-        if self._cut_table.is_cut(self._region, address):
+        if self._cut_table.is_cut(self._source, address):
             raise PeerConnectionLost(f"{address} is cut off")
         return super().get(address)
 
@@ -139,7 +151,7 @@
     view = MemberView(_make_record(node_id, region, server.address))
     justification = Justification(settings.isolation_grace_s, settings.suspect_after_s)
     configuration = Configuration(justification=justification)
-    peers = CutPool(region, cuts, running)
+    peers = CutPool(server.address, cuts, running)
     metrics = Metrics(node_id)
     exchange = Exchange(
         view,
--- /dev/null
+++ b/tests/membership/test_exchange.py
@@ -0,0 +1,162 @@
+"""Exchanges of several processes over real sockets: joining, spreading, leaving, cuts."""
+
+from __future__ import annotations
+
+import time
+import uuid
+
+import pytest
+
+from hibiscustray.benchmarks.configuration_fleet import Fleet
+from hibiscustray.deployments import Deployment, RevisionStore, Team, render_deployment
+from hibiscustray.exceptions import NoConfiguration
+from hibiscustray.membership import list_processes, push_revision, spread_revision
+from hibiscustray.peers import PeerPool
+from hibiscustray.peers.messages import DEAD, LEAVING, LIVE
+from hibiscustray.platform import MachineList, Table
+from hibiscustray.settings import MembershipSettings
+
+SIZE = 8
+TIMEOUT_S = 2.0
+WAIT_S = 20.0
+FAST = MembershipSettings(
+    heartbeat_s=0.1,
+    suspect_after_s=0.6,
+    list_interval_s=0.5,
+    poll_interval_s=0.1,
+    isolation_grace_s=1.0,
+)
+
+
+def wait_until(is_reached) -> None:
+    """Poll until a condition holds; fail after a generous time."""
+    deadline = time.monotonic() + WAIT_S
+    while not is_reached():
+        assert time.monotonic() < deadline, "the condition was not reached"
+        time.sleep(0.02)
+
+
+def accept(fleet: Fleet, team: str, expected: int):
+    """Accept a revision without telling any process."""
+    store = RevisionStore(Table(fleet.platform.url, TIMEOUT_S))
+    text = render_deployment(Deployment("test", teams=(Team(team),)))
+    return store.accept(text, "ana", expected, uuid.uuid4().hex)
+
+
+def is_joined(fleet: Fleet) -> bool:
+    nodes = fleet.list_nodes()
+    return all(n.view.count() == len(nodes) and n.configuration.is_justified() for n in nodes)
+
+
+def numbers(fleet: Fleet) -> set[int]:
+    return {node.configuration.number for node in fleet.list_nodes()}
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet(SIZE, seed=1, settings=FAST)
+    fleet.start()
+    accept(fleet, "first", 0)
+    wait_until(lambda: is_joined(fleet))
+    yield fleet
+    fleet.stop()
+
+
+def test_a_revision_pushed_before_an_outage_is_in_force_everywhere(fleet):
+    nodes = fleet.list_nodes()
+    for node in nodes[1:]:
+        node.pause()
+    revision = accept(fleet, "second", 1)
+    fleet.platform.set_faults(is_store_down=True)
+    peers = PeerPool()
+    assert push_revision(revision, [nodes[0].server.address], peers) == (nodes[0].server.address,)
+    peers.close()
+    for node in nodes[1:]:
+        node.resume()
+    wait_until(lambda: numbers(fleet) == {2})
+
+
+def test_a_process_restarted_empty_during_an_outage_learns_from_peers(fleet):
+    fleet.platform.set_faults(is_store_down=True)
+    fleet.restart("node-0003")
+    restarted = next(n for n in fleet.list_nodes() if n.id == "node-0003")
+    wait_until(restarted.configuration.is_justified)
+    assert restarted.configuration.number == 1
+
+
+def test_reads_that_lag_move_nobody_back(fleet):
+    spread_revision(
+        accept(fleet, "second", 1), MachineList(fleet.platform.url, TIMEOUT_S), PeerPool()
+    )
+    wait_until(lambda: numbers(fleet) == {2})
+    fleet.platform.set_faults(stale_read_s=3600.0)
+    fleet.restart("node-0002")
+    wait_until(lambda: is_joined(fleet))
+    assert numbers(fleet) == {2}
+    assert fleet.reverted == 0
+
+
+def test_a_process_cut_off_from_all_stops_serving_and_resumes(fleet):
+    node = fleet.list_nodes()[0]
+    table = fleet.platform
+    fleet.cuts.isolate(node.server.address)
+    table.set_faults(is_store_down=True)
+    wait_until(lambda: not node.configuration.is_justified())
+    others = [n for n in fleet.list_nodes() if n is not node]
+    assert all(other.configuration.is_justified() for other in others)
+    fleet.cuts.rejoin(node.server.address)
+    wait_until(node.configuration.is_justified)
+
+
+def test_a_planned_stop_reaches_every_process_without_the_list(fleet):
+    fleet.platform.set_faults(is_store_down=True)
+    leaver, *others = fleet.list_nodes()
+    leaver.view.update_own(status=LEAVING)
+    leaver.exchange.announce()
+    wait_until(lambda: all(o.view.get(leaver.id).status == LEAVING for o in others))
+
+
+def test_a_dead_process_is_found_and_regions_that_heal_meet_again(fleet):
+    fleet.platform.set_faults(is_store_down=True)
+    fleet.cuts.cuts = frozenset(
+        (a, b) for a in fleet.regions for b in fleet.regions if a != b and "akl" in (a, b)
+    )
+    near, far = fleet.list_nodes()[:2]
+    assert (near.view.own.region, far.view.own.region) == ("akl", "wlg")
+    wait_until(lambda: near.view.get(far.id).status == DEAD)
+    wait_until(lambda: far.view.get(near.id).status == DEAD)
+    fleet.cuts.cuts = frozenset()
+    fleet.platform.set_faults(is_store_down=False)
+    wait_until(lambda: is_joined(fleet))
+    assert near.view.get(far.id).status == LIVE
+
+
+def test_a_one_way_cut_kills_nobody(fleet):
+    fleet.cuts.cuts = frozenset({("akl", "wlg")})
+    revision = accept(fleet, "second", 1)
+    spread_revision(revision, MachineList(fleet.platform.url, TIMEOUT_S), PeerPool())
+    wait_until(lambda: numbers(fleet) == {2})
+    time.sleep(4 * FAST.suspect_after_s)
+    statuses = {m.status for n in fleet.list_nodes() for m in n.view.members()}
+    assert DEAD not in statuses
+    assert all(node.view.count() == SIZE for node in fleet.list_nodes())
+
+
+def test_a_process_without_evidence_holds_nothing_to_serve():
+    fleet = Fleet(1, seed=1, settings=FAST)
+    fleet.start()
+    try:
+        (node,) = fleet.list_nodes()
+        assert not node.configuration.is_justified()
+        with pytest.raises(NoConfiguration):
+            _ = node.configuration.deployment
+    finally:
+        fleet.stop()
+
+
+def test_the_list_is_corrected_by_the_members_word(fleet):
+    fleet.platform.remove_machine("node-0001")
+    peers = PeerPool()
+    found = list_processes(MachineList(fleet.platform.url, TIMEOUT_S), peers)
+    peers.close()
+    assert sorted(found) == [node.id for node in fleet.list_nodes()]
