--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -112,6 +112,25 @@
     sys.exit(run_bench_configuration(ConfigurationOptions(nodes, changes, faults, seed, is_json)))
 
 
+@bench.command("requests")
+@click.option("--entries", type=click.IntRange(1), default=2, show_default=True)
+@click.option("--replicas", type=click.IntRange(1), default=6, show_default=True)
+@click.option("--teams", type=click.IntRange(1), default=8, show_default=True)
+@click.option("--rate", type=float, default=24.0, show_default=True, help="Requests a second.")
+@click.option("--rush", default="", metavar="TEAM:FACTOR", help="One team's rate is multiplied.")
+@click.option("--mix", default="", metavar="STREAM:BOOKING", help="Shares; the rest is whole chat.")
+@click.option("--seconds", type=float, default=20.0, show_default=True)
+@click.option("--faults", default="none", show_default=True, help="A fault's name, none or all.")
+@click.option("--policy", default="adaptive", show_default=True, help="Names with commas, or all.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_requests(**options) -> None:
+    """Measure requests under load and faults over engine stand-ins."""
+    from hibiscustray.commands.bench_requests import run_command
+
+    sys.exit(run_command(**options))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
@@ -165,6 +184,15 @@
     run_service(settings)
 
 
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of the callers.")
+def callers(settings: Path) -> None:
+    """Send requests until a signal, then count faults; exit 1 if there is any."""
+    from hibiscustray.commands.calling import run_callers
+
+    sys.exit(run_callers(settings))
+
+
 OPERATOR = click.option("--settings", type=FILE, required=True, help="INI file of the operator.")
 ARGUMENTS = click.argument("arguments", nargs=-1)
 
@@ -247,7 +275,7 @@
     sys.exit(publish_file(settings, file, path, chunk_kib, base))
 
 
-KINDS = ("entry", "agent", "operator", "deployment", "platform", "engine", "service")
+KINDS = ("entry", "agent", "operator", "deployment", "platform", "engine", "service", "callers")
 
 
 @cli.command()
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -40,8 +40,8 @@
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import Ledger
-from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
-from hibiscustray.routing import ReplicaChooser
+from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
+from hibiscustray.routing import Admission, ReplicaChooser, make_policy
 from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import HttpServer, Response, Router, make_server_context
@@ -127,9 +127,13 @@
     view = MemberView(_make_record(settings, "entry", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
-    chooser = ReplicaChooser(view, core.configuration, settings.process.id)
+    policy = make_policy(settings.routing)
+    chooser = ReplicaChooser(view, core.configuration, policy, settings.process.id)
+    admission = Admission(policy, chooser, settings.limits.threads)
     watchdog = Watchdog()
-    dispatcher = Dispatcher(core.configuration, chooser, core.peers, watchdog, core.metrics)
+    dispatcher = Dispatcher(
+        core.configuration, chooser, admission, core.peers, watchdog, core.metrics
+    )
     application = EntryApplication(
         core.configuration,
         dispatcher,
@@ -154,7 +158,8 @@
     state = ServingState(core.configuration.is_justified)
     swarms = SwarmRegistry()
     uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
-    chunks = ChunkServer(cache, swarms, uplink, core.metrics)
+    gate = OrderGate()
+    chunks = ChunkServer(cache, swarms, uplink, gate, core.metrics)
     engine = EngineClient(settings.upstream.url)
     attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
     exchange_slot = _ExchangeSlot()
@@ -179,11 +184,10 @@
     stopping = threading.Event()
     activation = Activation(
         engine,
-        LeaseStore(core.table, settings.process.id),
         FencingCounter(view.own.incarnation, lambda: view.own.incarnation),
+        gate,
         settings.process.id,
-        lambda digest: f"{http.url}/weights/{digest}",
-        stopping,
+        lambda number: f"{http.url}/weights/{number}",
     )
     environment = TransferEnvironment(
         view=view,
@@ -203,7 +207,7 @@
         state,
         environment,
         activation,
-        cache,
+        Waves(LeaseStore(core.table, settings.process.id), stopping),
         core.metrics,
         stopping,
     )
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from hibiscustray.deployments import Configuration, Service
+from hibiscustray.entry.bodies import check_chat_body, read_chat_model
 from hibiscustray.entry.dispatch import Dispatcher
 from hibiscustray.entry.problems import describe_problem, make_problem_response
 from hibiscustray.entry.teams import TeamCredentials
@@ -26,7 +27,7 @@
 from hibiscustray.peers import End
 from hibiscustray.reports import ServiceLevelEvent, ServiceLevelRecorder
 from hibiscustray.reports.recorder import ABANDONED, ANSWERED
-from hibiscustray.requests import CallerRequest
+from hibiscustray.requests import CallerRequest, estimate_call, estimate_chat
 from hibiscustray.settings import LimitSettings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import Request, Response, Router
@@ -64,6 +65,7 @@
     """What is known of a request while it is served."""
 
     started: float
+    cpu_started: float
     team: str = "unknown"
     service: str = "unknown"
     first_payload_s: float | None = None
@@ -117,14 +119,14 @@
         return Response(200, body, content_type)
 
     def _serve_chat(self, request: Request) -> Response:
-        return self._serve(request, lambda body: body.get("model", ""), CHAT_PATH)
+        return self._serve(request, read_chat_model, CHAT_PATH)
 
     def _serve_service(self, request: Request) -> Response:
         return self._serve(request, lambda body: request.groups["service"], "")
 
     def _serve(self, request: Request, name_service, path: str) -> Response:
         request_id = uuid.uuid4().hex
-        progress = Progress(time.monotonic())
+        progress = Progress(time.monotonic(), time.thread_time())
         self._change_running(1)
         try:
             progress.team = self._credentials.identify(request.headers.get("authorization", ""))
@@ -155,6 +157,8 @@
         if service is None:
             raise ServiceUnknown(f"there is no service {name!r}")
         progress.service = service.name
+        if service.kind == "model":
+            check_chat_body(body)
         known_team = self._configuration.deployment.find_team(progress.team)
         caller = CallerRequest(
             id=request_id,
@@ -168,6 +172,7 @@
             key=_read_key(request),
             priority=known_team.priority if known_team else 5,
             weight=known_team.weight if known_team else 1.0,
+            estimate=estimate_chat(body) if service.kind == "model" else estimate_call(),
         )
         return caller, service
 
@@ -202,6 +207,8 @@
 
     def _record_end(self, progress: Progress, outcome: str, kind: str) -> None:
         self._change_running(-1)
+        cpu_s = time.thread_time() - progress.cpu_started
+        self._metrics.count("request_cpu_seconds_total", amount=cpu_s)
         self._recorder.record(
             ServiceLevelEvent(
                 progress.service,
@@ -258,6 +265,6 @@
 
 def _read_key(request: Request) -> str:
     key = request.headers.get(KEY_HEADER, "")
-    if len(key) > MAX_KEY_LENGTH:
-        raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters")
+    if len(key) > MAX_KEY_LENGTH or not (key.isascii() and key.isprintable()):
+        raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} or not printable ASCII")
     return key
--- a/hibiscustray/membership/view.py
+++ b/hibiscustray/membership/view.py
@@ -114,6 +114,8 @@
             if self._ring is None:
                 self._ring = sorted((hash_id(m.id), m.id) for m in self._list_active())
             ring = self._ring
+            if not ring:
+                return []
             start = bisect_right(ring, (hash_id(self._own.id), self._own.id))
             chosen = [ring[(start + i) % len(ring)][1] for i in range(min(count, len(ring)))]
             return [self._members[i] for i in chosen if i != self._own.id]
--- a/hibiscustray/rollout/leases.py
+++ b/hibiscustray/rollout/leases.py
@@ -12,7 +12,6 @@
 
 from hibiscustray.exceptions import (
     LeaseHeld,
-    LeaseLapsed,
     PreconditionFailed,
     RecordInvalid,
     StoreAnswerLost,
@@ -88,9 +87,7 @@
         return self._write(name, duration_s, row.version if row else 0)
 
     def renew(self, lease: Lease, duration_s: float) -> Lease:
-        """Extend a lease that is still valid; raise `LeaseLapsed`, `LeaseHeld`."""
-        if not lease.is_valid():
-            raise LeaseLapsed(f"{lease.name} lapsed before it was renewed")
+        """Prolong a lease that nobody has taken over; raise `LeaseHeld`, `StoreUnavailable`."""
         return self._write(lease.name, duration_s, lease.number)
 
     def release(self, lease: Lease) -> None:
