Keeps server threads free of calls to other servers

Cause: a process that was told of a newer revision fetched it inside its server thread, so that threads of many servers waited for one another during a spread and timed out. Only the caller fetches or pushes now.

--- a/hibiscustray/deployments/configuration.py
+++ b/hibiscustray/deployments/configuration.py
@@ -28,6 +28,7 @@
         self.justification = justification or Justification()
         self._revision: Revision | None = None
         self._deployment: Deployment | None = None
+        self._digest = ""
         self._changed = threading.Condition()
         self._listeners: list[Listener] = []
 
@@ -47,8 +48,7 @@
     @property
     def digest(self) -> str:
         """Return the digest of the revision in force, empty before the first."""
-        revision = self._revision
-        return revision.digest if revision else ""
+        return self._digest
 
     @property
     def deployment(self) -> Deployment:
@@ -75,6 +75,7 @@
             if revision.number <= self.number:
                 return False
             self._revision = revision
+            self._digest = revision.digest
             self._deployment = deployment
             self._changed.notify_all()
         log.info("configuration in force", extra={"revision": revision.number})
--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import random
 import threading
@@ -81,7 +82,6 @@
         self._next_sync = 0.0
         self._next_forget = 0.0
         self._was_justified = False
-        self._fetching = threading.Lock()
         self._news = threading.Event()
         self._stopping = threading.Event()
         self.handlers: dict[str, Callable[[Any, Any], Any]] = {
@@ -218,8 +218,12 @@
             self._busy.discard(target.id)
         self._detector.note_answer(target)
         self._metrics.count("heartbeats_total")
-        self._take_in(reply, target.peer_address)
-        self._sync_if_due(reply, target.peer_address)
+        self._finish(reply, target.peer_address)
+
+    def _finish(self, reply: ExchangeMessage, address: str) -> None:
+        self._take_in(reply, address)
+        self._level(reply, address)
+        self._sync_if_due(reply, address)
 
     def _make_message(self, changes: tuple[MemberRecord, ...]) -> ExchangeMessage:
         return ExchangeMessage(
@@ -236,29 +240,40 @@
         news = self._view.merge((message.sender, *message.changes))
         if any(record.status in (LEAVING, LEFT) for record in news):
             self.announce()
-        if message.revision > self._configuration.number:
-            self._fetch_revision(address, message)
+        self._note_peer(message)
+
+    def _note_peer(self, message: ExchangeMessage) -> None:
         self._configuration.justification.note_peer(
             message.sender.id, message.revision, message.is_established, self._configuration.number
         )
 
+    def _level(self, reply: ExchangeMessage, address: str) -> None:
+        """Bring this process and the peer that answered to the same revision.
+
+        Only the caller does this, so that no server thread ever waits for another server.
+        """
+        if reply.revision > self._configuration.number:
+            self._fetch_revision(address, reply)
+            self._note_peer(reply)
+        elif reply.revision < self._configuration.number:
+            with contextlib.suppress(PeerError):
+                revision = self._configuration.revision
+                self._peers.get(address).push(revision, self._settings.heartbeat_s)
+
     def _fetch_revision(self, address: str, message: ExchangeMessage) -> None:
-        with self._fetching:
-            if message.revision <= self._configuration.number:
-                return
-            try:
-                reply = self._peers.get(address).read_revision(self._settings.heartbeat_s)
-            except PeerError:
-                return
-            revision = reply.revision
-            if revision is None or revision.number < message.revision:
-                return
-            is_same = revision.number == message.revision
-            if is_same and revision.digest[:DIGEST_LENGTH] != message.digest:
-                self._metrics.count("revisions_rejected_total")
-                return
-            if self._configuration.adopt(revision):
-                self.note_adopted()
+        try:
+            reply = self._peers.get(address).read_revision(self._settings.heartbeat_s)
+        except PeerError:
+            return
+        revision = reply.revision
+        if revision is None or revision.number < message.revision:
+            return
+        is_same = revision.number == message.revision
+        if is_same and revision.digest[:DIGEST_LENGTH] != message.digest:
+            self._metrics.count("revisions_rejected_total")
+            return
+        if self._configuration.adopt(revision):
+            self.note_adopted()
 
     def _sync_if_due(self, message: ExchangeMessage, address: str) -> None:
         now = time.monotonic()
@@ -314,5 +329,4 @@
             )
         except PeerError:
             return
-        self._take_in(reply, address)
-        self._sync_if_due(reply, address)
+        self._finish(reply, address)
