--- a/hibiscustray/weights/swarm.py
+++ b/hibiscustray/weights/swarm.py
@@ -14,7 +14,6 @@
 
 GOSSIP_ENTRIES = 4
 MEMBERS_AGE_S = 0.25
-FAILURE_PAUSE_S = 2.0
 DRAW_STALL_S = 10.0
 
 
@@ -62,6 +61,7 @@
         self._recent: list[str] = []
         self._paused_until: dict[str, float] = {}
         self._distrusted: set[str] = set()
+        self._failing: set[str] = set()
         self._drawing: dict[int, float] = {}
         self.planned = 0
         self._members = Members({}, {})
@@ -107,11 +107,22 @@
             others = [HaveSet(peer, encode_bitmap(self._masks[peer])) for peer in chosen]
             return (own, *others)
 
-    def pause(self, address: str, seconds: float = FAILURE_PAUSE_S) -> None:
+    def pause(self, address: str, seconds: float) -> None:
         """Ask a peer nothing for a while."""
         with self._lock:
             self._paused_until[address] = time.monotonic() + seconds
 
+    def note_failure(self, address: str, seconds: float) -> None:
+        """Count a peer's chunks as lost until it answers, and ask it nothing for a while."""
+        with self._lock:
+            self._failing.add(address)
+            self.pause(address, seconds)
+
+    def note_answer(self, address: str) -> None:
+        """Count a peer's chunks again."""
+        with self._lock:
+            self._failing.discard(address)
+
     def distrust(self, address: str) -> None:
         """Ask a peer for nothing more, since it sent a bad chunk."""
         with self._lock:
@@ -119,11 +130,12 @@
             self._members_at = float("-inf")
 
     def find_available(self, region: str) -> int:
-        """Return the mask of chunks that some trusted peer of a region holds."""
+        """Return the mask of chunks that some trusted peer of a region that answers holds."""
         with self._lock:
             mask = 0
             for address in self.members().by_region.get(region, ()):
-                mask |= self._masks.get(address, 0)
+                if address not in self._failing:
+                    mask |= self._masks.get(address, 0)
             return mask
 
     def find_free(self, region: str) -> dict[str, int]:
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -39,6 +39,7 @@
 CHUNK_TIMEOUT_FACTOR = 5.0
 TYPICAL_WEIGHT = 0.2
 STALL_PAUSE_S = 5.0
+FAILURE_PAUSE_S = 2.0
 BUSY_PAUSE_LEAST_S = 0.02
 MANIFEST_RETRY_S = 0.2
 ORIGIN_RETRY_S = 0.5
@@ -160,6 +161,7 @@
         self._on_progress = on_progress
         self._typical_s = {False: 0.0, True: 0.0}
         self._origin_paused_until = 0.0
+        self._turn = threading.Lock()
         self._known = 0
         self._known_at = time.monotonic()
 
@@ -185,17 +187,26 @@
         return self._env.cache.held(self._digest)
 
     def _work(self) -> None:
-        while not self.is_done():
-            job = self._chooser.next(self._held(), self._typical_s[False])
+        while True:
+            with self._turn:
+                job = self._wait_for_job()
             if job is None:
-                with self._swarm.changed:
-                    self._swarm.changed.wait(IDLE_WAIT_S)
-                continue
+                return
             try:
                 self._carry_out_job(job)
             finally:
                 self._chooser.finish(job)
 
+    def _wait_for_job(self) -> Job | None:
+        """Return the next job; None when the transfer is done."""
+        while not self.is_done():
+            job = self._chooser.next(self._held(), self._typical_s[False])
+            if job is not None:
+                return job
+            with self._swarm.changed:
+                self._swarm.changed.wait(IDLE_WAIT_S)
+        return None
+
     def _carry_out_job(self, job: Job) -> None:
         try:
             match job:
@@ -237,11 +248,12 @@
             reply = self._env.peers.get(address).read_chunk(request, self._timeout(is_import))
         except PeerError:
             self._env.metrics.count("chunk_requests_failed_total")
-            self._swarm.pause(address, STALL_PAUSE_S)
+            self._swarm.note_failure(address, STALL_PAUSE_S)
             return
         finally:
             if is_import:
                 self._swarm.end_draw(index)
+        self._swarm.note_answer(address)
         self._swarm.learn(reply.have)
         if reply.data:
             self._keep(index, address, is_import, reply, started)
@@ -289,8 +301,9 @@
         try:
             reply = self._env.peers.get(address).read_holdings(request, CALL_TIMEOUT_S)
         except PeerError:
-            self._swarm.pause(address)
+            self._swarm.note_failure(address, FAILURE_PAUSE_S)
             return None
+        self._swarm.note_answer(address)
         self._swarm.learn(reply.have)
         self._swarm.replace(address, reply.bitmap)
         return reply
--- /dev/null
+++ b/tests/weights/network.py
@@ -0,0 +1,171 @@
+"""Agents' chunk servers joined without a network, with faults on calls between them."""
+
+from __future__ import annotations
+
+import random
+import threading
+
+from hibiscustray.agent import ChunkServer
+from hibiscustray.exceptions import ObjectMissing, OriginUnavailable, PeerConnectionLost
+from hibiscustray.membership import MemberView
+from hibiscustray.peers import ChunkReply, MemberRecord
+from hibiscustray.rollout import OrderGate
+from hibiscustray.telemetry import Metrics
+from hibiscustray.weights import (
+    Carriers,
+    ChunkCache,
+    LinkBudget,
+    SwarmRegistry,
+    Transfer,
+    TransferEnvironment,
+    TransferOrder,
+    build_manifest,
+    manifest_key,
+)
+
+SERVICE = "guide-llm"
+PATH = "guide"
+CHUNK_B = 64
+FAST_MBIT_S = 10_000.0
+SETTINGS = {
+    "FALLBACK_STEP_S": 0.2,
+    "STALL_PAUSE_S": 0.02,
+    "FAILURE_PAUSE_S": 0.02,
+    "WATCH_INTERVAL_S": 0.05,
+    "WATCH_START_INTERVAL_S": 0.02,
+    "IDLE_WAIT_S": 0.01,
+    "ORIGIN_RETRY_S": 0.02,
+    "ORIGIN_CORRUPT_RETRY_S": 0.05,
+}
+
+
+class Network:
+    """Members with their servers, a store of manifests and an origin."""
+
+    def __init__(self, count: int, seed: int = 1, loss: float = 0.0, regions: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.corrupting: set[str] = set()
+        self.silent: set[str] = set()
+        self.file = b""
+        self.objects: dict[str, bytes] = {}
+        self.is_origin_down = False
+        self.draws: list[int] = []
+        self.crossings: list[tuple[str, str]] = []
+        self.records = [make_record(i, regions) for i in range(count)]
+        self.nodes = {record.peer_address: Node(self, record) for record in self.records}
+
+    def publish(self, file: bytes, folder) -> str:
+        """Put a file at the origin and its manifest in the store; return its digest."""
+        path = folder / "file"
+        path.write_bytes(file)
+        manifest = build_manifest(path, PATH, CHUNK_B)
+        self.file = file
+        self.objects[manifest_key(manifest.digest)] = manifest.encode()
+        return manifest.digest
+
+    def get(self, key: str) -> bytes:
+        """Act as the object store."""
+        if key not in self.objects:
+            raise ObjectMissing(key)
+        return self.objects[key]
+
+    def read_range(self, path: str, start: int, length: int) -> bytes:
+        """Act as the origin."""
+        if self.is_origin_down:
+            raise OriginUnavailable("down")
+        self.draws.append(start // CHUNK_B)
+        return self.file[start : start + length]
+
+
+class Node:
+    """One agent's cache and chunk server."""
+
+    def __init__(self, network: Network, record: MemberRecord) -> None:
+        self.network = network
+        self.record = record
+        self.view = MemberView(record)
+        self.view.merge(r for r in network.records if r.id != record.id)
+        self.restart()
+
+    def restart(self) -> None:
+        """Lose all chunks, as a replaced VM does."""
+        self.cache = ChunkCache(1 << 20)
+        self.swarms = SwarmRegistry()
+        self.metrics = Metrics(self.record.id)
+        budget = LinkBudget(FAST_MBIT_S)
+        self.server = ChunkServer(self.cache, self.swarms, budget, OrderGate(), self.metrics)
+
+    def make_transfer(self, digest: str, objective: str = "origin_bytes") -> Transfer:
+        """Return a transfer of a version to this node."""
+        environment = TransferEnvironment(
+            view=self.view,
+            peers=Pool(self.network, self.record),
+            objects=self.network,
+            origin=self.network,
+            cache=self.cache,
+            swarms=self.swarms,
+            metrics=self.metrics,
+            origin_region="region-0",
+        )
+        return Transfer(environment, TransferOrder(digest, Carriers(SERVICE), objective))
+
+    def read_file(self, digest: str) -> bytes:
+        """Return the whole file held."""
+        count = self.cache.manifest(digest).count
+        return b"".join(self.cache.get(digest, index) for index in range(count))
+
+
+class Pool:
+    """Acts as the pool of one node's peer clients, with faults."""
+
+    def __init__(self, network: Network, own: MemberRecord) -> None:
+        self._network = network
+        self._own = own
+        self._lock = threading.Lock()
+
+    def get(self, address: str) -> Client:
+        return Client(self._network, self._own, address)
+
+
+class Client:
+    """Acts as the client of one peer."""
+
+    def __init__(self, network: Network, own: MemberRecord, address: str) -> None:
+        self._network = network
+        self._own = own
+        self._address = address
+
+    def _serve(self, method: str, request):
+        network = self._network
+        is_lost = network.random.random() < network.loss
+        if self._address in network.silent or is_lost:
+            raise PeerConnectionLost("lost")
+        return getattr(network.nodes[self._address].server, method)(request, None)
+
+    def read_holdings(self, request, timeout_s):
+        return self._serve("serve_holdings", request)
+
+    def read_chunk(self, request, timeout_s) -> ChunkReply:
+        reply = self._serve("serve_chunk", request)
+        sender = self._network.nodes[self._address].record
+        if reply.data and sender.region != self._own.region:
+            self._network.crossings.append((sender.region, self._own.region))
+        if reply.data and self._address in self._network.corrupting:
+            return ChunkReply(bytes([reply.data[0] ^ 1]) + reply.data[1:], have=reply.have)
+        return reply
+
+
+def make_record(index: int, regions: int) -> MemberRecord:
+    """Return the record of a live agent."""
+    region = f"region-{index % regions}"
+    return MemberRecord(
+        id=f"vm-{index}",
+        role="agent",
+        region=region,
+        availability_zone=f"{region}-a",
+        peer_address=f"10.0.0.{index}:1",
+        http_url="",
+        incarnation=1,
+        service=SERVICE,
+    )
--- /dev/null
+++ b/tests/weights/test_plan.py
@@ -0,0 +1,67 @@
+"""Tests of the chunk plan."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscustray.weights.plan import choose_drawer, choose_source, rank_drawer
+
+MEMBERS = [f"vm-{i}" for i in range(20)]
+CHUNKS = 32
+
+
+@given(st.lists(st.sets(st.sampled_from(MEMBERS), max_size=4), min_size=20, max_size=20))
+def test_differing_views_draw_a_chunk_at_most_once_more_than_members_missed(missed):
+    """A member draws what it is first for in its own view, so each extra one lacks a better."""
+    hidden = set().union(*missed)
+    for index in range(CHUNKS):
+        draws = sum(
+            rank_drawer("d", index, set(MEMBERS) - unseen, own) == 0
+            for own, unseen in zip(MEMBERS, missed, strict=True)
+        )
+        assert 1 <= draws <= 1 + len(hidden)
+
+
+@given(st.sets(st.sampled_from(MEMBERS), min_size=1), st.integers(0, 1000))
+def test_equal_views_name_one_drawer(ids, index):
+    firsts = [own for own in ids if rank_drawer("d", index, ids, own) == 0]
+    assert firsts == [choose_drawer("d", index, ids)]
+
+
+def test_the_death_of_a_drawer_moves_only_its_own_chunks():
+    before = {i: choose_drawer("d", i, MEMBERS) for i in range(CHUNKS)}
+    after = {i: choose_drawer("d", i, MEMBERS[1:]) for i in range(CHUNKS)}
+    assert all(after[i] == before[i] for i in before if before[i] != MEMBERS[0])
+
+
+@given(
+    st.sets(st.sampled_from(["akl", "wlg", "chc", "dud"]), min_size=1),
+    st.sampled_from(["akl", ""]),
+    st.integers(0, 1000),
+)
+def test_each_chunk_is_drawn_by_one_region_and_enters_each_other_once(regions, origin, index):
+    sources = {region: choose_source("d", index, regions, origin, region) for region in regions}
+    assert Counter(sources.values())[""] == 1
+    assert max(Counter(sources.values()).values()) == 1
+    if origin in regions:
+        assert sources[origin] == ""
+    for region in regions:
+        seen = set()
+        while region:
+            assert region not in seen
+            seen.add(region)
+            region = sources[region]
+
+
+def test_two_remote_regions_import_different_shares_and_swap_them():
+    regions = {"akl", "wlg", "chc"}
+    links = Counter(
+        (choose_source("d", index, regions, "akl", region), region)
+        for index in range(400)
+        for region in ("wlg", "chc")
+    )
+    assert set(links) == {("akl", "wlg"), ("akl", "chc"), ("wlg", "chc"), ("chc", "wlg")}
+    assert all(150 < count < 250 for count in links.values())
