--- /dev/null
+++ b/tests/rollout/test_activation.py
@@ -0,0 +1,129 @@
+"""Tests of the order to an engine, against engines that check fencing and ones that do not."""
+
+from __future__ import annotations
+
+import hashlib
+
+import pytest
+
+from hibiscustray.agent import ChunkServer
+from hibiscustray.exceptions import ActivationAbandoned, FencingRejected, UpstreamError
+from hibiscustray.platform import EngineClient, LoadOrder
+from hibiscustray.rollout import Activation, FencingCounter, OrderGate, Target
+from hibiscustray.standins import EngineStandIn
+from hibiscustray.telemetry import Metrics
+from hibiscustray.web import HttpServer, Response, Router
+from hibiscustray.weights import ChunkCache, LinkBudget, Manifest, SwarmRegistry
+
+ADDRESS = "127.0.0.1"
+CHUNK_B = 8
+
+
+class LapsedSlot:
+    """Acts as a wave slot whose lease lapsed while its holder was paused."""
+
+    number = 3
+
+    def is_valid(self) -> bool:
+        return False
+
+
+class Bench:
+    """An engine, the agent's side that serves weights, and an activation between them."""
+
+    def __init__(self, checks_fencing: bool) -> None:
+        self.engine = EngineStandIn(ADDRESS, 0, checks_fencing=checks_fencing, threads=2)
+        self.cache = ChunkCache(1 << 20)
+        self.gate = OrderGate()
+        budget = LinkBudget(1000.0)
+        server = ChunkServer(self.cache, SwarmRegistry(), budget, self.gate, Metrics("vm-0"))
+        router = Router(lambda error: Response.json({"title": type(error).__name__}, 500))
+        server.add_routes(router)
+        self.http = HttpServer(router, ADDRESS, 0, 2)
+        self.client = EngineClient(self.engine.url)
+        self.activation = Activation(
+            self.client, FencingCounter(0), self.gate, "vm-0", self.make_url
+        )
+        self.engine.start()
+        self.http.start()
+
+    def make_url(self, number: int) -> str:
+        return f"{self.http.url}/weights/{number}"
+
+    def add_version(self, data: bytes, base: str = "") -> str:
+        chunks = [data[i : i + CHUNK_B] for i in range(0, len(data), CHUNK_B)]
+        digests = tuple(hashlib.sha256(chunk).digest() for chunk in chunks)
+        manifest = Manifest("m", len(data), CHUNK_B, digests, base)
+        self.cache.open(manifest.digest, manifest)
+        for index, chunk in enumerate(chunks):
+            self.cache.put(manifest.digest, index, chunk, "test")
+        return manifest.digest
+
+    def load(self, target: Target, slot=None, is_wanted=lambda: True) -> None:
+        self.activation.load(target, slot, is_wanted)
+
+    def stop(self) -> None:
+        self.client.close()
+        self.engine.stop()
+        self.http.stop()
+
+
+@pytest.fixture(params=[True, False], ids=["checks-fencing", "ignores-fencing"])
+def bench(request):
+    bench = Bench(request.param)
+    yield bench
+    bench.stop()
+
+
+def make_target(digest: str, *adapters: str) -> Target:
+    return Target("guide-llm", digest, 1, 1, adapters)
+
+
+def test_a_version_is_loaded_and_read_back_and_rolled_back(bench):
+    first, second = bench.add_version(b"first" * 50), bench.add_version(b"other" * 50)
+    for digest in (first, second, first):
+        bench.load(make_target(digest))
+        assert bench.engine.weights.digest == digest
+        assert bench.activation.is_loaded(make_target(digest))
+
+
+def test_an_old_order_that_arrives_late_changes_nothing(bench):
+    first, second = bench.add_version(b"first" * 50), bench.add_version(b"other" * 50)
+    bench.load(make_target(first))
+    old = bench.engine.orders[-1]
+    bench.load(make_target(second))
+    late = LoadOrder(old.digest, old.weights_url, old.fencing, old.issuer, old.revision)
+    with pytest.raises((FencingRejected, UpstreamError)):
+        bench.client.load(late)
+    assert bench.engine.weights.digest == second
+
+
+def test_a_holder_whose_slot_lapsed_while_paused_orders_nothing(bench):
+    digest = bench.add_version(b"first" * 50)
+    with pytest.raises(ActivationAbandoned):
+        bench.load(make_target(digest), LapsedSlot())
+    assert bench.engine.orders == []
+
+
+def test_an_overtaken_version_is_not_ordered(bench):
+    digest = bench.add_version(b"first" * 50)
+    with pytest.raises(ActivationAbandoned):
+        bench.load(make_target(digest), is_wanted=lambda: False)
+    assert bench.engine.orders == []
+
+
+def test_an_adapter_is_loaded_only_with_the_base_that_it_fits(bench):
+    base, other = bench.add_version(b"first" * 50), bench.add_version(b"other" * 50)
+    adapter = bench.add_version(b"adapter" * 5, base)
+    with pytest.raises(UpstreamError):
+        bench.load(make_target(other, adapter))
+    assert bench.engine.weights.digest == ""
+    bench.load(make_target(base, adapter))
+    assert bench.engine.weights.adapters == (adapter,)
+
+
+def test_an_engine_that_lost_its_weights_is_noticed(bench):
+    target = make_target(bench.add_version(b"first" * 50))
+    bench.load(target)
+    bench.engine.weights = type(bench.engine.weights)()
+    assert not bench.activation.is_loaded(target)
