--- a/hibiscustray/entry/keyed.py
+++ b/hibiscustray/entry/keyed.py
@@ -58,7 +58,7 @@
         self, request: CallerRequest, service: Service, permit: Permit
     ) -> Iterator[bytes | End]:
         """Yield the answer to the first request with the key; raise as `Dispatcher.run`."""
-        journey = _Journey(request, _read_binding(request.key))
+        journey = Journey(request, _read_binding(request.key))
         for _ in range(MAX_ATTEMPTS):
             owner = self._find_owner(journey)
             attempt = self._start(journey, service, owner, permit)
@@ -71,7 +71,7 @@
             time.sleep(max(0.0, min(RETRY_PAUSE_S, request.time_left())))
         raise journey.conclude()
 
-    def _find_owner(self, journey: _Journey) -> MemberRecord | None:
+    def _find_owner(self, journey: Journey) -> MemberRecord | None:
         """Return the agent that alone may run the key, None if any may or if it is gone."""
         binding = journey.binding
         if binding is None or journey.is_owner_gone:
@@ -86,7 +86,7 @@
         return member if is_present else None
 
     def _start(
-        self, journey: _Journey, service: Service, owner: MemberRecord | None, permit: Permit
+        self, journey: Journey, service: Service, owner: MemberRecord | None, permit: Permit
     ):
         request, reader = journey.request, journey.renew_reader()
         if owner is not None:
@@ -107,7 +107,7 @@
             self._picker.release(choice, is_answered)
 
 
-class _Journey:
+class Journey:
     """What one request has learned of its key so far."""
 
     def __init__(self, request: CallerRequest, binding: Binding | None) -> None:
--- a/hibiscustray/requests/tickets.py
+++ b/hibiscustray/requests/tickets.py
@@ -112,5 +112,8 @@
 
 
 def _split(key: str) -> tuple[bytes, bytes]:
-    raw = base64.b64decode(key.removeprefix(TICKET_PREFIX), altchars=b"-_", validate=True)
+    text = key.removeprefix(TICKET_PREFIX)
+    raw = base64.b64decode(text, altchars=b"-_", validate=True)
+    if base64.urlsafe_b64encode(raw).decode() != text:
+        raise ValueError("another spelling of a ticket")
     return raw[:MAC_B], raw[MAC_B:]
--- /dev/null
+++ b/tests/requests/tables.py
@@ -0,0 +1,50 @@
+"""A table in memory that can be down, lose its answers, or take writes late."""
+
+from __future__ import annotations
+
+from hibiscustray.exceptions import PreconditionFailed, StoreAnswerLost, StoreUnavailable
+
+
+class FakeTable:
+    """Stands in for `Table`; `mode` is one of up, down, lossy and late."""
+
+    def __init__(self) -> None:
+        self.mode = "up"
+        self.rows = {}
+        self.waiting = []
+        self.writes = 0
+        self._tokens = set()
+
+    def get(self, partition, sort):
+        if self.mode == "down":
+            raise StoreUnavailable("down")
+        return self.rows.get((partition, sort))
+
+    def transact(self, change_id, writes):
+        if self.mode == "down":
+            raise StoreUnavailable("down")
+        self.writes += 1
+        if self.mode == "late":
+            self.waiting.append((change_id, writes))
+            raise StoreAnswerLost("late")
+        if not self._commit(change_id, writes):
+            raise PreconditionFailed("changed")
+        if self.mode == "lossy":
+            raise StoreAnswerLost("lost")
+
+    def land(self, index=0):
+        """Let a late write take effect if its condition holds."""
+        if self.waiting:
+            self._commit(*self.waiting.pop(index % len(self.waiting)))
+
+    def _commit(self, change_id, writes):
+        if change_id in self._tokens:
+            return True
+        for write in writes:
+            stored = self.rows.get((write.row.partition, write.row.sort))
+            if write.expected != (stored.version if stored else 0):
+                return False
+        for write in writes:
+            self.rows[(write.row.partition, write.row.sort)] = write.row
+        self._tokens.add(change_id)
+        return True
--- /dev/null
+++ b/tests/requests/test_claims.py
@@ -0,0 +1,92 @@
+"""Claims hold under lost and late writes, restarts and races."""
+
+from __future__ import annotations
+
+import pytest
+
+from hibiscustray.exceptions import PlatformError
+from hibiscustray.requests import Claim, ClaimStore, Elsewhere, Mismatch, Repeat, Uncertain
+from hibiscustray.requests.ledger import KEPT_S
+from tests.requests.tables import FakeTable
+
+ANSWER = Repeat((b"seat 4",), 200, "application/json")
+
+
+class Clock:
+    """Seconds that a test sets."""
+
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def table():
+    return FakeTable()
+
+
+def test_only_the_first_of_two_agents_claims(table):
+    first, second = ClaimStore(table, "a", 1), ClaimStore(table, "b", 1)
+    assert isinstance(first.claim("k", "d"), Claim)
+    assert second.claim("k", "d") == Elsewhere("a", 1)
+    assert second.claim("k", "other") == Mismatch()
+
+
+def test_restarted_agent_does_not_take_over_its_own_claim(table):
+    ClaimStore(table, "a", 1).claim("k", "d")
+    assert ClaimStore(table, "a", 2).claim("k", "d") == Elsewhere("a", 1)
+
+
+@pytest.mark.parametrize("outcome", [ANSWER, Uncertain("lost")])
+def test_settled_outcome_is_given_to_others(table, outcome):
+    first = ClaimStore(table, "a", 1)
+    first.settle(first.claim("k", "d"), outcome, "c1")
+    found = ClaimStore(table, "b", 1).claim("k", "d")
+    assert type(found) is type(outcome)
+    assert found == ANSWER or isinstance(found, Uncertain)
+
+
+def test_released_key_may_be_claimed_by_one_other(table):
+    first = ClaimStore(table, "a", 1)
+    first.release(first.claim("k", "d"), "c1")
+    assert isinstance(ClaimStore(table, "b", 1).claim("k", "d"), Claim)
+    assert ClaimStore(table, "c", 1).claim("k", "d") == Elsewhere("b", 1)
+
+
+def test_late_write_of_a_claim_given_up_does_not_free_the_key(table):
+    first, second = ClaimStore(table, "a", 1), ClaimStore(table, "b", 1)
+    table.mode = "late"
+    with pytest.raises(PlatformError):
+        first.claim("k", "d")
+    table.mode = "up"
+    assert isinstance(second.claim("k", "d"), Claim)
+    while table.waiting:
+        table.land()
+    assert first.claim("k", "d") == Elsewhere("b", 1)
+
+
+def test_late_release_does_not_free_a_key_claimed_anew(table):
+    first = ClaimStore(table, "a", 1)
+    claim = first.claim("k", "d")
+    table.mode = "late"
+    with pytest.raises(PlatformError):
+        first.release(claim, "c1")
+    table.mode = "up"
+    assert isinstance(first.claim("k", "d"), Claim)
+    table.land()
+    assert ClaimStore(table, "b", 1).claim("k", "d") == Elsewhere("a", 1)
+
+
+def test_lost_answer_is_resolved_by_reading_back(table):
+    table.mode = "lossy"
+    assert isinstance(ClaimStore(table, "a", 1).claim("k", "d"), Claim)
+    assert table.writes == 1
+
+
+def test_claim_older_than_the_ledgers_memory_is_not_run_again(table):
+    clock = Clock()
+    store = ClaimStore(table, "a", 1, clock)
+    store.claim("k", "d")
+    clock.now = KEPT_S
+    assert isinstance(store.claim("k", "d"), Uncertain)
--- /dev/null
+++ b/tests/requests/test_ledger.py
@@ -0,0 +1,57 @@
+"""The ledger forgets nothing early, and tells waiters what became of a key."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+
+from hibiscustray.requests import Fresh, Full, Ledger, Mismatch, Repeat, Running, Uncertain
+from hibiscustray.requests.ledger import ANSWER_LIMIT_B, KEPT_S, RECORD_B
+
+ANSWER = Repeat((b"seat 4",), 200, "application/json")
+
+
+def test_key_is_taken_once_and_its_outcome_kept():
+    ledger = Ledger()
+    assert ledger.begin("k", "d") == Fresh()
+    assert ledger.begin("k", "d") == Running()
+    assert ledger.begin("k", "other") == Mismatch()
+    ledger.finish("k", ANSWER)
+    assert ledger.begin("k", "d") == ANSWER
+
+
+def test_full_memory_refuses_new_keys_and_keeps_old_ones():
+    ledger = Ledger(capacity_b=2 * RECORD_B)
+    assert [ledger.begin(key, "d") for key in "abc"] == [Fresh(), Fresh(), Full()]
+    ledger.finish("a", ANSWER)
+    assert isinstance(ledger.begin("a", "d"), Uncertain)
+    assert ledger.begin("b", "d") == Running()
+
+
+def test_record_is_kept_for_its_whole_time_and_not_longer():
+    now = [0.0]
+    ledger = Ledger(timer=lambda: now[0])
+    ledger.begin("k", "d")
+    now[0] = KEPT_S - 1
+    assert ledger.begin("k", "d") == Running()
+    now[0] = KEPT_S + 1
+    assert ledger.begin("k", "d") == Fresh()
+
+
+def test_answer_too_large_to_keep_is_remembered_as_run():
+    ledger = Ledger()
+    ledger.begin("k", "d")
+    ledger.finish("k", Repeat((bytes(ANSWER_LIMIT_B + 1),), 200, "text/plain"))
+    assert isinstance(ledger.begin("k", "d"), Uncertain)
+
+
+def test_waiter_learns_of_the_end_and_of_a_key_given_back():
+    ledger = Ledger()
+    for key in "ab":
+        ledger.begin(key, "d")
+    with ThreadPoolExecutor(2) as pool:
+        answered, given_back = (pool.submit(ledger.wait, key, 10.0) for key in "ab")
+        ledger.finish("a", ANSWER)
+        ledger.give_back("b")
+    assert (answered.result(), given_back.result()) == (ANSWER, None)
+    ledger.begin("c", "d")
+    assert ledger.wait("c", 0.0) == Running()
--- /dev/null
+++ b/tests/requests/test_tickets.py
@@ -0,0 +1,66 @@
+"""Tickets cannot be forged, moved to another team or incarnation, or used after they expire."""
+
+from __future__ import annotations
+
+import base64
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscustray.requests import (
+    TICKET_LIFETIME_S,
+    Expired,
+    Foreign,
+    Forged,
+    TicketIssuer,
+    Valid,
+    read_ticket,
+)
+from hibiscustray.requests.ledger import KEPT_S
+from hibiscustray.requests.tickets import TICKET_PREFIX
+
+
+def flip_bit(key, position):
+    raw = bytearray(base64.urlsafe_b64decode(key.removeprefix(TICKET_PREFIX)))
+    raw[position // 8 % len(raw)] ^= 1 << position % 8
+    return TICKET_PREFIX + base64.urlsafe_b64encode(bytes(raw)).decode()
+
+
+def test_ticket_is_valid_for_its_team_and_service_only():
+    issuer = TicketIssuer("a", 1)
+    key = issuer.issue("hosts", "booking")
+    assert len(key) < 200
+    assert issuer.check(key, "hosts", "booking") == Valid()
+    assert issuer.check(key, "crew", "booking") == Forged()
+    assert issuer.check(key, "hosts", "roster") == Forged()
+
+
+@pytest.mark.parametrize(("agent", "incarnation"), [("a", 2), ("b", 1)])
+def test_other_incarnations_do_not_accept_a_ticket(agent, incarnation):
+    key = TicketIssuer("a", 1).issue("hosts", "booking")
+    assert TicketIssuer(agent, incarnation).check(key, "hosts", "booking") == Foreign()
+    assert TicketIssuer("a", 1).check(key, "hosts", "booking") == Forged()
+
+
+@given(st.integers(0, 10_000))
+def test_changed_ticket_is_never_valid(position):
+    issuer = TicketIssuer("a", 1)
+    changed = flip_bit(issuer.issue("hosts", "booking"), position)
+    assert issuer.check(changed, "hosts", "booking") != Valid()
+
+
+@given(st.text(max_size=60))
+def test_any_text_can_be_read_without_failing(text):
+    assert read_ticket(TICKET_PREFIX + text) is None
+    assert TicketIssuer("a", 1).check(TICKET_PREFIX + text, "hosts", "booking") == Forged()
+
+
+def test_expired_ticket_is_remembered_only_as_long_as_the_ledger():
+    now = [0.0]
+    issuer = TicketIssuer("a", 1, lambda: now[0])
+    key = issuer.issue("hosts", "booking")
+    now[0] = TICKET_LIFETIME_S
+    assert issuer.check(key, "hosts", "booking") == Expired(is_remembered=True)
+    now[0] = KEPT_S
+    assert issuer.check(key, "hosts", "booking") == Expired(is_remembered=False)
