--- /dev/null
+++ b/tests/agent/test_attempts.py
@@ -0,0 +1,286 @@
+"""An agent says "not run" only of what never starts, and checks what its upstream answers."""
+
+from __future__ import annotations
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+import pytest
+
+from hibiscustray.agent.attempts import AttemptServer
+from hibiscustray.agent.keyed import KeyedRequests
+from hibiscustray.agent.outcomes import OutcomeWriter
+from hibiscustray.agent.state import ServingState
+from hibiscustray.agent.upstream_call import UpstreamCall
+from hibiscustray.peers import AttemptRequest, Beat, Data, End, Failed, Refused
+from hibiscustray.platform import EngineClient
+from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer, Uncertain
+from hibiscustray.telemetry import Metrics
+from hibiscustray.web import HttpServer, Response, Router
+from tests.requests.tables import FakeTable
+
+DIGEST = "d1"
+CHUNK = {"id": "r1", "system_fingerprint": DIGEST}
+
+
+class Upstream:
+    """An upstream whose answer a test chooses; it counts its runs."""
+
+    def __init__(self):
+        self.runs = 0
+        self.answer = lambda request: Response.json(CHUNK)
+        router = Router(lambda error: Response.json({}, 500))
+        router.add("POST", "/", self.serve)
+        self.http = HttpServer(router, "127.0.0.1", 0, 8)
+        self.http.start()
+
+    def serve(self, request):
+        self.runs += 1
+        return self.answer(request)
+
+
+class Context:
+    """The parts of a gRPC context that attempts use."""
+
+    def __init__(self, remaining_s=10.0, is_active=True):
+        self.remaining_s = remaining_s
+        self.active = is_active
+        self.callbacks = []
+
+    def is_active(self):
+        return self.active
+
+    def time_remaining(self):
+        return self.remaining_s
+
+    def add_callback(self, callback):
+        self.callbacks.append(callback)
+        return self.active
+
+    def cancel(self):
+        self.active = False
+        for callback in self.callbacks:
+            callback()
+
+
+@pytest.fixture
+def upstream():
+    upstream = Upstream()
+    yield upstream
+    upstream.http.stop()
+
+
+@pytest.fixture
+def state():
+    return ServingState()
+
+
+@pytest.fixture
+def server(upstream, state):
+    return make_server(upstream, state)
+
+
+def make_server(upstream, state, trusts_busy=False, concurrency=4):
+    metrics = Metrics("a")
+    claims = ClaimStore(FakeTable(), "a", 1)
+    writer = OutcomeWriter(claims, metrics)
+    keyed = KeyedRequests(Ledger(), TicketIssuer("a", 1), claims, writer)
+    state.serve(DIGEST)
+    engine = EngineClient(upstream.http.url)
+    return AttemptServer(state, engine, keyed, 1, concurrency, metrics, trusts_busy)
+
+
+def make_attempt(**changes):
+    facts = {
+        "attempt_id": "a1",
+        "request_id": "r1",
+        "team": "hosts",
+        "service": "booking",
+        "digest": DIGEST,
+        "path": "/",
+        "body": b"{}",
+        "timeout_s": 10.0,
+        "is_idempotent": False,
+    }
+    return AttemptRequest(**(facts | changes))
+
+
+def answer_events(*chunks):
+    body = b"".join(b"data: " + chunk + b"\n\n" for chunk in chunks)
+    return lambda request: Response(200, [body], "text/event-stream")
+
+
+def encode(**changes):
+    return msgspec.json.encode(CHUNK | changes)
+
+
+@pytest.mark.parametrize(
+    "context", [Context(remaining_s=0.0), Context(is_active=False)], ids=["late", "cancelled"]
+)
+def test_attempt_that_waited_too_long_for_a_thread_does_not_run(server, upstream, context):
+    frames = list(server.serve(make_attempt(), context))
+    assert isinstance(frames[-1], Refused)
+    assert upstream.runs == 0
+
+
+def test_attempt_of_another_incarnation_does_not_run(server, upstream):
+    frames = list(server.serve(make_attempt(incarnation=7), Context()))
+    assert [type(frame) for frame in frames] == [Refused]
+    assert upstream.runs == 0
+
+
+def test_call_given_up_before_its_start_never_starts(upstream):
+    settled = []
+    engine = EngineClient(upstream.http.url)
+    call = UpstreamCall(
+        engine,
+        make_attempt(),
+        time.monotonic() + 10.0,
+        lambda: None,
+        lambda settlement: settled.append(settlement) or settlement,
+        False,
+    )
+    assert call.abandon()
+    call.run()
+    assert settled[0].kind == "deadline"
+    assert upstream.runs == 0
+
+
+def test_process_paused_between_claim_and_start_does_not_run_late(upstream):
+    call = UpstreamCall(
+        EngineClient(upstream.http.url),
+        make_attempt(),
+        time.monotonic() + 0.2,
+        lambda: time.sleep(0.4),
+        lambda settlement: settlement,
+        False,
+    )
+    call.run()
+    assert call.items.get().kind == "deadline"
+    assert upstream.runs == 0
+
+
+def test_call_that_has_started_cannot_be_called_not_run(upstream):
+    started, released = threading.Event(), threading.Event()
+    upstream.answer = lambda request: started.set() or released.wait(5.0) and Response.json(CHUNK)
+    call = UpstreamCall(
+        EngineClient(upstream.http.url),
+        make_attempt(),
+        time.monotonic() + 10.0,
+        lambda: None,
+        lambda settlement: settlement,
+        False,
+    )
+    with ThreadPoolExecutor(1) as pool:
+        pool.submit(call.run)
+        assert started.wait(5.0)
+        assert not call.abandon()
+        released.set()
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_busy_answer_is_trusted_only_where_it_may_be(upstream, state, status):
+    upstream.answer = lambda request: Response.json({}, status)
+    doubted = list(make_server(upstream, state).serve(make_attempt(), Context()))
+    trusted = list(make_server(upstream, state, True).serve(make_attempt(), Context()))
+    repeatable = make_attempt(is_idempotent=True)
+    idempotent = list(make_server(upstream, state).serve(repeatable, Context()))
+    assert [type(frames[-1]) for frames in (doubted, trusted, idempotent)] == [
+        Failed,
+        Refused,
+        Refused,
+    ]
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        (encode(id="r2"), b"[DONE]"),
+        (encode(system_fingerprint="d2"), b"[DONE]"),
+        (encode(), encode(id="r2"), b"[DONE]"),
+        (b"{", b"[DONE]"),
+        (encode(),),
+        (encode(), b"[DONE"),
+    ],
+)
+def test_crossed_or_cut_stream_is_no_answer(server, upstream, chunks):
+    upstream.answer = answer_events(*chunks)
+    frames = list(server.serve(make_attempt(is_idempotent=True, is_stream=True), Context()))
+    assert isinstance(frames[-1], Failed)
+
+
+def test_whole_stream_of_the_request_is_an_answer(server, upstream):
+    upstream.answer = answer_events(encode(id="chatcmpl-r1"), encode(), b"[DONE]")
+    frames = list(server.serve(make_attempt(is_idempotent=True, is_stream=True), Context()))
+    assert isinstance(frames[-1], End)
+    assert frames[-1].count == 2
+
+
+def test_answer_shorter_than_stated_is_no_answer(server, upstream):
+    upstream.answer = lambda request: Response(200, [encode()[:9]], headers=(LENGTH,))
+    frames = list(server.serve(make_attempt(is_idempotent=True), Context()))
+    assert isinstance(frames[-1], Failed)
+    assert not any(isinstance(frame, Data) for frame in frames)
+
+
+LENGTH = ("Content-Length", "500")
+
+
+def test_long_wait_is_bridged_by_beats_and_counts_as_running(server, upstream, state):
+    released = threading.Event()
+    upstream.answer = lambda request: released.wait(5.0) and Response.json(CHUNK)
+    frames = server.serve(make_attempt(), Context())
+    assert isinstance(next(frames), Beat)
+    assert state.running == 1
+    released.set()
+    assert isinstance(list(frames)[-1], End)
+    assert state.running == 0
+
+
+def test_cancelled_booking_goes_on_and_its_repeat_is_answered(server, upstream, state):
+    released = threading.Event()
+    upstream.answer = lambda request: released.wait(5.0) and Response.json(CHUNK)
+    context = Context()
+    frames = server.serve(make_attempt(key="k1"), context)
+    assert isinstance(next(frames), Beat)
+    context.cancel()
+    frames.close()
+    repeat = server.serve(make_attempt(key="k1"), Context())
+    assert isinstance(next(repeat), Beat)
+    state.leave()
+    released.set()
+    assert isinstance(list(repeat)[-1], End)
+    assert upstream.runs == 1
+    assert state.wait_until_idle(5.0)
+
+
+def test_busy_agent_refuses_without_running(upstream, state):
+    server = make_server(upstream, state, concurrency=1)
+    assert state.begin(DIGEST) == ""
+    frames = list(server.serve(make_attempt(key="k1"), Context()))
+    assert isinstance(frames[-1], Refused)
+    state.end()
+    assert isinstance(list(server.serve(make_attempt(key="k1"), Context()))[-1], End)
+    assert upstream.runs == 1
+
+
+def test_failed_booking_is_not_waited_for_by_its_repeat(server, upstream):
+    upstream.answer = lambda request: Response(200, [b"{}"], headers=(LENGTH,))
+    first = list(server.serve(make_attempt(key="k1"), Context()))
+    second = list(server.serve(make_attempt(key="k1"), Context()))
+    assert isinstance(first[-1], Failed)
+    assert [type(frame) for frame in second] == [Failed]
+    assert upstream.runs == 1
+
+
+def test_failure_inside_the_agent_is_uncertain_and_ends_the_attempt():
+    def fail():
+        raise ValueError("broken")
+
+    settled = []
+    call = UpstreamCall(None, make_attempt(), 0.0, fail, settled.append, False)
+    with pytest.raises(ValueError, match="broken"):
+        call.run()
+    assert isinstance(settled[0], Uncertain)
