--- a/hibiscustray/agent/process.py
+++ b/hibiscustray/agent/process.py
@@ -43,6 +43,7 @@
         self._peers = peers
         self._deployer = deployer
         self._keyed = keyed
+        self._is_stopped = False
 
     @property
     def url(self) -> str:
@@ -66,7 +67,10 @@
         return self.state.wait_until_idle(timeout_s)
 
     def stop(self) -> None:
-        """End all servers and threads."""
+        """End all servers and threads; a second call does nothing."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
         self._deployer.stop()
         self._peer_server.stop(STOP_GRACE_S)
         self._keyed.stop()
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -11,29 +11,39 @@
 from hibiscustray.agent.keyed import KeyedRequests
 from hibiscustray.agent.outcomes import OutcomeWriter
 from hibiscustray.agent.state import ServingState
-from hibiscustray.deployments import Configuration, RevisionStore, load_operator_keys
+from hibiscustray.deployments import (
+    Configuration,
+    Justification,
+    Revision,
+    RevisionStore,
+    load_operator_keys,
+)
 from hibiscustray.entry import Attempter, Dispatcher, EntryApplication, EntryProcess, TicketOffice
 from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.membership import Exchange, MemberView
+from hibiscustray.membership import Exchange, MemberView, spread_revision
 from hibiscustray.operator import Operator, SiteStatus, read_status
-from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply, StatusReply
+from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
 from hibiscustray.peers.codec import (
     ATTEMPT,
     CHUNK,
     EXCHANGE,
     HOLDINGS,
     MANIFEST,
+    PROBE,
+    PUSH,
     REVISION,
     STATUS,
+    SYNC,
     TICKET,
 )
 from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
+from hibiscustray.peers.packing import NEWEST
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer
-from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
+from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
 from hibiscustray.routing import Admission, ReplicaChooser, make_policy
 from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
@@ -44,6 +54,7 @@
 AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
+EXCHANGE_CHANNELS = 16
 KIB = 1024
 MIB = 1024 * KIB
 MS_PER_S = 1000
@@ -69,9 +80,17 @@
         platform.object_url,
         settings.key,
         platform.timeout_s,
+        _build_spread(settings),
     )
 
 
+def _build_spread(settings: OperatorSettings) -> Callable[[Revision], object]:
+    """Wire the handing over of accepted revisions to several processes."""
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    credentials = load_peer_credentials(settings.security)
+    return lambda revision: spread_revision(revision, machines, PeerPool(credentials.channel))
+
+
 def build_status_reader(settings: OperatorSettings) -> Callable[[], SiteStatus]:
     """Wire the reading of a site's status."""
     operator = build_operator(settings)
@@ -98,7 +117,7 @@
 def build_entry(settings: Settings) -> EntryProcess:
     """Wire an entry."""
     core = _build_core(settings)
-    exchange_slot = _ExchangeSlot(core.configuration)
+    exchange_slot = _ExchangeSlot()
     peer_server = PeerServer(
         settings.process.address,
         settings.process.peer_port,
@@ -147,10 +166,11 @@
     assert settings.upstream is not None
     core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    state = ServingState()
+    state = ServingState(core.configuration.is_justified)
     swarms = SwarmRegistry()
     uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
-    chunks = ChunkServer(cache, swarms, uplink, core.metrics)
+    gate = OrderGate()
+    chunks = ChunkServer(cache, swarms, uplink, gate, core.metrics)
     engine = EngineClient(settings.upstream.url)
     incarnation = _make_incarnation()
     keyed = _build_keyed(settings, core, incarnation)
@@ -163,7 +183,7 @@
         core.metrics,
         settings.upstream.busy_means_not_run,
     )
-    exchange_slot = _ExchangeSlot(core.configuration)
+    exchange_slot = _ExchangeSlot()
     handlers = exchange_slot.handlers() | {
         MANIFEST.name: chunks.serve_manifest,
         HOLDINGS.name: chunks.serve_holdings,
@@ -186,11 +206,10 @@
     stopping = threading.Event()
     activation = Activation(
         engine,
-        LeaseStore(core.table, settings.process.id),
         FencingCounter(view.own.incarnation),
+        gate,
         settings.process.id,
-        lambda digest: f"{http.url}/weights/{digest}",
-        stopping,
+        lambda number: f"{http.url}/weights/{number}",
     )
     environment = TransferEnvironment(
         view=view,
@@ -210,7 +229,7 @@
         state,
         environment,
         activation,
-        cache,
+        Waves(LeaseStore(core.table, settings.process.id), stopping),
         core.metrics,
         stopping,
     )
@@ -222,28 +241,19 @@
 class _ExchangeSlot:
     """Stands between the peer server and the exchange, which needs the server's port."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self) -> None:
         self.exchange: Exchange | None = None
-        self._configuration = configuration
 
     def handlers(self):
-        return {
-            EXCHANGE.name: self._serve_exchange,
-            REVISION.name: self._serve_revision,
-            STATUS.name: self._serve_status,
-        }
-
-    def _serve_exchange(self, message, context):
-        assert self.exchange is not None
-        return self.exchange.serve(message)
+        methods = (EXCHANGE, REVISION, SYNC, PROBE, PUSH, STATUS)
+        return {method.name: self._bind(method.name) for method in methods}
 
-    def _serve_status(self, message, context) -> StatusReply:
-        assert self.exchange is not None
-        return StatusReply(self.exchange.own)
+    def _bind(self, name: str):
+        def serve(message, context):
+            assert self.exchange is not None
+            return self.exchange.handlers[name](message, context)
 
-    def _serve_revision(self, message, context) -> RevisionReply:
-        held = self._configuration.number > 0
-        return RevisionReply(self._configuration.revision if held else None)
+        return serve
 
 
 class _LateRouter:
@@ -269,7 +279,7 @@
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
-        configuration=Configuration(load_operator_keys(settings.security.operators)),
+        configuration=_build_configuration(settings),
         peers=wrappers.peers(PeerPool(credentials.channel)),
         credentials=credentials,
     )
@@ -281,12 +291,20 @@
         core.configuration,
         RevisionStore(core.table),
         MachineList(settings.platform.machines_url, settings.platform.timeout_s),
-        core.peers,
+        PeerPool(core.credentials.channel, EXCHANGE_CHANNELS),
         settings.membership,
         core.metrics,
     )
 
 
+def _build_configuration(settings: Settings) -> Configuration:
+    membership = settings.membership
+    return Configuration(
+        load_operator_keys(settings.security.operators),
+        Justification(membership.isolation_grace_s, membership.suspect_after_s),
+    )
+
+
 def _make_record(
     settings: Settings, role: str, peer_server: PeerServer, http: HttpServer, incarnation: int
 ) -> MemberRecord:
@@ -300,6 +318,7 @@
         incarnation=incarnation,
         service=settings.upstream.service if settings.upstream else "",
         serving="-",
+        codec=NEWEST,
     )
 
 
@@ -323,7 +342,7 @@
         return Response(200, body, content_type)
 
     def serve_health(request) -> Response:
-        is_ready = state.digest is not None and not state.is_leaving
+        is_ready = state.is_ready()
         return Response.json({"ready": is_ready}, 200 if is_ready else 503)
 
     router = Router(lambda error: Response.json({"title": type(error).__name__}, 500))
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -12,12 +12,14 @@
 import msgspec
 
 from hibiscustray.deployments import Configuration, Service
+from hibiscustray.entry.bodies import check_chat_body, read_chat_model
 from hibiscustray.entry.dispatch import Dispatcher
 from hibiscustray.entry.problems import describe_problem, make_problem_response
 from hibiscustray.entry.recording import RecordedBody, RequestRecord
 from hibiscustray.entry.teams import TeamCredentials
 from hibiscustray.entry.tickets import TicketOffice
 from hibiscustray.exceptions import (
+    ConfigurationUnknown,
     DeadlineInvalid,
     HibiscustrayError,
     RequestMalformed,
@@ -40,6 +42,7 @@
 MAX_KEY_LENGTH = 200
 MS_PER_S = 1000.0
 KIB = 1024
+RETRY_AFTER_S = 1.0
 
 
 class TicketAnswer(msgspec.Struct, frozen=True):
@@ -108,7 +111,7 @@
             return self._idle.wait_for(lambda: self._running == 0, timeout_s)
 
     def _serve_health(self, request: Request) -> Response:
-        is_ready = self._configuration.number > 0 and not self._is_leaving
+        is_ready = self._configuration.is_justified() and not self._is_leaving
         health = Health(is_ready, self._identity.process, self._identity.incarnation)
         return Response.json(health, 200 if is_ready else 503)
 
@@ -117,7 +120,7 @@
         return Response(200, body, content_type)
 
     def _serve_chat(self, request: Request) -> Response:
-        return self._serve(request, lambda body: body.get("model", ""), CHAT_PATH)
+        return self._serve(request, read_chat_model, CHAT_PATH)
 
     def _serve_service(self, request: Request) -> Response:
         return self._serve(request, lambda body: request.groups["service"], "")
@@ -158,9 +161,13 @@
     ) -> tuple[CallerRequest, Service]:
         if len(request.body) > self._limits.body_kib * KIB:
             raise RequestTooLarge(f"the body is over {self._limits.body_kib} KiB")
+        if not self._configuration.is_justified():
+            raise ConfigurationUnknown("this entry is cut off or has just started", RETRY_AFTER_S)
         body = _decode_body(request.body)
         service = self._find_service(name_service(body))
         record.service = service.name
+        if service.kind == "model":
+            check_chat_body(body)
         known_team = self._configuration.deployment.find_team(record.team)
         caller = CallerRequest(
             id=request_id,
@@ -240,8 +247,8 @@
 
 def _read_key(request: Request) -> str:
     key = request.headers.get(KEY_HEADER, "")
-    if len(key) > MAX_KEY_LENGTH:
-        raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters")
+    if len(key) > MAX_KEY_LENGTH or not (key.isascii() and key.isprintable()):
+        raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} or not printable ASCII")
     return key
 
 
--- a/hibiscustray/entry/process.py
+++ b/hibiscustray/entry/process.py
@@ -40,6 +40,7 @@
         self._watchdog = watchdog
         self._sampler = sampler
         self._balancer_lag_s = balancer_lag_s
+        self._is_stopped = False
 
     @property
     def url(self) -> str:
@@ -65,7 +66,10 @@
         return self.application.wait_until_idle(max(0.0, deadline - time.monotonic()))
 
     def stop(self) -> None:
-        """End all servers and threads."""
+        """End all servers and threads; a second call does nothing."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
         self.http.stop()
         self.view.update_own(status=LEFT)
         self._sampler.stop()
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -114,7 +114,11 @@
             if is_stale and self._checks_fencing:
                 return Response.json({"fencing": self.weights.fencing}, 409)
             self.stale_orders_taken += is_stale
-        digest = _read_weights(order.weights_url, self._context)
+        digest, _ = _read_weights(f"{order.weights_url}/{order.digest}", self._context)
+        for adapter in order.adapters:
+            read, base = _read_weights(f"{order.weights_url}/{adapter}", self._context)
+            if (read, base) != (adapter, digest):
+                return Response.json({"adapter": adapter, "base": base}, 422)
         with self._lock:
             self.orders.append(order)
             self.weights = EngineWeights(digest, order.adapters, order.fencing)
@@ -184,8 +188,8 @@
             yield token
 
 
-def _read_weights(url: str, context: ssl.SSLContext | None) -> str:
-    """Read all chunks and return the digest that the bytes themselves give."""
+def _read_weights(url: str, context: ssl.SSLContext | None) -> tuple[str, str]:
+    """Read all chunks; return the digest that the bytes themselves give, and the base."""
     client = HttpClient(url, 60.0, context)
     layout = msgspec.json.decode(client.call("GET", "").body)
     chunks = []
@@ -193,7 +197,7 @@
         last = min(first + CHUNKS_A_READ, layout["count"]) - 1
         chunks += _hash_chunks(client.call("GET", f"/{first}-{last}").body, layout["chunk_size"])
     client.close()
-    return _digest_layout(layout, chunks)
+    return _digest_layout(layout, chunks), layout["base"]
 
 
 def _hash_chunks(data: bytes, chunk_size: int) -> list[bytes]:
--- a/hibiscustray/standins/platform.py
+++ b/hibiscustray/standins/platform.py
@@ -40,6 +40,15 @@
     delay_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class PlatformRecords:
+    """What was drawn from the origin and done on the table."""
+
+    origin_bytes: int
+    table_reads: int
+    table_writes: int
+
+
 class PlatformStandIn:
     """Serves the table, the object store and the VM list on one port, the origin on another."""
 
@@ -56,6 +65,7 @@
         self.origin_bytes = 0
         self.table_reads = 0
         self.table_writes = 0
+        self.late_writes = 0
         self._files = files
         self._origin_link = LinkBudget(origin_mbit_s)
         self._rows: dict[tuple[str, str], dict[str, Any]] = {}
@@ -70,6 +80,7 @@
         router.add("GET", f"/{BUCKET}/{{key+}}", self._serve_get_object)
         router.add("PUT", f"/{BUCKET}/{{key+}}", self._serve_put_object)
         router.add("GET", "/instances", self._serve_machines)
+        router.add("GET", "/records", lambda _: Response.json(self.records))
         origin = Router(_describe_error)
         origin.add("GET", "/{path+}", self._serve_origin)
         self._http = HttpServer(router, address, port, THREADS)
@@ -85,6 +96,11 @@
         """Return the URL of the origin."""
         return self._origin.url
 
+    @property
+    def records(self) -> PlatformRecords:
+        """Return what was drawn and written so far."""
+        return PlatformRecords(self.origin_bytes, self.table_reads, self.table_writes)
+
     def start(self) -> None:
         """Begin to serve."""
         self._http.start()
@@ -194,13 +210,18 @@
         faults = self.faults
         is_lost = faults.loses_answers or self._random.random() < faults.lost_answer_share
         if is_lost and faults.late_write_s:
-            threading.Timer(faults.late_write_s, self._commit, (body,)).start()
+            self.late_writes += 1
+            threading.Timer(faults.late_write_s, self._commit_late, (body,)).start()
         elif not self._commit(body):
             return Response.json({"__type": "TransactionCanceledException"}, 400)
         if is_lost:
             return Response.json({"__type": "InternalServerError"}, 500)
         return Response.json({})
 
+    def _commit_late(self, body: dict[str, Any]) -> None:
+        self._commit(body)
+        self.late_writes -= 1
+
     def _commit(self, body: dict[str, Any]) -> bool:
         with self._lock:
             self.table_writes += 1
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -84,6 +84,7 @@
         if self._response.isclosed() and not self._response.will_close:
             self._client.release(self._connection)
         else:
+            self._response.close()
             self._connection.close()
 
 
@@ -139,6 +140,7 @@
         connection = self._connect(timeout_s) if is_fresh else self._take(timeout_s)
         if on_connect is not None:
             on_connect(partial(_cut_socket, connection.sock))
+        # A connection that the server will close gives its socket up to the response.
         sock = connection.sock
         try:
             connection.request(method, self._prefix + path, body, dict(headers or {}))
