--- a/hibiscustray/deployments/__init__.py
+++ b/hibiscustray/deployments/__init__.py
@@ -2,6 +2,7 @@
 
 from hibiscustray.deployments.configuration import Configuration
 from hibiscustray.deployments.ini import parse_deployment, render_deployment
+from hibiscustray.deployments.justification import Justification
 from hibiscustray.deployments.model import Deployment, Service, Team, Version
 from hibiscustray.deployments.revisions import Revision, RevisionStore
 from hibiscustray.deployments.signing import OperatorKeys, load_operator_keys, sign_change
@@ -9,6 +10,7 @@
 __all__ = [
     "Configuration",
     "Deployment",
+    "Justification",
     "OperatorKeys",
     "Revision",
     "RevisionStore",
--- a/hibiscustray/operator/client.py
+++ b/hibiscustray/operator/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Callable
 from pathlib import Path
 
 from hibiscustray.deployments import Revision, RevisionStore, parse_deployment
@@ -23,8 +24,10 @@
         object_url: str,
         key: bytes = b"",
         timeout_s: float = TIMEOUT_S,
+        spread: Callable[[Revision], object] | None = None,
     ) -> None:
         self.name = name
+        self._spread = spread
         self._key = key
         self._revisions = RevisionStore(Table(table_url, timeout_s))
         self._objects = ObjectStore(object_url, timeout_s)
@@ -53,7 +56,10 @@
         if head is not None and head.text == text and expected in (None, number):
             return head
         base = number if expected is None else expected
-        return self._revisions.accept(text, self.name, base, uuid.uuid4().hex, self._key)
+        revision = self._revisions.accept(text, self.name, base, uuid.uuid4().hex, self._key)
+        if self._spread is not None:
+            self._spread(revision)
+        return revision
 
     def roll_back(self, number: int) -> Revision:
         """Put the text of an earlier revision in force as a new revision."""
--- a/hibiscustray/peers/client.py
+++ b/hibiscustray/peers/client.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import threading
+from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Any
 
 import grpc
 
+from hibiscustray.deployments.revisions import Revision
 from hibiscustray.exceptions import MessageInvalid, PeerConnectionLost, PeerUnreachable
 from hibiscustray.peers.codec import (
     ATTEMPT,
@@ -16,8 +18,11 @@
     HOLDINGS,
     MANIFEST,
     METHODS,
+    PROBE,
+    PUSH,
     REVISION,
     STATUS,
+    SYNC,
     TICKET,
     encode_message,
     make_decoder,
@@ -32,13 +37,19 @@
     HoldingsRequest,
     ManifestReply,
     ManifestRequest,
+    ProbeReply,
+    ProbeRequest,
+    PushRequest,
     RevisionReply,
     RevisionRequest,
     StatusReply,
     StatusRequest,
+    SyncReply,
+    SyncRequest,
     TicketReply,
     TicketRequest,
 )
+from hibiscustray.peers.packing import NEWEST, PLAIN
 from hibiscustray.peers.server import MAX_MESSAGE_B
 
 OPTIONS = (
@@ -50,7 +61,7 @@
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
 )
-CONNECT_MARKS = ("failed to connect", "connection refused", "connect: ")
+CONNECT_MARK = "failed to connect to all addresses"
 
 
 class AttemptCall:
@@ -80,6 +91,9 @@
 
     def __init__(self, address: str, credentials: grpc.ChannelCredentials | None = None) -> None:
         self.address = address
+        self.codec = PLAIN
+        self.bytes_moved = 0
+        self.calls_made = 0
         if credentials is None:
             self._channel = grpc.insecure_channel(address, OPTIONS)
         else:
@@ -93,6 +107,14 @@
             for method in METHODS
         }
         self._decoders = {method.name: make_decoder(method.reply) for method in METHODS}
+        self._running = 0
+        self._lock = threading.Lock()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call is running."""
+        with self._lock:
+            return self._running == 0
 
     def exchange(self, message: ExchangeMessage, timeout_s: float) -> ExchangeMessage:
         """Swap heartbeats."""
@@ -102,6 +124,18 @@
         """Return the peer's revision in force."""
         return self._call(REVISION.name, RevisionRequest(), timeout_s)
 
+    def sync(self, request: SyncRequest, timeout_s: float) -> SyncReply:
+        """Return member records that differ from the sender's."""
+        return self._call(SYNC.name, request, timeout_s)
+
+    def probe(self, address: str, timeout_s: float) -> ProbeReply:
+        """Ask the peer whether it reaches an address."""
+        return self._call(PROBE.name, ProbeRequest(address), timeout_s)
+
+    def push(self, revision: Revision, timeout_s: float) -> StatusReply:
+        """Hand over an accepted revision and return what the peer holds then."""
+        return self._call(PUSH.name, PushRequest(revision), timeout_s)
+
     def read_status(self, timeout_s: float) -> StatusReply:
         """Return the peer's own record."""
         return self._call(STATUS.name, StatusRequest(), timeout_s)
@@ -124,51 +158,126 @@
 
     def open_attempt(self, request: AttemptRequest) -> AttemptCall:
         """Start an attempt; errors surface while its frames are read."""
-        call = self._calls[ATTEMPT.name](encode_message(request), timeout=request.timeout_s)
+        self._change_running(1)
+        try:
+            call = self._calls[ATTEMPT.name](encode_message(request), timeout=request.timeout_s)
+        except ValueError as error:
+            self._change_running(-1)
+            raise PeerUnreachable(f"{self.address}: channel closed") from error
+        call.add_done_callback(lambda _: self._change_running(-1))
         return AttemptCall(call)
 
     def close(self) -> None:
         """Close the channel, cutting running calls."""
         self._channel.close()
 
+    def _change_running(self, change: int) -> None:
+        with self._lock:
+            self._running += change
+
     def _call(self, name: str, message: Any, timeout_s: float) -> Any:
+        request = encode_message(message, self.codec)
+        self._change_running(1)
         try:
-            body = self._calls[name](encode_message(message), timeout=timeout_s)
+            body = self._calls[name](request, timeout=timeout_s)
         except grpc.RpcError as error:
             raise translate_error(error) from error
         except ValueError as error:
             raise PeerUnreachable(f"{self.address}: channel closed") from error
+        finally:
+            self._change_running(-1)
+        self.calls_made += 1
+        self.bytes_moved += len(request) + len(body)
         return self._decoders[name](body)
 
 
 class PeerPool:
-    """The peer clients of one process, by address."""
+    """The peer clients of one process, by address; the least recently used are closed."""
 
-    def __init__(self, credentials: grpc.ChannelCredentials | None = None) -> None:
+    def __init__(
+        self, credentials: grpc.ChannelCredentials | None = None, limit: int | None = None
+    ) -> None:
         self._credentials = credentials
-        self._clients: dict[str, PeerClient] = {}
+        self._limit = limit
+        self._clients: OrderedDict[str, PeerClient] = OrderedDict()
+        self._codecs: dict[str, int] = {}
+        self._closed_bytes = 0
+        self._closed_calls = 0
+        self._retired: list[PeerClient] = []
         self._lock = threading.Lock()
 
+    @property
+    def bytes_moved(self) -> int:
+        """Return the bytes of the messages of all answered calls, sent and received."""
+        with self._lock:
+            return self._closed_bytes + sum(c.bytes_moved for c in self._clients.values())
+
+    @property
+    def calls_made(self) -> int:
+        """Return how many calls were answered."""
+        with self._lock:
+            return self._closed_calls + sum(c.calls_made for c in self._clients.values())
+
     def get(self, address: str) -> PeerClient:
         """Return the client of an address."""
+        is_full = False
         with self._lock:
-            if address not in self._clients:
-                self._clients[address] = PeerClient(address, self._credentials)
-            return self._clients[address]
+            client = self._clients.get(address)
+            if client is None:
+                client = self._clients[address] = PeerClient(address, self._credentials)
+                client.codec = self._codecs.get(address, PLAIN)
+            self._clients.move_to_end(address)
+            if self._limit is not None and len(self._clients) > self._limit:
+                self._retired.append(self._clients.popitem(last=False)[1])
+                is_full = True
+        if is_full:
+            self._close_idle()
+        return client
 
-    def renew(self, address: str) -> None:
-        """Forget the connection to an address, so that the next call opens a new one."""
+    def learn_codec(self, address: str, codec: int) -> None:
+        """Use the newest codec version that both ends know from the next call on."""
+        chosen = min(codec, NEWEST)
         with self._lock:
-            client = self._clients.pop(address, None)
-        if client is not None:
-            client.close()
+            if self._codecs.get(address) == chosen:
+                return
+            self._codecs[address] = chosen
+            if address in self._clients:
+                self._clients[address].codec = chosen
+
+    def renew(self, address: str, client: PeerClient | None = None) -> None:
+        """Let the next call to an address open a new connection, unless `client` was replaced.
+
+        The calls that run on the old connection go on; it is closed once they have ended.
+        """
+        with self._lock:
+            known = self._clients.get(address)
+            if known is not None and client in (None, known):
+                self._codecs.pop(address, None)
+                self._retired.append(self._clients.pop(address))
+        self._close_idle()
 
     def close(self) -> None:
         """Close all connections."""
         with self._lock:
-            clients, self._clients = self._clients, {}
-        for client in clients.values():
-            client.close()
+            clients = [*self._clients.values(), *self._retired]
+            self._clients.clear()
+            self._retired = []
+        for client in clients:
+            self._close_client(client)
+
+    def _close_idle(self) -> None:
+        """Close the retired clients whose calls have ended."""
+        with self._lock:
+            idle = [client for client in self._retired if client.is_idle]
+            self._retired = [client for client in self._retired if client not in idle]
+        for client in idle:
+            self._close_client(client)
+
+    def _close_client(self, client: PeerClient) -> None:
+        with self._lock:
+            self._closed_bytes += client.bytes_moved
+            self._closed_calls += client.calls_made
+        client.close()
 
 
 def translate_error(error: grpc.RpcError) -> PeerUnreachable | PeerConnectionLost:
@@ -176,6 +285,6 @@
     code = error.code()
     details = (error.details() or "").lower()
     text = f"{code.name}: {details[:200]}"
-    if code is grpc.StatusCode.UNAVAILABLE and any(mark in details for mark in CONNECT_MARKS):
+    if code is grpc.StatusCode.UNAVAILABLE and details.startswith(CONNECT_MARK):
         return PeerUnreachable(text)
     return PeerConnectionLost(text)
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -14,6 +14,7 @@
 LEAVING = "leaving"
 LEFT = "left"
 DEAD = "dead"
+BUSY = "busy"
 
 
 class Message(msgspec.Struct, frozen=True):
@@ -36,15 +37,53 @@
     serving: str = ""
     adapters: tuple[str, ...] = ()
     revision: int = 0
+    codec: int = 1
 
 
 class ExchangeMessage(Message, frozen=True):
-    """A heartbeat: the sender's own record, recent changes and the revision in force."""
+    """A heartbeat: the sender's own record, recent changes and the revision in force.
+
+    `is_established` says that the sender may serve its revision; `view_hash` is equal for equal
+    views of the membership.
+    """
 
     sender: MemberRecord
     changes: tuple[MemberRecord, ...] = ()
     revision: int = 0
-    confirmed_age_s: float = 0.0
+    digest: str = ""
+    is_established: bool = False
+    view_hash: int = 0
+
+
+class SyncRequest(Message, frozen=True):
+    """Asks for the records that differ, by the hashes of the sender's buckets."""
+
+    buckets: bytes
+    limit: int = 64
+
+
+class SyncReply(Message, frozen=True):
+    """Records of the buckets whose hashes differ."""
+
+    records: tuple[MemberRecord, ...] = ()
+
+
+class ProbeRequest(Message, frozen=True):
+    """Asks the receiver to try an address that the sender does not reach."""
+
+    address: str
+
+
+class ProbeReply(Message, frozen=True):
+    """Whether the address answered."""
+
+    is_reached: bool = False
+
+
+class PushRequest(Message, frozen=True):
+    """Hands over a revision that was just accepted."""
+
+    revision: Revision
 
 
 class RevisionRequest(Message, frozen=True):
@@ -62,9 +101,10 @@
 
 
 class StatusReply(Message, frozen=True):
-    """The sender's own record."""
+    """The sender's own record, and whether it may serve the revision that it holds."""
 
     member: MemberRecord
+    is_justified: bool = False
 
 
 class ManifestRequest(Message, frozen=True):
@@ -131,15 +171,17 @@
 
 
 class TicketReply(Message, frozen=True):
-    """The key issued."""
+    """The key issued, empty if none was, and how long it may be used."""
 
     key: str = ""
+    lifetime_s: float = 0.0
 
 
 class AttemptRequest(Message, frozen=True):
     """One attempt of a caller's request at one agent.
 
-    `timeout_s` is the time left; `skip` counts payloads that the caller already has.
+    `timeout_s` is the time left; `skip` counts payloads that the caller already has. An
+    `incarnation` other than 0 is the only one that may take the attempt.
     """
 
     attempt_id: str
@@ -156,13 +198,18 @@
     skip: int = 0
     priority: int = 5
     weight: float = 1.0
+    incarnation: int = 0
 
 
 class Data(Message, frozen=True, tag="data"):
-    """Payloads of an answer; `number` counts payloads before these."""
+    """Payloads of an answer.
+
+    `number` counts payloads before these; `check` digests the request's id and all payloads so far.
+    """
 
     number: int
     payloads: tuple[bytes, ...]
+    check: int = 0
 
 
 class End(Message, frozen=True, tag="end"):
@@ -182,12 +229,23 @@
 
 
 class Refused(Message, frozen=True, tag="refused"):
-    """The attempt did not run here and never will."""
+    """The attempt did not run here and never will.
+
+    `is_final` tells that no request with its key ran or ever will.
+    """
 
     kind: str
     detail: str
     retry_after_s: float = 0.0
     load: int = 0
+    is_final: bool = False
+
+
+class Claimed(Message, frozen=True, tag="claimed"):
+    """The attempt did not run here: another agent incarnation holds its idempotency key."""
+
+    agent: str
+    incarnation: int
 
 
 class Failed(Message, frozen=True, tag="failed"):
@@ -197,4 +255,4 @@
     detail: str
 
 
-Frame = Data | End | Beat | Refused | Failed
+Frame = Data | End | Beat | Refused | Claimed | Failed
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -43,7 +43,10 @@
 
 @dataclass(frozen=True)
 class LoadOrder:
-    """An order to load weights, read chunk by chunk from a URL of the agent."""
+    """An order to load weights, read from a URL of the agent that is followed by a digest.
+
+    `slot_number` is the fencing number of the wave slot under which the order was given.
+    """
 
     digest: str
     weights_url: str
@@ -51,6 +54,7 @@
     issuer: str
     revision: int
     adapters: tuple[str, ...] = ()
+    slot_number: int = 0
 
 
 class EngineClient:
@@ -90,9 +94,10 @@
         headers: Mapping[str, str],
         timeout_s: float,
         is_fresh: bool,
+        on_connect: Callable[[Callable[[], None]], None] | None = None,
     ) -> HttpStream:
         """Send a caller's request and return the answer with its body unread."""
-        return self._http.open("POST", path, body, headers, timeout_s, is_fresh)
+        return self._http.open("POST", path, body, headers, timeout_s, is_fresh, on_connect)
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -9,6 +9,7 @@
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Positive = Annotated[float, Meta(ge=0.001)]
+NotNegative = Annotated[float, Meta(ge=0.0)]
 Count = Annotated[int, Meta(ge=1)]
 
 
@@ -39,11 +40,15 @@
 
 @dataclass(frozen=True)
 class UpstreamSettings:
-    """The upstream beside an agent and the service that it belongs to."""
+    """The upstream beside an agent and the service that it belongs to.
+
+    `busy_means_not_run` tells that its 429 and 503 prove that a request did not start.
+    """
 
     url: str
     service: str
     concurrency: Count = 32
+    busy_means_not_run: bool = False
 
 
 @dataclass(frozen=True)
@@ -57,13 +62,14 @@
 
 @dataclass(frozen=True)
 class MembershipSettings:
-    """Intervals of the heartbeat and of the platform's list."""
+    """Intervals of the heartbeat and of the platform's list, and peers to try without it."""
 
     heartbeat_s: Positive = 1.0
     suspect_after_s: Positive = 3.0
     list_interval_s: Positive = 5.0
     poll_interval_s: Positive = 1.0
     isolation_grace_s: Positive = 30.0
+    seeds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -73,9 +79,18 @@
     body_kib: Count = 1024
     longest_deadline_s: Positive = 120.0
     default_deadline_s: Positive = 30.0
+    balancer_lag_s: NotNegative = 5.0
     threads: Count = 64
 
 
+@dataclass(frozen=True)
+class RoutingSettings:
+    """How an entry queues requests and chooses replicas; the other policies are baselines."""
+
+    policy: Literal["adaptive", "first_come", "least_outstanding", "round_robin"] = "adaptive"
+    subset: Count = 24
+
+
 @dataclass(frozen=True)
 class SecuritySettings:
     """Paths of key and credential files; empty means that the feature is off."""
@@ -99,4 +114,5 @@
     links: LinkSettings = LinkSettings()
     membership: MembershipSettings = MembershipSettings()
     limits: LimitSettings = LimitSettings()
+    routing: RoutingSettings = RoutingSettings()
     security: SecuritySettings = SecuritySettings()
--- a/hibiscustray/settings/reading.py
+++ b/hibiscustray/settings/reading.py
@@ -14,6 +14,7 @@
     MembershipSettings,
     PlatformSettings,
     ProcessSettings,
+    RoutingSettings,
     SecuritySettings,
     Settings,
     UpstreamSettings,
@@ -28,6 +29,7 @@
     "links": LinkSettings,
     "membership": MembershipSettings,
     "limits": LimitSettings,
+    "routing": RoutingSettings,
     "security": SecuritySettings,
 }
 REQUIRED = ("process", "platform")
