--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -131,6 +131,18 @@
     sys.exit(run_command(**options))
 
 
+@bench.command()
+@click.option("--entry-pid", type=int, required=True, help="Process id of an idle entry.")
+@click.option("--agent-pid", type=int, required=True, help="Process id of an idle agent.")
+@click.option("--seconds", type=float, default=20.0, show_default=True, help="Time to watch.")
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def idle(entry_pid: int, agent_pid: int, seconds: float, is_json: bool) -> None:
+    """Measure memory and processor time of a running entry and agent."""
+    from hibiscustray.commands.bench_idle import run_idle
+
+    sys.exit(run_idle(entry_pid, agent_pid, seconds, is_json))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
--- a/hibiscustray/commands/operating.py
+++ b/hibiscustray/commands/operating.py
@@ -15,7 +15,6 @@
 from hibiscustray.exceptions import NoConfiguration
 from hibiscustray.operator import Operator, ProcessStatus, SiteStatus, read_deployment_text
 from hibiscustray.settings import load_operator_settings
-from hibiscustray.weights.manifest import DEFAULT_CHUNK_B
 
 DIGEST_SHOWN = 12
 IN_FORCE_POLL_S = 0.2
@@ -78,7 +77,7 @@
 
 def publish_file(settings: Path, file: Path, path: str, chunk_kib: int, base: str) -> int:
     """Hash a weights file, store its manifest and print the digest."""
-    chunk_size = chunk_kib * 1024 if chunk_kib else DEFAULT_CHUNK_B
+    chunk_size = chunk_kib * 1024 if chunk_kib else None
     click.echo(_load(settings).publish(file, path, chunk_size, base))
     return 0
 
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -305,5 +305,9 @@
     exit_code = 6
 
 
+class ProcessMissing(HibiscustrayError):
+    """There is no process of that id on this machine."""
+
+
 class ShareExhausted(HibiscustrayError):
     """A bounded resource has no room left."""
