Measures what streams cost an entry and its agent; mends what merges left behind

Cause: the two-year target is tokens a second, and nothing measured the cost of one. bench stream reads the kernel's accounts of a running entry and agent while streams pass.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 BINARY_ROOT ?= /dev/shm/hibiscustray
 
-.PHONY: venv demo test lint format example-trust example-cairnbeam bench-idle binary binary-check
+.PHONY: venv demo test lint format example-trust example-cairnbeam bench-idle bench-stream binary binary-check
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -34,7 +34,10 @@
 	PYTHON=$(BIN)/python examples/run.sh examples/cairnbeam $(BIN)/hibiscustray
 
 bench-idle: venv
-	PYTHON=$(BIN)/python examples/measure_idle.sh examples/trust $(BIN)/hibiscustray
+	PYTHON=$(BIN)/python examples/measure.sh examples/trust idle $(BIN)/hibiscustray
+
+bench-stream: venv
+	PYTHON=$(BIN)/python examples/measure.sh examples/trust stream $(BIN)/hibiscustray
 
 binary: venv
 	rm -rf build/runtime
--- a/examples/measure_idle.sh
+++ b/examples/measure.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
 # Starts the platform's stand-in, one engine, one agent and one entry, lets them come to rest with
-# a version in force, and measures what the idle entry and agent take.
-# Usage: measure_idle.sh FOLDER [HIBISCUSTRAY] [SECONDS]
+# a version in force, and measures what the entry and agent take when idle or when streaming.
+# Usage: measure.sh FOLDER idle|stream [HIBISCUSTRAY] [SECONDS]
 set -euo pipefail
 example=$(cd "$1" && pwd)
-command=${2:-hibiscustray}
-seconds=${3:-20}
+load=$2
+command=${3:-hibiscustray}
+seconds=${4:-20}
 python=${PYTHON:-python3}
 settings=$example/settings
 operator=$settings/operator.ini
@@ -41,4 +42,13 @@
 digest=$($command publish --settings "$operator" --path model/1 "$example/run/model-1.bin")
 $command apply --settings "$operator" "$example/deployment.py" version-1 "$digest" >&2
 sleep 8
-$command bench idle --entry-pid "$entry_pid" --agent-pid "$agent_pid" --seconds "$seconds" --json
+processes=(--entry-pid "$entry_pid" --agent-pid "$agent_pid")
+if [ "$load" = idle ]; then
+  $command bench idle "${processes[@]}" --seconds "$seconds" --json
+else
+  sed -n '2s/.* = //p' "$example/run/keys.ini" >"$example/run/team.key"
+  port=$(sed -n 's/^http_port = //p' "$settings/entry-0.ini")
+  service=$(sed -n 's/^service = //p' "$settings/$agent.ini")
+  $command bench stream "${processes[@]}" --seconds "$seconds" --json --service "$service" \
+    --entry-url "http://127.0.0.1:$port" --team-key "$example/run/team.key"
+fi
--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -131,6 +131,23 @@
     sys.exit(run_command(**options))
 
 
+@bench.command("stream")
+@click.option("--entry-url", "url", required=True, help="URL of a running entry.")
+@click.option("--team-key", "key_file", type=FILE, required=True, help="File with a team's key.")
+@click.option("--service", default="guide-llm", show_default=True)
+@click.option("--entry-pid", type=int, required=True)
+@click.option("--agent-pid", type=int, required=True)
+@click.option("--streams", type=click.IntRange(1), default=16, show_default=True)
+@click.option("--tokens", type=click.IntRange(1), default=64, show_default=True)
+@click.option("--seconds", type=float, default=10.0, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_stream(key_file: Path, is_json: bool, **options) -> None:
+    """Measure what streams through a running entry and agent cost them."""
+    from hibiscustray.commands.bench_stream import run_bench_stream
+
+    sys.exit(run_bench_stream(key_file, is_json, **options))
+
+
 @bench.command()
 @click.option("--entry-pid", type=int, required=True, help="Process id of an idle entry.")
 @click.option("--agent-pid", type=int, required=True, help="Process id of an idle agent.")
--- a/hibiscustray/commands/bench_idle.py
+++ b/hibiscustray/commands/bench_idle.py
@@ -2,20 +2,14 @@
 
 from __future__ import annotations
 
-import os
 import time
 from dataclasses import dataclass
-from pathlib import Path
 
 import click
 import msgspec
 
-from hibiscustray.exceptions import ProcessMissing
+from hibiscustray.benchmarks.processes import read_cpu_s, read_rss_mib
 
-RSS_FIELD = "VmRSS"
-USER_TICKS_INDEX = 11
-SYSTEM_TICKS_INDEX = 12
-KIB_PER_MIB = 1024
 PERCENT = 100.0
 
 
@@ -51,26 +45,5 @@
     return 0
 
 
-def read_rss_mib(pid: int) -> float:
-    """Return the resident memory of a process."""
-    lines = _read_account(pid, "status").splitlines()
-    line = next(line for line in lines if line.startswith(RSS_FIELD))
-    return round(int(line.split()[1]) / KIB_PER_MIB, 1)
-
-
-def read_cpu_s(pid: int) -> float:
-    """Return the processor time that a process has used so far."""
-    fields = _read_account(pid, "stat").rsplit(")", 1)[1].split()
-    ticks = int(fields[USER_TICKS_INDEX]) + int(fields[SYSTEM_TICKS_INDEX])
-    return ticks / os.sysconf("SC_CLK_TCK")
-
-
 def _to_percent(cpu_s: float, elapsed_s: float) -> float:
     return round(PERCENT * cpu_s / elapsed_s, 2)
-
-
-def _read_account(pid: int, name: str) -> str:
-    try:
-        return Path(f"/proc/{pid}/{name}").read_text()
-    except OSError as error:
-        raise ProcessMissing(f"there is no process {pid}") from error
--- a/hibiscustray/commands/standing.py
+++ b/hibiscustray/commands/standing.py
@@ -10,7 +10,9 @@
     load_platform_standin,
     load_service_standin,
 )
+from hibiscustray.settings.standins import EngineStandInSettings
 from hibiscustray.standins import EngineStandIn, PlatformStandIn, ServiceStandIn
+from hibiscustray.standins.batching import EnginePace
 from hibiscustray.telemetry import configure_logs
 from hibiscustray.web import make_client_context
 
@@ -32,16 +34,18 @@
 
 def run_engine(path: Path) -> None:
     """Run an engine's stand-in."""
-    settings = load_engine_standin(path)
-    engine = EngineStandIn(
+    _run(build_engine(load_engine_standin(path)), "engine")
+
+
+def build_engine(settings: EngineStandInSettings) -> EngineStandIn:
+    """Wire an engine's stand-in."""
+    return EngineStandIn(
         settings.address,
         settings.port,
-        settings.step_ms / MS_PER_S,
-        settings.max_batch,
+        EnginePace(step_s=settings.step_ms / MS_PER_S, max_batch=settings.max_batch),
         settings.checks_fencing,
         context=make_client_context(settings.http_authority),
     )
-    _run(engine, "engine")
 
 
 def run_service(path: Path) -> None:
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -73,6 +73,11 @@
         router.add("GET", "/records", lambda _: Response.json(self.records))
         self._http = HttpServer(router, address, port, threads)
 
+    @property
+    def pace(self) -> EnginePace:
+        """Return how long a step takes and how much runs at once."""
+        return self._batch.pace
+
     @property
     def url(self) -> str:
         """Return the base URL."""
