--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -173,27 +173,27 @@
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def platform(settings: Path) -> None:
     """Run the platform's stand-in: table, object store, VM list and origin."""
-    from hibiscustray.commands.standing import run_platform
+    from hibiscustray.commands.standing import build_platform, run_standin
 
-    run_platform(settings)
+    run_standin(build_platform(settings), "platform")
 
 
 @standin.command()
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def engine(settings: Path) -> None:
     """Run a model engine's stand-in."""
-    from hibiscustray.commands.standing import run_engine
+    from hibiscustray.commands.standing import build_engine, run_standin
 
-    run_engine(settings)
+    run_standin(build_engine(settings), "engine")
 
 
 @standin.command()
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def service(settings: Path) -> None:
     """Run a plain service's stand-in."""
-    from hibiscustray.commands.standing import run_service
+    from hibiscustray.commands.standing import build_service, run_standin
 
-    run_service(settings)
+    run_standin(build_service(settings), "service")
 
 
 @standin.command()
--- a/hibiscustray/commands/standing.py
+++ b/hibiscustray/commands/standing.py
@@ -11,14 +11,17 @@
     load_service_standin,
 )
 from hibiscustray.standins import EngineStandIn, PlatformStandIn, ServiceStandIn
+from hibiscustray.standins.batching import EnginePace
 from hibiscustray.telemetry import configure_logs
 from hibiscustray.web import make_client_context
 
 MS_PER_S = 1000.0
 
+StandIn = PlatformStandIn | EngineStandIn | ServiceStandIn
 
-def run_platform(path: Path) -> None:
-    """Run the platform's stand-in with the files and VMs that its settings list."""
+
+def build_platform(path: Path) -> PlatformStandIn:
+    """Build the platform's stand-in with the files and VMs that its settings list."""
     settings = load_platform_standin(path)
     files = {file.path: path.parent / file.file for file in settings.files}
     listen = settings.platform
@@ -27,30 +30,29 @@
     )
     for machine in settings.machines:
         platform.add_machine(machine.name, machine.availability_zone, machine.peer_address)
-    _run(platform, "platform")
+    return platform
 
 
-def run_engine(path: Path) -> None:
-    """Run an engine's stand-in."""
+def build_engine(path: Path) -> EngineStandIn:
+    """Build an engine's stand-in."""
     settings = load_engine_standin(path)
-    engine = EngineStandIn(
+    return EngineStandIn(
         settings.address,
         settings.port,
-        settings.step_ms / MS_PER_S,
-        settings.max_batch,
-        settings.checks_fencing,
+        EnginePace(step_s=settings.step_ms / MS_PER_S, max_batch=settings.max_batch),
+        checks_fencing=settings.checks_fencing,
         context=make_client_context(settings.http_authority),
     )
-    _run(engine, "engine")
 
 
-def run_service(path: Path) -> None:
-    """Run a plain service's stand-in."""
+def build_service(path: Path) -> ServiceStandIn:
+    """Build a plain service's stand-in."""
     settings = load_service_standin(path)
-    _run(ServiceStandIn(settings.address, settings.port, settings.delay_ms / MS_PER_S), "service")
+    return ServiceStandIn(settings.address, settings.port, delay_s=settings.delay_ms / MS_PER_S)
 
 
-def _run(standin: PlatformStandIn | EngineStandIn | ServiceStandIn, name: str) -> None:
+def run_standin(standin: StandIn, name: str) -> None:
+    """Run a stand-in until a signal."""
     configure_logs(name)
     standin.start()
     wait_for_signal()
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -19,6 +19,7 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher
 
+from hibiscustray.exceptions import SettingsError
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.tls import TlsTerminator
 
@@ -269,7 +270,12 @@
 def _listen(address: str, port: int) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address, port))
+    try:
+        listener.bind((address, port))
+    except OSError as error:
+        listener.close()
+        problem = f"address {address}, port {port}: found {error.strerror}; allowed: a free port"
+        raise SettingsError((problem,)) from error
     return listener
 
 
