--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -274,7 +274,7 @@
         listener.bind((address, port))
     except OSError as error:
         listener.close()
-        problem = f"HTTP port: found {address}:{port}; allowed: a free port of this VM"
+        problem = f"address {address}, port {port}: found {error.strerror}; allowed: a free port"
         raise SettingsError((problem,)) from error
     return listener
 
