--- a/hibiscustray/benchmarks/configuration.py
+++ b/hibiscustray/benchmarks/configuration.py
@@ -27,6 +27,7 @@
 IN_FORCE_LIMIT_S = 15.0
 LONGEST_IN_FORCE_S = 6.0
 POLL_S = 0.02
+JOIN_POLL_S = 0.5
 COST_WINDOW_S = 8.0
 SIZE_SHARES = (4, 2)
 CALL_OVERHEAD_B = 330
@@ -135,7 +136,7 @@
             is_whole = all(node.view.count() == len(nodes) for node in nodes)
             if is_whole and all(node.configuration.is_justified() for node in nodes):
                 return
-            time.sleep(POLL_S)
+            time.sleep(JOIN_POLL_S)
 
     def _change(self, fleet: Fleet, injector: FaultInjector, index: int) -> None:
         head = _open_store(fleet).read_head()
--- a/hibiscustray/benchmarks/configuration_fleet.py
+++ b/hibiscustray/benchmarks/configuration_fleet.py
@@ -12,9 +12,9 @@
 
 ADDRESS = "127.0.0.1"
 ORIGIN_MBIT_S = 100.0
-WATCH_INTERVAL_S = 0.05
+WATCH_INTERVAL_S = 0.2
 START_BATCH = 20
-START_GAP_S = 0.1
+START_GAP_S = 0.5
 SETTINGS = MembershipSettings()
 
 
