--- a/hibiscustray/deployments/revisions.py
+++ b/hibiscustray/deployments/revisions.py
@@ -6,6 +6,7 @@
 import logging
 import time
 import uuid
+from collections.abc import Sequence
 from typing import Literal
 
 import msgspec
@@ -102,6 +103,32 @@
             return self._resolve(revision, error)
         return revision
 
+    def restore(self, revisions: Sequence[Revision]) -> None:
+        """Write a snapshot's revisions into an empty table; raise `RevisionConflict` otherwise.
+
+        Rows that an earlier, broken-off restore has written are kept; the head comes last.
+        """
+        head = self.read_head()
+        if head is not None:
+            raise RevisionConflict(head.number, head.operator)
+        for revision in revisions:
+            self._restore_past(revision)
+        if revisions:
+            last = revisions[-1]
+            row = Row(HEAD_PARTITION, HEAD_SORT, last.number, msgspec.msgpack.encode(last))
+            self._table.transact(uuid.uuid4().hex, [Put(row, 0)])
+
+    def _restore_past(self, revision: Revision) -> None:
+        body = msgspec.msgpack.encode(revision)
+        sort = _history_sort(revision.number)
+        past = Row(HISTORY_PARTITION, sort, revision.number, body)
+        fate = _make_fate_row(revision.change_id, ChangeFate("accepted"))
+        try:
+            self._table.transact(uuid.uuid4().hex, [Put(past, 0), Put(fate, 0)])
+        except PreconditionFailed:
+            if self.read(revision.number) != revision:
+                raise
+
     def _resolve(self, revision: Revision, cause: Exception) -> Revision:
         """Make a change's fate certain, then report it."""
         retrying = Retrying(
--- /dev/null
+++ b/hibiscustray/deployments/snapshots.py
@@ -0,0 +1,95 @@
+"""Versioned, checksummed snapshots of the accepted revisions in the object store.
+
+The table holds the truth. A snapshot lets operators restore a table that was lost.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+
+import msgspec
+
+from hibiscustray.deployments.revisions import Revision
+from hibiscustray.exceptions import RecordInvalid
+from hibiscustray.platform import ObjectStore
+
+MAGIC = b"HTSN"
+PLAIN = 1
+DEFLATED = 2
+NEWEST = DEFLATED
+HEADER_B = len(MAGIC) + 1
+CHECKSUM_B = 32
+LARGEST_B = 256 * 1024 * 1024
+LATEST_KEY = "snapshots/revisions/latest"
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """All accepted revisions up to a number, oldest first."""
+
+    taken_at: float
+    revisions: tuple[Revision, ...]
+
+
+def encode_snapshot(snapshot: Snapshot, version: int = NEWEST) -> bytes:
+    """Encode a snapshot: magic, version, SHA-256 of the content, content."""
+    content = msgspec.msgpack.encode(snapshot)
+    if version == DEFLATED:
+        content = zlib.compress(content)
+    return MAGIC + bytes([version]) + hashlib.sha256(content).digest() + content
+
+
+def decode_snapshot(body: bytes) -> Snapshot:
+    """Decode a snapshot of any version; raise `RecordInvalid`."""
+    header, checksum = body[:HEADER_B], body[HEADER_B : HEADER_B + CHECKSUM_B]
+    content = body[HEADER_B + CHECKSUM_B :]
+    if header not in (MAGIC + bytes([PLAIN]), MAGIC + bytes([DEFLATED])):
+        raise RecordInvalid("not a snapshot, or one of a later version")
+    if hashlib.sha256(content).digest() != checksum:
+        raise RecordInvalid("the snapshot's checksum does not match")
+    plain = _inflate(content) if header[-1] == DEFLATED else content
+    try:
+        snapshot = msgspec.msgpack.decode(plain, type=Snapshot)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordInvalid(f"unreadable snapshot: {error}") from error
+    _check_numbers(snapshot)
+    return snapshot
+
+
+class SnapshotStore:
+    """Writes and reads snapshots in the object store."""
+
+    def __init__(self, objects: ObjectStore) -> None:
+        self._objects = objects
+
+    def write(self, snapshot: Snapshot) -> str:
+        """Write a snapshot under its last number, then as the latest; return its key.
+
+        Raises `StoreUnavailable` or `StoreAnswerLost`; writing again is harmless.
+        """
+        body = encode_snapshot(snapshot)
+        key = f"snapshots/revisions/{len(snapshot.revisions):012d}"
+        self._objects.put(key, body)
+        self._objects.put(LATEST_KEY, body)
+        return key
+
+    def read(self, key: str = LATEST_KEY) -> Snapshot:
+        """Return a snapshot; raise `ObjectMissing`, `StoreUnavailable` or `RecordInvalid`."""
+        return decode_snapshot(self._objects.get(key))
+
+
+def _inflate(content: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(content, LARGEST_B)
+    except zlib.error as error:
+        raise RecordInvalid(f"broken compression: {error}") from error
+    if not inflater.eof:
+        raise RecordInvalid("the snapshot is cut or too large")
+    return plain
+
+
+def _check_numbers(snapshot: Snapshot) -> None:
+    numbers = [revision.number for revision in snapshot.revisions]
+    if numbers != list(range(1, len(numbers) + 1)):
+        raise RecordInvalid("the snapshot's revisions are not numbered from one without gaps")
--- /dev/null
+++ b/tests/deployments/test_snapshots.py
@@ -0,0 +1,93 @@
+"""Snapshots of revisions: both versions, damage, and restoring a lost table."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscustray.deployments import Revision, RevisionStore
+from hibiscustray.deployments.snapshots import (
+    DEFLATED,
+    MAGIC,
+    PLAIN,
+    Snapshot,
+    SnapshotStore,
+    decode_snapshot,
+    encode_snapshot,
+)
+from hibiscustray.exceptions import RecordInvalid, RevisionConflict
+from hibiscustray.platform import ObjectStore, Table
+from hibiscustray.standins.platform import PlatformStandIn
+
+ADDRESS = "127.0.0.1"
+TIMEOUT_S = 2.0
+VERSIONS = (PLAIN, DEFLATED)
+
+
+def make_snapshot(texts: list[str]) -> Snapshot:
+    """Return a snapshot with one revision for each text."""
+    revisions = (
+        Revision(number, text, "ana", f"change-{number}", 1.5)
+        for number, text in enumerate(texts, 1)
+    )
+    return Snapshot(2.5, tuple(revisions))
+
+
+@pytest.fixture
+def platform():
+    standin = PlatformStandIn(ADDRESS, 0, 0, 100.0, {})
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@given(st.lists(st.text(), max_size=5), st.sampled_from(VERSIONS))
+def test_both_versions_are_read(texts, version):
+    snapshot = make_snapshot(texts)
+    assert decode_snapshot(encode_snapshot(snapshot, version)) == snapshot
+
+
+@given(st.sampled_from(VERSIONS), st.data())
+def test_any_changed_byte_is_noticed(version, data):
+    body = bytearray(encode_snapshot(make_snapshot(["a", "b"]), version))
+    position = data.draw(st.integers(0, len(body) - 1))
+    body[position] ^= data.draw(st.integers(1, 255))
+    with pytest.raises(RecordInvalid):
+        decode_snapshot(bytes(body))
+
+
+@given(st.sampled_from([b"", MAGIC, *(MAGIC + bytes([v]) for v in (0, 1, 2, 3))]), st.binary())
+def test_any_bytes_with_a_right_checksum_give_a_typed_error(prefix, content):
+    for body in (prefix + content, prefix + hashlib.sha256(content).digest() + content):
+        with pytest.raises(RecordInvalid):
+            decode_snapshot(body)
+
+
+def test_a_gap_in_the_numbers_is_refused():
+    whole = make_snapshot(["a", "b", "c"])
+    with pytest.raises(RecordInvalid):
+        decode_snapshot(encode_snapshot(Snapshot(1.0, whole.revisions[1:])))
+
+
+def test_a_lost_table_is_restored_and_goes_on(platform):
+    snapshots = SnapshotStore(ObjectStore(platform.url, TIMEOUT_S))
+    snapshot = make_snapshot(["a", "b"])
+    assert snapshots.read(snapshots.write(snapshot)) == snapshot
+    store = RevisionStore(Table(platform.url, TIMEOUT_S))
+    store.restore(snapshots.read().revisions)
+    assert store.read_history() == list(snapshot.revisions)
+    assert store.accept("c", "ben", 2, uuid.uuid4().hex).number == 3
+    with pytest.raises(RevisionConflict):
+        store.restore(snapshot.revisions)
+
+
+def test_a_restore_that_broke_off_is_finished_by_the_next(platform):
+    store = RevisionStore(Table(platform.url, TIMEOUT_S))
+    revisions = make_snapshot(["a", "b", "c"]).revisions
+    store._restore_past(revisions[0])
+    store.restore(revisions)
+    assert store.read_history() == list(revisions)
