--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -262,6 +262,25 @@
     sys.exit(roll_back(settings, revision))
 
 
+@cli.command()
+@OPERATOR
+def snapshot(settings: Path) -> None:
+    """Write all accepted revisions to the object store and print the snapshot's key."""
+    from hibiscustray.commands.operating import save_snapshot
+
+    sys.exit(save_snapshot(settings))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--key", default="snapshots/revisions/latest", show_default=True)
+def restore(settings: Path, key: str) -> None:
+    """Write a snapshot's revisions into an empty table."""
+    from hibiscustray.commands.operating import restore_snapshot
+
+    sys.exit(restore_snapshot(settings, key))
+
+
 @cli.command()
 @OPERATOR
 @click.option("--path", required=True, help="Path under which the origin serves the file.")
--- a/hibiscustray/commands/operating.py
+++ b/hibiscustray/commands/operating.py
@@ -76,6 +76,18 @@
     return 0
 
 
+def save_snapshot(settings: Path) -> int:
+    """Write all accepted revisions to the object store and print the snapshot's key."""
+    click.echo(_load(settings).save_snapshot())
+    return 0
+
+
+def restore_snapshot(settings: Path, key: str) -> int:
+    """Write a snapshot into an empty table."""
+    click.echo(f"revision {_load(settings).restore_snapshot(key)} restored")
+    return 0
+
+
 def publish_file(settings: Path, file: Path, path: str, chunk_kib: int, base: str) -> int:
     """Hash a weights file, store its manifest and print the digest."""
     chunk_size = chunk_kib * 1024 if chunk_kib else DEFAULT_CHUNK_B
--- a/hibiscustray/operator/client.py
+++ b/hibiscustray/operator/client.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 import uuid
 from collections.abc import Callable
 from pathlib import Path
 
 from hibiscustray.deployments import Revision, RevisionStore, parse_deployment
+from hibiscustray.deployments.snapshots import LATEST_KEY, Snapshot, SnapshotStore
 from hibiscustray.operator.objects import DeploymentPlan
 from hibiscustray.platform import ObjectStore, Table
 from hibiscustray.weights import build_manifest, publish_weights
@@ -61,6 +63,17 @@
             self._spread(revision)
         return revision
 
+    def save_snapshot(self) -> str:
+        """Write all accepted revisions to the object store and return the snapshot's key."""
+        revisions = tuple(self._revisions.read_history())
+        return SnapshotStore(self._objects).write(Snapshot(time.time(), revisions))
+
+    def restore_snapshot(self, key: str = LATEST_KEY) -> int:
+        """Write a snapshot into an empty table and return its last revision's number."""
+        snapshot = SnapshotStore(self._objects).read(key)
+        self._revisions.restore(snapshot.revisions)
+        return len(snapshot.revisions)
+
     def roll_back(self, number: int) -> Revision:
         """Put the text of an earlier revision in force as a new revision."""
         return self.apply(self._revisions.read(number).text)
--- a/tests/deployments/test_snapshots.py
+++ b/tests/deployments/test_snapshots.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hibiscustray.deployments import Revision, RevisionStore
+from hibiscustray.deployments import Deployment, Revision, RevisionStore, render_deployment
 from hibiscustray.deployments.snapshots import (
     DEFLATED,
     MAGIC,
@@ -20,6 +20,7 @@
     encode_snapshot,
 )
 from hibiscustray.exceptions import RecordInvalid, RevisionConflict
+from hibiscustray.operator import Operator
 from hibiscustray.platform import ObjectStore, Table
 from hibiscustray.standins.platform import PlatformStandIn
 
@@ -91,3 +92,17 @@
     store._restore_past(revisions[0])
     store.restore(revisions)
     assert store.read_history() == list(revisions)
+
+
+def test_the_operator_saves_and_restores(platform):
+    operator = Operator("ana", platform.url, platform.url)
+    revision = operator.apply(render_deployment(Deployment("trust")))
+    key = operator.save_snapshot()
+    other = PlatformStandIn(ADDRESS, 0, 0, 100.0, {})
+    other.start()
+    try:
+        successor = Operator("ben", other.url, platform.url)
+        assert successor.restore_snapshot(key) == 1
+        assert successor.read() == revision
+    finally:
+        other.stop()
