--- a/hibiscustray/deployments/justification.py
+++ b/hibiscustray/deployments/justification.py
@@ -75,7 +75,7 @@
             self._review(held)
 
     def _review(self, held: int) -> None:
-        if self._is_established or held == 0:
+        if self._is_established or (held == 0 and self._store_number is None):
             return
         numbers = [number for number, _ in self._heard.values()]
         if held < max([self._store_number or 0, *numbers]):
--- a/hibiscustray/membership/polling.py
+++ b/hibiscustray/membership/polling.py
@@ -107,11 +107,10 @@
             return
         self._failures = 0
         self._metrics.count("store_reads_total")
-        if head is None:
-            return
-        if head.number > self._configuration.number and self._configuration.adopt(head):
+        number = head.number if head else 0
+        if number > self._configuration.number and self._configuration.adopt(head):
             self._announcer.note_adopted()
-        self._configuration.justification.note_store(head.number, self._configuration.number)
+        self._configuration.justification.note_store(number, self._configuration.number)
 
     def _note_failure(self) -> None:
         """Wait twice as long after each failure in a row, with full jitter."""
--- a/tests/deployments/test_justification.py
+++ b/tests/deployments/test_justification.py
@@ -110,3 +110,22 @@
     justification.note_store(5, held=5)
     justification.revoke()
     assert not justification.holds()
+
+
+def test_a_fleet_that_knows_the_store_to_be_empty_serves_the_first_revision_at_once(clock):
+    justification = Justification()
+    justification.expect_peers(1)
+    justification.note_peer("a", 0, False, held=0)
+    justification.note_store(0, held=0)
+    justification.note_peer("a", 1, True, held=1)
+    assert justification.holds()
+
+
+def test_an_empty_process_is_not_established_by_peers_that_hold_more(clock):
+    justification = Justification()
+    justification.expect_peers(1)
+    justification.note_store(0, held=0)
+    justification.note_peer("a", 4, True, held=0)
+    clock.now += 60.0
+    justification.review(held=0)
+    assert not justification.holds()
