--- a/tests/weights/network.py
+++ b/tests/weights/network.py
@@ -48,6 +48,7 @@
         self.corrupting: set[str] = set()
         self.silent: set[str] = set()
         self.file = b""
+        self.other_files: dict[str, bytes] = {}
         self.objects: dict[str, bytes] = {}
         self.is_origin_down = False
         self.draws: list[int] = []
@@ -75,7 +76,7 @@
         if self.is_origin_down:
             raise OriginUnavailable("down")
         self.draws.append(start // CHUNK_B)
-        return self.file[start : start + length]
+        return self.other_files.get(path, self.file)[start : start + length]
 
 
 class Node:
