--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from pathlib import Path
 
@@ -10,6 +11,18 @@
 from hibiscustray import __version__
 from hibiscustray.exceptions import HibiscustrayError
 
+os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
+
+CONFIGURATION_FAULTS = (
+    "none",
+    "store_outage",
+    "lost_answers",
+    "race",
+    "restart",
+    "partition",
+    "pause",
+    "all",
+)
 WEIGHTS_FAULTS = (
     "none",
     "corrupt",
@@ -83,6 +96,41 @@
     sys.exit(run_bench_weights(WeightsOptions(is_json=is_json, plot=plot, **shape)))
 
 
+@bench.command("configuration")
+@click.option("--nodes", type=click.IntRange(1), default=50, show_default=True)
+@click.option("--changes", type=click.IntRange(1), default=5, show_default=True)
+@click.option("--faults", type=click.Choice(CONFIGURATION_FAULTS), default="none")
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of all choices.")
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_configuration(nodes: int, changes: int, faults: str, seed: int, is_json: bool) -> None:
+    """Change the configuration of a fleet under faults and measure it."""
+    from hibiscustray.commands.bench_configuration import (
+        ConfigurationOptions,
+        run_bench_configuration,
+    )
+
+    sys.exit(run_bench_configuration(ConfigurationOptions(nodes, changes, faults, seed, is_json)))
+
+
+@bench.command("requests")
+@click.option("--entries", type=click.IntRange(1), default=2, show_default=True)
+@click.option("--replicas", type=click.IntRange(1), default=6, show_default=True)
+@click.option("--teams", type=click.IntRange(1), default=8, show_default=True)
+@click.option("--rate", type=float, default=24.0, show_default=True, help="Requests a second.")
+@click.option("--rush", default="", metavar="TEAM:FACTOR", help="One team's rate is multiplied.")
+@click.option("--mix", default="", metavar="STREAM:BOOKING", help="Shares; the rest is whole chat.")
+@click.option("--seconds", type=float, default=20.0, show_default=True)
+@click.option("--faults", default="none", show_default=True, help="A fault's name, none or all.")
+@click.option("--policy", default="adaptive", show_default=True, help="Names with commas, or all.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_requests(**options) -> None:
+    """Measure requests under load and faults over engine stand-ins."""
+    from hibiscustray.commands.bench_requests import run_command
+
+    sys.exit(run_command(**options))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
@@ -109,6 +157,137 @@
     """Run a stand-in of the platform, an engine or a plain service."""
 
 
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
+def platform(settings: Path) -> None:
+    """Run the platform's stand-in: table, object store, VM list and origin."""
+    from hibiscustray.commands.standing import run_platform
+
+    run_platform(settings)
+
+
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
+def engine(settings: Path) -> None:
+    """Run a model engine's stand-in."""
+    from hibiscustray.commands.standing import run_engine
+
+    run_engine(settings)
+
+
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
+def service(settings: Path) -> None:
+    """Run a plain service's stand-in."""
+    from hibiscustray.commands.standing import run_service
+
+    run_service(settings)
+
+
+@standin.command()
+@click.option("--settings", type=FILE, required=True, help="INI file of the callers.")
+def callers(settings: Path) -> None:
+    """Send requests until a signal, then count faults; exit 1 if there is any."""
+    from hibiscustray.commands.calling import run_callers
+
+    sys.exit(run_callers(settings))
+
+
+OPERATOR = click.option("--settings", type=FILE, required=True, help="INI file of the operator.")
+ARGUMENTS = click.argument("arguments", nargs=-1)
+
+
+@cli.command()
+@OPERATOR
+@click.option("--expected", type=int, help="Revision that must still be the newest.")
+@click.option("--wait", "wait_s", type=float, default=0.0, help="Seconds to wait until in force.")
+@click.argument("file", type=FILE)
+@ARGUMENTS
+def apply(
+    settings: Path, expected: int | None, wait_s: float, file: Path, arguments: tuple[str, ...]
+) -> None:
+    """Put FILE in force: INI, or a Python program (with its arguments) that prints it."""
+    from hibiscustray.commands.operating import apply_deployment
+
+    sys.exit(apply_deployment(settings, file, arguments, expected, wait_s))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--revision", type=int, default=0, help="Number of the revision; the newest if 0.")
+def show(settings: Path, revision: int) -> None:
+    """Print the INI text of a revision."""
+    from hibiscustray.commands.operating import show_deployment
+
+    sys.exit(show_deployment(settings, revision))
+
+
+@cli.command()
+@OPERATOR
+@click.argument("file", type=FILE)
+@ARGUMENTS
+def diff(settings: Path, file: Path, arguments: tuple[str, ...]) -> None:
+    """Print what applying FILE would change; exit 1 if anything."""
+    from hibiscustray.commands.operating import show_difference
+
+    sys.exit(show_difference(settings, file, arguments))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def status(settings: Path, is_json: bool) -> None:
+    """Compare the newest revision with what each process follows; exit 1 on drift."""
+    from hibiscustray.commands.operating import show_status
+
+    sys.exit(show_status(settings, is_json))
+
+
+@cli.command()
+@OPERATOR
+def history(settings: Path) -> None:
+    """Print all accepted revisions."""
+    from hibiscustray.commands.operating import show_history
+
+    sys.exit(show_history(settings))
+
+
+@cli.command()
+@OPERATOR
+@click.argument("revision", type=int)
+def rollback(settings: Path, revision: int) -> None:
+    """Put the text of an earlier REVISION in force as a new revision."""
+    from hibiscustray.commands.operating import roll_back
+
+    sys.exit(roll_back(settings, revision))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--path", required=True, help="Path under which the origin serves the file.")
+@click.option("--chunk-kib", type=int, default=0, help="Chunk size in KiB; the default if 0.")
+@click.option("--base", default="", help="Digest of the model that an adapter fits.")
+@click.argument("file", type=FILE)
+def publish(settings: Path, path: str, chunk_kib: int, base: str, file: Path) -> None:
+    """Hash a weights FILE, store its manifest and print the version's digest."""
+    from hibiscustray.commands.operating import publish_file
+
+    sys.exit(publish_file(settings, file, path, chunk_kib, base))
+
+
+KINDS = ("entry", "agent", "operator", "deployment", "platform", "engine", "service", "callers")
+
+
+@cli.command()
+@click.option("--kind", type=click.Choice(KINDS), required=True, help="What the files are.")
+@click.argument("files", nargs=-1, type=FILE, required=True)
+def check(kind: str, files: tuple[Path, ...]) -> None:
+    """Check settings or deployment FILES without the network."""
+    from hibiscustray.commands.checking import check_files
+
+    sys.exit(check_files(kind, files))
+
+
 def main() -> None:
     """Run the command line; a failure ends with its type's exit code."""
     try:
--- a/hibiscustray/agent/deployer.py
+++ b/hibiscustray/agent/deployer.py
@@ -142,6 +142,9 @@
         current = self._find_target()
         return current is not None and current.digests == target.digests
 
+    def _may_load(self, target: Target) -> bool:
+        return self._configuration.is_justified() and self._is_wanted(target)
+
     def _close_gap(self) -> None:
         target = self._find_target()
         if target is None:
@@ -213,6 +216,8 @@
 
     def _activate(self, target: Target) -> None:
         """Swap under a wave slot, which is kept while the engine cannot serve."""
+        if not self._may_load(target):
+            raise ActivationAbandoned("the configuration is not justified")
         is_swap = self._state.digest is not None or self._slot is not None
         if self._slot is not None and not self._slot.is_valid():
             self._release_slot()
@@ -226,7 +231,7 @@
         try:
             if not self._state.wait_until_idle(DRAIN_LIMIT_S):
                 raise ActivationAbandoned("attempts still run")
-            self._activation.load(target, self._slot, lambda: self._is_wanted(target))
+            self._activation.load(target, self._slot, lambda: self._may_load(target))
         except ActivationAbandoned:
             self._resume()
             raise
--- a/hibiscustray/benchmarks/weights.py
+++ b/hibiscustray/benchmarks/weights.py
@@ -8,13 +8,13 @@
 from dataclasses import dataclass
 
 from hibiscustray.benchmarks.baselines import run_origin_baseline, run_tree_baseline
-from hibiscustray.benchmarks.faults import FaultSchedule, Target
 from hibiscustray.benchmarks.fleet import (
     VM_COPIES_A_WINDOW,
     WINDOW_S,
     Fleet,
     FleetShape,
 )
+from hibiscustray.benchmarks.weights_faults import FaultSchedule, Target
 from hibiscustray.weights.manifest import choose_chunk_size
 
 PATH = "guide/weights"
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -8,29 +8,55 @@
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
+from hibiscustray.agent.keyed import KeyedRequests
+from hibiscustray.agent.outcomes import OutcomeWriter
 from hibiscustray.agent.state import ServingState
-from hibiscustray.deployments import Configuration, RevisionStore
-from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
+from hibiscustray.deployments import (
+    Configuration,
+    Justification,
+    Revision,
+    RevisionStore,
+    load_operator_keys,
+)
+from hibiscustray.entry import Attempter, Dispatcher, EntryApplication, EntryProcess, TicketOffice
 from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.membership import Exchange, MemberView
-from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply
-from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION
+from hibiscustray.membership import Exchange, MemberView, spread_revision
+from hibiscustray.operator import Operator, SiteStatus, read_status
+from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
+from hibiscustray.peers.codec import (
+    ATTEMPT,
+    CHUNK,
+    EXCHANGE,
+    HOLDINGS,
+    MANIFEST,
+    PROBE,
+    PUSH,
+    REVISION,
+    STATUS,
+    SYNC,
+    TICKET,
+)
+from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
+from hibiscustray.peers.packing import NEWEST
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
-from hibiscustray.requests import Ledger
+from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
-from hibiscustray.routing import ReplicaChooser
-from hibiscustray.settings import Settings
+from hibiscustray.routing import Admission, ReplicaChooser, make_policy
+from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
-from hibiscustray.web import HttpServer, Response, Router
+from hibiscustray.web import HttpServer, Response, Router, make_server_context
 from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry, TransferEnvironment
 
 AGENT_HTTP_THREADS = 4
+AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
-MIB = 1024 * 1024
+EXCHANGE_CHANNELS = 16
+KIB = 1024
+MIB = 1024 * KIB
 MS_PER_S = 1000
 
 
@@ -42,6 +68,35 @@
     table: Table
     configuration: Configuration
     peers: PeerPool
+    credentials: PeerCredentials
+
+
+def build_operator(settings: OperatorSettings) -> Operator:
+    """Wire an operator's client."""
+    platform = settings.platform
+    return Operator(
+        settings.operator.name,
+        platform.table_url,
+        platform.object_url,
+        settings.key,
+        platform.timeout_s,
+        _build_spread(settings),
+    )
+
+
+def _build_spread(settings: OperatorSettings) -> Callable[[Revision], object]:
+    """Wire the handing over of accepted revisions to several processes."""
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    credentials = load_peer_credentials(settings.security)
+    return lambda revision: spread_revision(revision, machines, PeerPool(credentials.channel))
+
+
+def build_status_reader(settings: OperatorSettings) -> Callable[[], SiteStatus]:
+    """Wire the reading of a site's status."""
+    operator = build_operator(settings)
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    peers = PeerPool(load_peer_credentials(settings.security).channel)
+    return lambda: read_status(operator.read(), machines, peers)
 
 
 def _keep(part):
@@ -62,23 +117,25 @@
 def build_entry(settings: Settings) -> EntryProcess:
     """Wire an entry."""
     core = _build_core(settings)
-    exchange_slot = _ExchangeSlot(core.configuration)
+    exchange_slot = _ExchangeSlot()
     peer_server = PeerServer(
         settings.process.address,
         settings.process.peer_port,
         exchange_slot.handlers(),
         ENTRY_PEER_THREADS,
+        core.credentials.server,
     )
     router = _LateRouter()
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, settings.limits.threads
-    )
-    view = MemberView(_make_record(settings, "entry", peer_server, http))
+    http = _build_http(settings, router, settings.limits.threads, settings.limits.body_kib * KIB)
+    view = MemberView(_make_record(settings, "entry", peer_server, http, _make_incarnation()))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
-    chooser = ReplicaChooser(view, core.configuration, settings.process.id)
+    policy = make_policy(settings.routing)
+    chooser = ReplicaChooser(view, core.configuration, policy, settings.process.id)
+    admission = Admission(policy, chooser, settings.limits.threads)
     watchdog = Watchdog()
-    dispatcher = Dispatcher(core.configuration, chooser, core.peers, watchdog, core.metrics)
+    attempter = Attempter(chooser, core.peers, watchdog)
+    dispatcher = Dispatcher(chooser, admission, view, attempter, core.metrics)
     application = EntryApplication(
         core.configuration,
         dispatcher,
@@ -87,11 +144,20 @@
         core.metrics,
         ServiceLevelRecorder(core.configuration, core.metrics),
         ProcessIdentity(view.own.id, view.own.incarnation),
+        TicketOffice(chooser, core.peers),
     )
     sampler = Sampler(SampleStore(core.table), core.metrics, view.own.id, view.own.incarnation)
     router.target = application.router
     return EntryProcess(
-        application, http, peer_server, exchange, view, core.peers, watchdog, sampler
+        application,
+        http,
+        peer_server,
+        exchange,
+        view,
+        core.peers,
+        watchdog,
+        sampler,
+        settings.limits.balancer_lag_s,
     )
 
 
@@ -100,37 +166,47 @@
     assert settings.upstream is not None
     core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    state = ServingState()
+    state = ServingState(core.configuration.is_justified)
     swarms = SwarmRegistry()
     uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
     gate = OrderGate()
     chunks = ChunkServer(cache, swarms, uplink, gate, core.metrics)
     engine = EngineClient(settings.upstream.url)
-    attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
-    exchange_slot = _ExchangeSlot(core.configuration)
+    incarnation = _make_incarnation()
+    keyed = _build_keyed(settings, core, incarnation)
+    attempts = AttemptServer(
+        state,
+        engine,
+        keyed,
+        incarnation,
+        settings.upstream.concurrency,
+        core.metrics,
+        settings.upstream.busy_means_not_run,
+    )
+    exchange_slot = _ExchangeSlot()
     handlers = exchange_slot.handlers() | {
         MANIFEST.name: chunks.serve_manifest,
         HOLDINGS.name: chunks.serve_holdings,
         CHUNK.name: chunks.serve_chunk,
         ATTEMPT.name: attempts.serve,
+        TICKET.name: attempts.serve_ticket,
     }
     peer_server = PeerServer(
         settings.process.address,
         settings.process.peer_port,
         handlers,
         settings.upstream.concurrency + AGENT_PEER_EXTRA_THREADS,
+        core.credentials.server,
     )
     router = _build_agent_router(core, chunks, state)
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, AGENT_HTTP_THREADS
-    )
-    view = MemberView(_make_record(settings, "agent", peer_server, http))
+    http = _build_http(settings, router, AGENT_HTTP_THREADS, AGENT_BODY_KIB * KIB)
+    view = MemberView(_make_record(settings, "agent", peer_server, http, incarnation))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
     stopping = threading.Event()
     activation = Activation(
         engine,
-        FencingCounter(view.own.incarnation),
+        FencingCounter(view.own.incarnation, lambda: view.own.incarnation),
         gate,
         settings.process.id,
         lambda number: f"{http.url}/weights/{number}",
@@ -158,27 +234,26 @@
         stopping,
     )
     return AgentProcess(
-        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics
+        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics, keyed
     )
 
 
 class _ExchangeSlot:
     """Stands between the peer server and the exchange, which needs the server's port."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self) -> None:
         self.exchange: Exchange | None = None
-        self._configuration = configuration
 
     def handlers(self):
-        return {EXCHANGE.name: self._serve_exchange, REVISION.name: self._serve_revision}
+        methods = (EXCHANGE, REVISION, SYNC, PROBE, PUSH, STATUS)
+        return {method.name: self._bind(method.name) for method in methods}
 
-    def _serve_exchange(self, message, context):
-        assert self.exchange is not None
-        return self.exchange.serve(message)
+    def _bind(self, name: str):
+        def serve(message, context):
+            assert self.exchange is not None
+            return self.exchange.handlers[name](message, context)
 
-    def _serve_revision(self, message, context) -> RevisionReply:
-        held = self._configuration.number > 0
-        return RevisionReply(self._configuration.revision if held else None)
+        return serve
 
 
 class _LateRouter:
@@ -192,12 +267,21 @@
         return self.target(environ, start_response)
 
 
+def _build_http(settings: Settings, app, threads: int, max_body_b: int) -> HttpServer:
+    security = settings.security
+    context = make_server_context(security.http_certificate, security.http_key)
+    process = settings.process
+    return HttpServer(app, process.address, process.http_port, threads, max_body_b, context)
+
+
 def _build_core(settings: Settings, wrappers: Wrappers = UNSHAPED) -> Core:
+    credentials = load_peer_credentials(settings.security)
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
-        configuration=Configuration(),
-        peers=wrappers.peers(PeerPool()),
+        configuration=_build_configuration(settings),
+        peers=wrappers.peers(PeerPool(credentials.channel)),
+        credentials=credentials,
     )
 
 
@@ -207,14 +291,22 @@
         core.configuration,
         RevisionStore(core.table),
         MachineList(settings.platform.machines_url, settings.platform.timeout_s),
-        core.peers,
+        PeerPool(core.credentials.channel, EXCHANGE_CHANNELS),
         settings.membership,
         core.metrics,
     )
 
 
+def _build_configuration(settings: Settings) -> Configuration:
+    membership = settings.membership
+    return Configuration(
+        load_operator_keys(settings.security.operators),
+        Justification(membership.isolation_grace_s, membership.suspect_after_s),
+    )
+
+
 def _make_record(
-    settings: Settings, role: str, peer_server: PeerServer, http: HttpServer
+    settings: Settings, role: str, peer_server: PeerServer, http: HttpServer, incarnation: int
 ) -> MemberRecord:
     return MemberRecord(
         id=settings.process.id,
@@ -223,9 +315,24 @@
         availability_zone=settings.process.availability_zone,
         peer_address=peer_server.address,
         http_url=http.url,
-        incarnation=int(time.time() * MS_PER_S),
+        incarnation=incarnation,
         service=settings.upstream.service if settings.upstream else "",
         serving="-",
+        codec=NEWEST,
+    )
+
+
+def _make_incarnation() -> int:
+    return int(time.time() * MS_PER_S)
+
+
+def _build_keyed(settings: Settings, core: Core, incarnation: int) -> KeyedRequests:
+    claims = ClaimStore(core.table, settings.process.id, incarnation)
+    return KeyedRequests(
+        Ledger(),
+        TicketIssuer(settings.process.id, incarnation),
+        claims,
+        OutcomeWriter(claims, core.metrics),
     )
 
 
@@ -235,7 +342,7 @@
         return Response(200, body, content_type)
 
     def serve_health(request) -> Response:
-        is_ready = state.digest is not None and not state.is_leaving
+        is_ready = state.is_ready()
         return Response.json({"ready": is_ready}, 200 if is_ready else 503)
 
     router = Router(lambda error: Response.json({"title": type(error).__name__}, 500))
--- a/hibiscustray/deployments/revisions.py
+++ b/hibiscustray/deployments/revisions.py
@@ -11,6 +11,7 @@
 import msgspec
 from tenacity import Retrying, retry_if_exception_type, stop_after_delay, wait_random_exponential
 
+from hibiscustray.deployments.signing import sign_change
 from hibiscustray.exceptions import (
     NoConfiguration,
     PreconditionFailed,
@@ -29,6 +30,8 @@
 HEAD_SORT = "head"
 CHANGE_VERSION = 1
 RESOLVE_LIMIT_S = 30.0
+WINNER_LIMIT_S = 2.0
+WINNER_INTERVAL_S = 0.1
 
 
 class Revision(msgspec.Struct, frozen=True):
@@ -39,6 +42,7 @@
     operator: str
     change_id: str
     accepted_at: float
+    signature: str = ""
 
     @property
     def digest(self) -> str:
@@ -76,13 +80,18 @@
         """Return all accepted revisions, oldest first."""
         return [decode_revision(row.body) for row in self._table.query(HISTORY_PARTITION)]
 
-    def accept(self, text: str, operator: str, expected: int, change_id: str) -> Revision:
+    def accept(
+        self, text: str, operator: str, expected: int, change_id: str, key: bytes = b""
+    ) -> Revision:
         """Replace the configuration if the head is still the expected revision.
 
         Raises `RevisionConflict` when another change came first, `StoreUnavailable` when this
         one took no effect and never will, `StoreAnswerLost` when its fate could not be settled.
         """
         revision = Revision(expected + 1, text, operator, change_id, time.time())
+        if key:
+            signature = sign_change(key, operator, revision.digest)
+            revision = msgspec.structs.replace(revision, signature=signature)
         body = msgspec.msgpack.encode(revision)
         head = Row(HEAD_PARTITION, HEAD_SORT, revision.number, body)
         past = Row(HISTORY_PARTITION, _history_sort(revision.number), revision.number, body)
@@ -105,7 +114,7 @@
             fate = retrying(self._settle, revision.change_id)
             if fate.outcome == "accepted":
                 return revision
-            winner = retrying(self._find_winner, revision.number)
+            winner = retrying(self._await_winner, revision.number, cause)
         except (StoreUnavailable, StoreAnswerLost, PreconditionFailed) as error:
             raise StoreAnswerLost(
                 f"revision {revision.number} may have been accepted: {error}"
@@ -123,6 +132,16 @@
         self._table.transact(uuid.uuid4().hex, [Put(_make_fate_row(change_id, fate), 0)])
         return fate
 
+    def _await_winner(self, number: int, cause: Exception) -> Revision | None:
+        """Find who won, reading again while the store's reads lag behind its refusal."""
+        deadline = time.monotonic() + WINNER_LIMIT_S
+        while True:
+            winner = self._find_winner(number)
+            is_refused = isinstance(cause, PreconditionFailed)
+            if winner is not None or not is_refused or time.monotonic() >= deadline:
+                return winner
+            time.sleep(WINNER_INTERVAL_S)
+
     def _find_winner(self, number: int) -> Revision | None:
         """Return the revision that stands in the way of a number, if any."""
         row = self._table.get(HISTORY_PARTITION, _history_sort(number))
--- a/hibiscustray/peers/__init__.py
+++ b/hibiscustray/peers/__init__.py
@@ -6,6 +6,7 @@
     Beat,
     ChunkReply,
     ChunkRequest,
+    Claimed,
     Data,
     End,
     ExchangeMessage,
@@ -20,6 +21,8 @@
     Refused,
     RevisionReply,
     RevisionRequest,
+    StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -30,6 +33,7 @@
     "Beat",
     "ChunkReply",
     "ChunkRequest",
+    "Claimed",
     "Data",
     "End",
     "ExchangeMessage",
@@ -47,6 +51,8 @@
     "Refused",
     "RevisionReply",
     "RevisionRequest",
+    "StatusReply",
+    "StatusRequest",
     "TicketReply",
     "TicketRequest",
 ]
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
+import select
 import socket
+import ssl
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from functools import partial
 from urllib.parse import urlsplit
 
 from hibiscustray.exceptions import UpstreamConnectionLost, UpstreamUnreachable
@@ -27,8 +31,10 @@
 class HttpStream:
     """An HTTP answer whose body is read line by line or in blocks."""
 
-    def __init__(self, client: HttpClient, connection, response) -> None:
+    def __init__(self, client: HttpClient, connection, response, sock: socket.socket) -> None:
         self._client = client
+        # The connection forgets its socket when the server closes after the answer.
+        self._sock = sock
         self._connection = connection
         self._response = response
         self._lock = threading.Lock()
@@ -36,6 +42,11 @@
         self.status: int = response.status
         self.headers = {key.lower(): value for key, value in response.getheaders()}
 
+    @property
+    def is_delimited(self) -> bool:
+        """Tell whether the answer's framing shows its end, so that a cut cannot pass as one."""
+        return self._response.chunked or "content-length" in self.headers
+
     def read_lines(self) -> Iterator[bytes]:
         """Yield body lines as they arrive; raise `UpstreamConnectionLost` on a cut."""
         while True:
@@ -56,18 +67,13 @@
 
     def set_timeout(self, seconds: float) -> None:
         """Bound the wait for the next bytes."""
-        if self._connection.sock is not None:
-            self._connection.sock.settimeout(seconds)
+        self._sock.settimeout(seconds)
 
     def abort(self) -> None:
         """Cut the connection from any thread, which wakes a reader blocked on it."""
         with self._lock:
-            if self._is_closed or self._connection.sock is None:
-                return
-            try:
-                self._connection.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                return
+            if not self._is_closed:
+                _cut_socket(self._sock)
 
     def close(self) -> None:
         """Give the connection back if its answer was read to the end, else close it."""
@@ -78,19 +84,24 @@
         if self._response.isclosed() and not self._response.will_close:
             self._client.release(self._connection)
         else:
+            self._response.close()
             self._connection.close()
 
 
 class HttpClient:
     """Keeps idle connections to one server; one request at a time on each."""
 
-    def __init__(self, base_url: str, timeout_s: float = 5.0) -> None:
+    def __init__(
+        self, base_url: str, timeout_s: float = 5.0, context: ssl.SSLContext | None = None
+    ) -> None:
         parts = urlsplit(base_url)
         self.base_url = base_url.rstrip("/")
         self._host = parts.hostname or ""
         self._port = parts.port
         self._prefix = parts.path.rstrip("/")
         self._timeout_s = timeout_s
+        self._is_secure = parts.scheme == "https"
+        self._context = context
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
 
@@ -117,21 +128,27 @@
         headers: Mapping[str, str] | None = None,
         timeout_s: float | None = None,
         is_fresh: bool = False,
+        on_connect: Callable[[Callable[[], None]], None] | None = None,
     ) -> HttpStream:
         """Send a request and return its answer with the body unread.
 
-        A fresh connection cannot have been closed by the server while it was idle.
+        A fresh connection cannot have been closed by the server while it was idle. `on_connect`
+        is given a function that cuts the connection, also while the answer is waited for.
         Raises `UpstreamUnreachable` when nothing was sent, `UpstreamConnectionLost` otherwise.
         """
         timeout_s = timeout_s or self._timeout_s
         connection = self._connect(timeout_s) if is_fresh else self._take(timeout_s)
+        if on_connect is not None:
+            on_connect(partial(_cut_socket, connection.sock))
+        # A connection that the server will close gives its socket up to the response.
+        sock = connection.sock
         try:
             connection.request(method, self._prefix + path, body, dict(headers or {}))
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise UpstreamConnectionLost(f"{self.base_url}: {error}") from error
-        return HttpStream(self, connection, response)
+        return HttpStream(self, connection, response, sock)
 
     def release(self, connection: http.client.HTTPConnection) -> None:
         """Keep an idle connection for the next request."""
@@ -160,7 +177,7 @@
             connection.close()
 
     def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
-        connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout_s)
+        connection = self._make_connection(timeout_s)
         try:
             connection.connect()
         except OSError as error:
@@ -168,16 +185,23 @@
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
+    def _make_connection(self, timeout_s: float) -> http.client.HTTPConnection:
+        if not self._is_secure:
+            return http.client.HTTPConnection(self._host, self._port, timeout=timeout_s)
+        return http.client.HTTPSConnection(
+            self._host, self._port, timeout=timeout_s, context=self._context
+        )
+
+
+def _cut_socket(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
 
 def _is_usable(connection: http.client.HTTPConnection) -> bool:
     """Tell whether an idle connection is open with nothing waiting to be read."""
     if connection.sock is None:
         return False
-    connection.sock.setblocking(False)
-    try:
-        connection.sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
+    poller = select.poll()
+    poller.register(connection.sock, select.POLLIN)
+    return not poller.poll(0)
--- a/tests/reports/test_report_burn.py
+++ b/tests/reports/test_report_burn.py
@@ -30,12 +30,16 @@
         assert site.wait_until_routable(60.0)
         urls = [entry.url for entry in site.entries]
         callers = Callers(urls, TEAM_KEY, "guide-llm", "booking", 1)
-        results = [("booking", callers.book(callers.clients[i % 2])) for i in range(REQUESTS)]
+        results = [
+            ("booking", callers.book(callers.clients[i % 2], TEAM_KEY, "booking"))
+            for i in range(REQUESTS)
+        ]
         results += [
-            ("guide-llm", callers.chat(callers.clients[i % 2], i % 3 == 0)) for i in range(REQUESTS)
+            ("guide-llm", callers.chat(callers.clients[i % 2], TEAM_KEY, i % 3 == 0))
+            for i in range(REQUESTS)
         ]
         site.plains[0].service.stop()
-        results += [("booking", callers.book(callers.clients[0]))]
+        results += [("booking", callers.book(callers.clients[0], TEAM_KEY, "booking"))]
         arguments = ["report", "burn", "--json", "--table-url", site.platform.url]
         for url in urls:
             arguments += ["--entry-url", url]
