--- a/hibiscustray/benchmarks/weights.py
+++ b/hibiscustray/benchmarks/weights.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import resource
 import sys
 import time
@@ -17,6 +18,8 @@
 from hibiscustray.benchmarks.weights_faults import FaultSchedule, Target
 from hibiscustray.weights.manifest import choose_chunk_size
 
+log = logging.getLogger(__name__)
+
 PATH = "guide/weights"
 SAMPLE_S = 0.05
 GIB = 1 << 30
@@ -103,10 +106,12 @@
         target = Target(digest, PATH)
         schedule = FaultSchedule(fleet, self._faults, target, self._shape.seed)
         cpu, messages, started = time.process_time(), fleet.links.messages, time.monotonic()
+        log.info("fleet ready")
         fleet.apply(digest)
         schedule.start()
         self._watch(schedule, target, started)
         seconds = self.samples[-1].seconds
+        log.info("fleet done", extra={"seconds": seconds})
         cpu_s = time.process_time() - cpu
         messages = fleet.links.messages - messages
         schedule.finish()
--- a/hibiscustray/weights/choice.py
+++ b/hibiscustray/weights/choice.py
@@ -15,7 +15,8 @@
 Objective = Literal["time", "origin_bytes"]
 
 DRAWS_AT_ONCE = 2
-IMPORTS_AT_ONCE = 1
+IMPORTS_AT_ONCE = 2
+"""Imports of one agent from one region at once."""
 HEDGE_FACTOR = 2.0
 HEDGE_LEAST_S = 0.5
 
@@ -133,7 +134,7 @@
             source = self._sources[index]
             if not source and self._count(FromOrigin) < DRAWS_AT_ONCE:
                 return FromOrigin(index)
-            if source and self._count_imports() < IMPORTS_AT_ONCE:
+            if source and self._count_imports(source) < IMPORTS_AT_ONCE:
                 job = self._choose_import(index, source)
                 if job is not None:
                     return job
@@ -184,5 +185,6 @@
     def _count(self, kind: type) -> int:
         return sum(isinstance(job, kind) for job in self._jobs)
 
-    def _count_imports(self) -> int:
-        return sum(isinstance(job, FromPeer) and job.is_import for job in self._jobs)
+    def _count_imports(self, source: str) -> int:
+        imports = (j for j in self._jobs if isinstance(j, FromPeer) and j.is_import)
+        return sum(self._sources[job.index] == source for job in imports)
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -310,7 +310,7 @@
 
     def _watch(self) -> None:
         while not self.is_done():
-            for address in self._swarm.sample_peers(1):
+            for address in self._swarm.sample_peers(len(self._swarm.members().by_region)):
                 self._ask_holdings(address)
             self._replace_drawers()
             is_start = self._held().bit_count() < WATCH_START_SHARE * self._manifest.count
--- a/tests/agent/test_deployer.py
+++ b/tests/agent/test_deployer.py
@@ -66,6 +66,7 @@
         self.node = next(iter(self.network.nodes.values()))
         self.node.cache = ChunkCache(cache_b)
         self.configuration = Configuration()
+        self.configuration.justification.expect_peers(0)
         self.state = ServingState()
         self.activation = FakeActivation()
         self.waves = FakeWaves()
@@ -100,6 +101,7 @@
         plan = DeploymentPlan("test", (version, *adapters), (service,))
         self._number += 1
         self.configuration.adopt(Revision(self._number, str(plan), "op", "change", 0.0))
+        self.configuration.justification.note_store(self._number, self._number)
 
     def wait_for(self, is_reached) -> None:
         deadline = time.monotonic() + TIMEOUT_S
