--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -105,6 +105,18 @@
     sys.exit(run_command(**options))
 
 
+@bench.command("bookings")
+@click.option("--bookings", type=click.IntRange(1), default=200, show_default=True)
+@click.option("--callers", type=click.IntRange(1), default=4, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_bookings(**options) -> None:
+    """Measure ways to run bookings at most once, through lost answers and an outage."""
+    from hibiscustray.commands.bench_bookings import run_bench_bookings
+
+    sys.exit(run_bench_bookings(**options))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
--- a/hibiscustray/agent/outcomes.py
+++ b/hibiscustray/agent/outcomes.py
@@ -75,7 +75,8 @@
     def flush(self, timeout_s: float) -> bool:
         """Wait until all is written; tell whether that was reached in time."""
         with self._changed:
-            return self._changed.wait_for(lambda: not self._entries, timeout_s)
+            self._changed.wait_for(lambda: self._is_stopping or not self._entries, timeout_s)
+            return not self._entries
 
     def _run(self) -> None:
         while True:
--- /dev/null
+++ b/hibiscustray/commands/bench_bookings.py
@@ -0,0 +1,37 @@
+"""The command `bench bookings`: ways measured, figures printed."""
+
+from __future__ import annotations
+
+import click
+import msgspec
+
+from hibiscustray.benchmarks.bookings import BookingBench, BookingBenchOptions, BookingResult
+
+
+class BookingBenchReport(msgspec.Struct, frozen=True):
+    """What the command printed: its options and one result per way."""
+
+    options: BookingBenchOptions
+    results: list[BookingResult]
+
+
+def run_bench_bookings(is_json: bool, **values) -> int:
+    """Run the bench; the exit code is 1 if a keyed booking ran twice or a refusal was false."""
+    options = BookingBenchOptions(**values)
+    results = BookingBench(options).run()
+    if is_json:
+        click.echo(msgspec.json.encode(BookingBenchReport(options, results)))
+    else:
+        for result in results:
+            _print_result(result)
+    keyed = [result for result in results if result.way != "no_key"]
+    return 1 if any(result.run_twice or result.false_not_run for result in keyed) else 0
+
+
+def _print_result(result: BookingResult) -> None:
+    click.echo(
+        f"{result.way:<8} writes {result.writes_per_booking:<6} "
+        f"p50 {result.booking_ms.p50} ms, p99 {result.booking_ms.p99} ms, "
+        f"answered {result.answered_share:.1%}, in an outage {result.outage_answered_share:.1%}, "
+        f"run twice {result.run_twice}, false not run {result.false_not_run}"
+    )
