--- a/hibiscustray/entry/dispatch.py
+++ b/hibiscustray/entry/dispatch.py
@@ -108,7 +108,8 @@
         case Lost() if request.time_left() <= 0:
             return DeadlinePassedRunning("the deadline passed while the request was running")
         case Lost(error=error):
-            return OutcomeUnknown(f"the request may have run: {error}", RETRY_AFTER_S)
+            hint = RETRY_AFTER_S if request.is_idempotent else None
+            return OutcomeUnknown(f"the request may have run: {error}", hint)
         case NotTaken(error=NotRun() as error):
             return error
     return NoReplica(f"no replica took the request: {last}", RETRY_AFTER_S)
--- a/hibiscustray/entry/process.py
+++ b/hibiscustray/entry/process.py
@@ -63,6 +63,7 @@
         self.view.update_own(status=LEAVING)
         self._exchange.announce()
         time.sleep(min(self._balancer_lag_s, timeout_s))
+        self.http.close_listener()
         return self.application.wait_until_idle(max(0.0, deadline - time.monotonic()))
 
     def stop(self) -> None:
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -186,6 +186,7 @@
         if context is not None:
             self._server.terminator = TlsTerminator(context, self._server.take)
         self._scheme = "https" if context is not None else "http"
+        self._closing = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
         self.address = address
@@ -200,10 +201,16 @@
         """Begin to serve."""
         self._thread.start()
 
+    def close_listener(self) -> None:
+        """Accept no new connections; those that are open are served on."""
+        self._closing.set()
+        self._server.pull_trigger()
+
     def stop(self) -> None:
         """Stop accepting and finish the answers being written; a second call does nothing."""
         if self._stopping.is_set():
             return
+        self._closing.set()
         self._stopping.set()
         self._server.pull_trigger()
         if self._thread.is_alive():
@@ -214,11 +221,13 @@
         wasyncore.close_all(self._map)
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
+        while not self._closing.is_set():
             self._loop(LOOP_TIMEOUT_S)
         self._server.accepting = False
         self._map.pop(self._server.socket.fileno(), None)
         self._server.socket.close()
+        while not self._stopping.is_set():
+            self._loop(LOOP_TIMEOUT_S)
         deadline = time.monotonic() + FINISH_S
         while time.monotonic() < deadline and self._is_writing():
             self._loop(FINISH_TICK_S)
--- a/tests/entry/test_keyed.py
+++ b/tests/entry/test_keyed.py
@@ -150,3 +150,26 @@
     assert (first.status, first.outcome) == (504, "unknown")
     assert second.outcome == "answered"
     assert count_runs(booking_site, "r1") == 1
+
+
+@pytest.mark.parametrize("part", ["agent", "entry"])
+def test_planned_stop_cuts_no_booking_and_refuses_new_ones_truly(booking_site, part):
+    for plain in booking_site.plains:
+        plain.service.delay_s = 1.0
+    with ThreadPoolExecutor(2) as pool:
+        sending = pool.submit(Caller(booking_site, 0).book, "r1", "k1")
+        wait_until(lambda: any(plain.agent.state.running for plain in booking_site.plains))
+        runner = next(plain for plain in booking_site.plains if plain.agent.state.running)
+        stopped = booking_site.entries[0] if part == "entry" else runner.agent
+        draining = pool.submit(stopped.drain, 20.0)
+        later = Caller(booking_site, 1).book("r2", "k2")
+        assert draining.result()
+        stopped.stop()
+        first = sending.result()
+    assert (first.outcome, later.outcome) == ("answered", "answered")
+    assert [count_runs(booking_site, reference) for reference in ("r1", "r2")] == [1, 1]
+    if part == "entry":
+        booking_site.entries.remove(stopped)
+    else:
+        booking_site.plains.remove(runner)
+        runner.service.stop()
