Lets an agent be stopped at once, as when its VM dies

The planned stop keeps outcomes and waits for calls, so that benches and tests need a way to cut an agent off; waits for agents to be ready before an outage.

--- a/hibiscustray/agent/keyed.py
+++ b/hibiscustray/agent/keyed.py
@@ -31,7 +31,6 @@
 from hibiscustray.requests.ledger import ANSWER_LIMIT_B
 
 STORE_RETRY_AFTER_S = 2.0
-FLUSH_S = 5.0
 
 
 @dataclass(frozen=True)
@@ -59,13 +58,11 @@
         """Begin to write outcomes."""
         self._writer.start()
 
-    def stop(self) -> None:
-        """Write the outcomes of this incarnation for those that come after it, then stop."""
-        for key, record in self._ledger.finished():
-            if is_ticket(key.rsplit("/", 1)[-1]):
-                claim = self._claims.make_unclaimed(key, record.body_digest)
-                self._writer.put(claim, record.outcome)
-        self._writer.flush(FLUSH_S)
+    def stop(self, grace_s: float) -> None:
+        """Stop, after writing outcomes within the grace time for those that come after."""
+        if grace_s > 0:
+            self._write_tickets()
+            self._writer.flush(grace_s)
         self._writer.stop()
 
     def issue(self, team: str, service: str) -> str:
@@ -113,6 +110,12 @@
                 self._ledger.give_back(keyed.key)
         return settlement
 
+    def _write_tickets(self) -> None:
+        for key, record in self._ledger.finished():
+            if is_ticket(key.rsplit("/", 1)[-1]):
+                claim = self._claims.make_unclaimed(key, record.body_digest)
+                self._writer.put(claim, record.outcome)
+
     def _begin_ledger(self, keyed: KeyedRequest) -> Fresh | Running | Settlement:
         match self._ledger.begin(keyed.key, keyed.body_digest):
             case Mismatch():
--- a/hibiscustray/agent/process.py
+++ b/hibiscustray/agent/process.py
@@ -66,14 +66,17 @@
         self._exchange.announce()
         return self.state.wait_until_idle(timeout_s)
 
-    def stop(self) -> None:
-        """End all servers and threads; a second call does nothing."""
+    def stop(self, grace_s: float = STOP_GRACE_S) -> None:
+        """End all servers and threads; a second call does nothing.
+
+        Without a grace time running calls are cut and nothing is kept, as when the VM dies.
+        """
         if self._is_stopped:
             return
         self._is_stopped = True
         self._deployer.stop()
-        self._peer_server.stop(STOP_GRACE_S)
-        self._keyed.stop()
+        self._peer_server.stop(grace_s)
+        self._keyed.stop(grace_s)
         self.view.update_own(status=LEFT)
         self._exchange.stop()
         self.http.stop()
--- a/hibiscustray/benchmarks/request_faults.py
+++ b/hibiscustray/benchmarks/request_faults.py
@@ -26,7 +26,7 @@
 
 
 def _kill_replica(site: Site, index: int) -> None:
-    site.models[index].agent.stop()
+    site.models[index].agent.stop(0.0)
     site.models[index].engine.stop()
 
 
--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 
 import msgspec
@@ -9,6 +10,8 @@
 from hibiscustray.standins.site import TEAM_KEY, Site
 from hibiscustray.web import HttpClient
 
+WAIT_S = 10.0
+
 
 @dataclass(frozen=True)
 class Sent:
@@ -61,6 +64,11 @@
 
 def kill(agent) -> None:
     """Cut an agent off at once, as when its VM dies."""
-    agent._peer_server.stop()
-    agent._keyed._writer.stop()
-    agent._exchange.stop()
+    agent.stop(0.0)
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + WAIT_S
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.02)
+    assert condition()
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -8,6 +8,7 @@
 
 from hibiscustray.settings import LimitSettings
 from hibiscustray.standins.site import Site, SiteShape
+from tests.entry.callers import wait_until
 from tests.site import run_site
 
 LIMITS = LimitSettings(balancer_lag_s=0.3)
@@ -17,6 +18,8 @@
 def booking_site(tmp_path) -> Iterator[Site]:
     shape = SiteShape(entries=2, model_replicas=0, plain_replicas=3, limits=LIMITS)
     with run_site(tmp_path, shape) as site:
+        # A process that starts in an outage serves nothing, so all must have started before one.
+        wait_until(lambda: all(plain.agent.state.is_ready() for plain in site.plains))
         yield site
         site.platform.set_faults(is_store_down=False, loses_answers=False)
 
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -2,26 +2,17 @@
 
 from __future__ import annotations
 
-import time
-
 import msgspec
 import pytest
 
 from hibiscustray.standins.site import TEAM
 from hibiscustray.standins.tokens import make_text
-from tests.entry.callers import Caller, kill
+from tests.entry.callers import Caller, kill, wait_until
 
 PROMPT = "where does the railcar stop"
 WAIT_S = 5.0
 
 
-def wait_until(condition):
-    deadline = time.monotonic() + WAIT_S
-    while not condition() and time.monotonic() < deadline:
-        time.sleep(0.02)
-    assert condition()
-
-
 def read_events(stream):
     lines = [line.strip() for line in stream.read_lines()]
     return [line.removeprefix(b"data: ") for line in lines if line.startswith(b"data: ")]
--- a/tests/entry/test_keyed.py
+++ b/tests/entry/test_keyed.py
@@ -7,22 +7,13 @@
 
 import pytest
 
-from tests.entry.callers import Caller, count_runs, kill
-
-SETTLE_S = 10.0
+from tests.entry.callers import Caller, count_runs, kill, wait_until
 
 
 def find_runner(site, reference):
     return next(plain for plain in site.plains if plain.service.runs[reference])
 
 
-def wait_until(condition):
-    deadline = time.monotonic() + SETTLE_S
-    while not condition() and time.monotonic() < deadline:
-        time.sleep(0.02)
-    assert condition()
-
-
 def test_duplicates_through_two_entries_run_once(booking_site):
     for plain in booking_site.plains:
         plain.service.delay_s = 0.3
