--- a/hibiscustray/requests/claims.py
+++ b/hibiscustray/requests/claims.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from hibiscustray.exceptions import PreconditionFailed, StoreAnswerLost
+from hibiscustray.exceptions import PreconditionFailed, RecordInvalid, StoreAnswerLost
 from hibiscustray.platform import Put, Row, Table
 from hibiscustray.requests.ledger import KEPT_S, Mismatch, Repeat, Uncertain
 
@@ -86,7 +86,7 @@
             row = self._table.get(PARTITION_PREFIX + key, SORT)
             if row is None:
                 continue
-            held = msgspec.msgpack.decode(row.body, type=ClaimBody)
+            held = _decode_body(row)
             if held.nonce == claim.body.nonce:
                 return claim
             judged = self._judge(held, body_digest)
@@ -101,7 +101,7 @@
         row = self._table.get(PARTITION_PREFIX + key, SORT)
         if row is None:
             return None
-        held = msgspec.msgpack.decode(row.body, type=ClaimBody)
+        held = _decode_body(row)
         if held.body_digest != body_digest:
             return Mismatch()
         return _read_outcome(held)
@@ -172,6 +172,13 @@
                 raise
 
 
+def _decode_body(row: Row) -> ClaimBody:
+    try:
+        return msgspec.msgpack.decode(row.body, type=ClaimBody)
+    except msgspec.DecodeError as error:
+        raise RecordInvalid(f"unreadable claim {row.partition}: {error}") from error
+
+
 def _read_outcome(held: ClaimBody) -> Repeat | Uncertain | None:
     match held.state:
         case "answered":
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from hibiscustray.exceptions import PlatformError
@@ -90,3 +92,12 @@
     store.claim("k", "d")
     clock.now = KEPT_S
     assert isinstance(store.claim("k", "d"), Uncertain)
+
+
+def test_unreadable_row_is_a_platform_failure(table):
+    store = ClaimStore(table, "a", 1)
+    store.claim("k", "d")
+    (key, row), *_ = table.rows.items()
+    table.rows[key] = replace(row, body=b"?")
+    with pytest.raises(PlatformError):
+        store.claim("k", "d")
