--- a/hibiscustray/agent/attempts.py
+++ b/hibiscustray/agent/attempts.py
@@ -10,6 +10,7 @@
 
 import grpc
 
+from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.state import ServingState
 from hibiscustray.exceptions import (
     KeyReused,
@@ -41,12 +42,14 @@
         engine: EngineClient,
         ledger: Ledger,
         concurrency: int,
+        load: UpstreamLoad,
         metrics: Metrics,
     ) -> None:
         self._state = state
         self._engine = engine
         self._ledger = ledger
         self._concurrency = concurrency
+        self._load = load
         self._metrics = metrics
         self._readers = ThreadPoolExecutor(concurrency * 2, thread_name_prefix="upstream")
 
@@ -127,7 +130,7 @@
                         yield Data(sent, tuple(fresh))
                         sent += len(fresh)
                 elif not is_over:
-                    yield Beat(self._state.running)
+                    yield Beat(self._state.running, self._load.waiting)
                 if error is not None:
                     yield Failed("upstream-lost", str(error))
                     return
@@ -143,7 +146,8 @@
     def _make_end(self, digest: AnswerDigest, stream: HttpStream) -> End:
         self._metrics.count("attempts_answered_total")
         content_type = stream.headers.get("content-type", "application/json")
-        return End(digest.count, digest.value(), stream.status, content_type, self._state.running)
+        load, waiting = self._state.running, self._load.waiting
+        return End(digest.count, digest.value(), stream.status, content_type, load, waiting)
 
     def _send_whole(self, payloads, status: int, content_type: str) -> Iterator[Frame]:
         digest = AnswerDigest()
--- a/hibiscustray/agent/process.py
+++ b/hibiscustray/agent/process.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from hibiscustray.agent.deployer import Deployer
+from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.state import ServingState
 from hibiscustray.membership import Exchange, MemberView
 from hibiscustray.peers import PeerPool, PeerServer
@@ -28,6 +29,7 @@
         peers: PeerPool,
         deployer: Deployer,
         state: ServingState,
+        load: UpstreamLoad,
         metrics: Metrics,
     ) -> None:
         self.http = http
@@ -38,6 +40,7 @@
         self._exchange = exchange
         self._peers = peers
         self._deployer = deployer
+        self._load = load
 
     @property
     def url(self) -> str:
@@ -50,6 +53,7 @@
         self.http.start()
         self._exchange.start()
         self._deployer.start(on_progress)
+        self._load.start()
         log.info("agent started", extra={"peer_address": self._peer_server.address})
 
     def drain(self, timeout_s: float) -> bool:
@@ -62,6 +66,7 @@
     def stop(self) -> None:
         """End all servers and threads."""
         self.view.update_own(status=LEFT)
+        self._load.stop()
         self._deployer.stop()
         self._exchange.stop()
         self._peer_server.stop()
--- a/hibiscustray/benchmarks/requests.py
+++ b/hibiscustray/benchmarks/requests.py
@@ -33,10 +33,10 @@
 MS_PER_S = 1000.0
 PACE = EnginePace(
     step_s=0.025,
-    sequence_s=0.001,
+    sequence_s=0.0015,
     prefill_token_s=0.0002,
     prefill_tokens_per_step=256,
-    max_batch=8,
+    max_batch=4,
     cache_blocks=24,
 )
 
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
+from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.state import ServingState
 from hibiscustray.deployments import Configuration, RevisionStore
 from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
@@ -84,7 +85,10 @@
     chunks = ChunkServer(cache, LinkBudget(settings.links.up_mbit_s), core.metrics)
     state = ServingState()
     engine = EngineClient(settings.upstream.url)
-    attempts = AttemptServer(state, engine, Ledger(), settings.upstream.concurrency, core.metrics)
+    load = UpstreamLoad(engine)
+    attempts = AttemptServer(
+        state, engine, Ledger(), settings.upstream.concurrency, load, core.metrics
+    )
     exchange_slot = _ExchangeSlot(core.configuration)
     handlers = exchange_slot.handlers() | {
         MANIFEST.name: chunks.serve_manifest,
@@ -135,7 +139,7 @@
         stopping,
     )
     return AgentProcess(
-        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics
+        http, peer_server, exchange, view, core.peers, deployer, state, load, core.metrics
     )
 
 
--- a/hibiscustray/entry/dispatch.py
+++ b/hibiscustray/entry/dispatch.py
@@ -136,11 +136,11 @@
                     case End():
                         reader.finish(frame)
                         is_answered = True
-                        self._chooser.report(choice.member.id, frame.load)
+                        self._chooser.report(choice.member.id, frame.load, frame.waiting)
                         yield frame
                         return None
-                    case Beat(load=load):
-                        self._chooser.report(choice.member.id, load)
+                    case Beat(load=load, waiting=waiting):
+                        self._chooser.report(choice.member.id, load, waiting)
                     case Refused(kind=kind, detail=detail, retry_after_s=retry_after):
                         if kind == BUSY:
                             self._chooser.note_busy(choice)
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -147,12 +147,17 @@
     status: int = 200
     content_type: str = "application/json"
     load: int = 0
+    waiting: int = 0
 
 
 class Beat(Message, frozen=True, tag="beat"):
-    """The attempt is alive but has nothing to send."""
+    """The attempt is alive but has nothing to send.
+
+    `load` counts attempts at the agent, `waiting` requests that the upstream reports as queued.
+    """
 
     load: int = 0
+    waiting: int = 0
 
 
 class Refused(Message, frozen=True, tag="refused"):
--- a/hibiscustray/routing/choice.py
+++ b/hibiscustray/routing/choice.py
@@ -92,12 +92,14 @@
             state.health.begin(progress)
         return Choice(member, member.serving, progress)
 
-    def report(self, member_id: str, load: int) -> None:
-        """Note the load that a replica reported, in requests of all entries."""
+    def report(self, member_id: str, load: int, waiting: int) -> None:
+        """Note a replica's load in requests of all entries, and how many its upstream queues."""
         with self._lock:
             state = self._state(member_id)
             state.others = max(0, load - state.outstanding)
             state.reported_at = time.monotonic()
+            if waiting:
+                state.limit.decrease(state.reported_at)
 
     def release(self, choice: Choice, is_answered: bool) -> None:
         """Note that an attempt has ended, with a whole answer or without."""
--- a/hibiscustray/routing/concurrency.py
+++ b/hibiscustray/routing/concurrency.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-INITIAL_LIMIT = 8.0
+INITIAL_LIMIT = 4.0
 MIN_LIMIT = 2.0
 MAX_LIMIT = 256.0
 DECREASE_FACTOR = 0.9
