--- a/hibiscustray/benchmarks/__init__.py
+++ b/hibiscustray/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements over a whole site in one process."""
+"""Benchmarks of real entries and agents over loopback, with faults brought about."""
--- a/hibiscustray/benchmarks/requests.py
+++ b/hibiscustray/benchmarks/requests.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from hibiscustray.benchmarks.faults import Fault, FaultPlan, plan_faults
 from hibiscustray.benchmarks.judging import (
     Counts,
     RunRecords,
@@ -18,6 +17,7 @@
     summarise_teams,
 )
 from hibiscustray.benchmarks.load import UNKNOWN, CallRecord, LoadGenerator, Mix, plan_arrivals
+from hibiscustray.benchmarks.request_faults import Fault, FaultPlan, plan_faults
 from hibiscustray.deployments import Team
 from hibiscustray.operator import DeploymentPlan, Model, PlainService, ServicePlan
 from hibiscustray.settings import RoutingSettings
--- a/hibiscustray/commands/bench_requests.py
+++ b/hibiscustray/commands/bench_requests.py
@@ -7,8 +7,8 @@
 import click
 import msgspec
 
-from hibiscustray.benchmarks.faults import FAULTS
 from hibiscustray.benchmarks.load import Mix
+from hibiscustray.benchmarks.request_faults import FAULTS
 from hibiscustray.benchmarks.requests import (
     RequestBenchOptions,
     RequestBenchResult,
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -4,31 +4,57 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
 from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.state import ServingState
-from hibiscustray.deployments import Configuration, RevisionStore
+from hibiscustray.deployments import (
+    Configuration,
+    Justification,
+    Revision,
+    RevisionStore,
+    load_operator_keys,
+)
 from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
+from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.membership import Exchange, MemberView
-from hibiscustray.peers import MemberRecord, PeerPool, PeerServer, RevisionReply
-from hibiscustray.peers.codec import ATTEMPT, CHUNK, EXCHANGE, HOLDINGS, MANIFEST, REVISION
+from hibiscustray.membership import Exchange, MemberView, spread_revision
+from hibiscustray.operator import Operator, SiteStatus, read_status
+from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
+from hibiscustray.peers.codec import (
+    ATTEMPT,
+    CHUNK,
+    EXCHANGE,
+    HOLDINGS,
+    MANIFEST,
+    PROBE,
+    PUSH,
+    REVISION,
+    STATUS,
+    SYNC,
+)
+from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
+from hibiscustray.peers.packing import NEWEST
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
+from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import Ledger
-from hibiscustray.rollout import Activation, FencingCounter, LeaseStore
+from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
 from hibiscustray.routing import Admission, ReplicaChooser, make_policy
-from hibiscustray.settings import Settings
+from hibiscustray.settings import OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
-from hibiscustray.web import HttpServer, Response, Router
-from hibiscustray.weights import ChunkCache, LinkBudget, TransferEnvironment
+from hibiscustray.web import HttpServer, Response, Router, make_server_context
+from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry, TransferEnvironment
 
 AGENT_HTTP_THREADS = 4
+AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
-MIB = 1024 * 1024
+EXCHANGE_CHANNELS = 16
+KIB = 1024
+MIB = 1024 * KIB
 MS_PER_S = 1000
 
 
@@ -40,22 +66,65 @@
     table: Table
     configuration: Configuration
     peers: PeerPool
+    credentials: PeerCredentials
+
+
+def build_operator(settings: OperatorSettings) -> Operator:
+    """Wire an operator's client."""
+    platform = settings.platform
+    return Operator(
+        settings.operator.name,
+        platform.table_url,
+        platform.object_url,
+        settings.key,
+        platform.timeout_s,
+        _build_spread(settings),
+    )
+
+
+def _build_spread(settings: OperatorSettings) -> Callable[[Revision], object]:
+    """Wire the handing over of accepted revisions to several processes."""
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    credentials = load_peer_credentials(settings.security)
+    return lambda revision: spread_revision(revision, machines, PeerPool(credentials.channel))
+
+
+def build_status_reader(settings: OperatorSettings) -> Callable[[], SiteStatus]:
+    """Wire the reading of a site's status."""
+    operator = build_operator(settings)
+    machines = MachineList(settings.platform.machines_url, settings.platform.timeout_s)
+    peers = PeerPool(load_peer_credentials(settings.security).channel)
+    return lambda: read_status(operator.read(), machines, peers)
+
+
+def _keep(part):
+    return part
+
+
+@dataclass(frozen=True)
+class Wrappers:
+    """Functions that stand between an agent and its links, for stand-ins that shape them."""
+
+    peers: Callable[[PeerPool], PeerPool] = _keep
+    origin: Callable[[Origin], Origin] = _keep
+
+
+UNSHAPED = Wrappers()
 
 
 def build_entry(settings: Settings) -> EntryProcess:
     """Wire an entry."""
     core = _build_core(settings)
-    exchange_slot = _ExchangeSlot(core.configuration)
+    exchange_slot = _ExchangeSlot()
     peer_server = PeerServer(
         settings.process.address,
         settings.process.peer_port,
         exchange_slot.handlers(),
         ENTRY_PEER_THREADS,
+        core.credentials.server,
     )
     router = _LateRouter()
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, settings.limits.threads
-    )
+    http = _build_http(settings, router, settings.limits.threads, settings.limits.body_kib * KIB)
     view = MemberView(_make_record(settings, "entry", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
@@ -72,24 +141,32 @@
         load_teams(settings.security.teams),
         settings.limits,
         core.metrics,
+        ServiceLevelRecorder(core.configuration, core.metrics),
+        ProcessIdentity(view.own.id, view.own.incarnation),
     )
+    sampler = Sampler(SampleStore(core.table), core.metrics, view.own.id, view.own.incarnation)
     router.target = application.router
-    return EntryProcess(application, http, peer_server, exchange, view, core.peers, watchdog)
+    return EntryProcess(
+        application, http, peer_server, exchange, view, core.peers, watchdog, sampler
+    )
 
 
-def build_agent(settings: Settings) -> AgentProcess:
+def build_agent(settings: Settings, wrappers: Wrappers = UNSHAPED) -> AgentProcess:
     """Wire an agent."""
     assert settings.upstream is not None
-    core = _build_core(settings)
+    core = _build_core(settings, wrappers)
     cache = ChunkCache(settings.links.cache_mib * MIB)
-    chunks = ChunkServer(cache, LinkBudget(settings.links.up_mbit_s), core.metrics)
-    state = ServingState()
+    state = ServingState(core.configuration.is_justified)
+    swarms = SwarmRegistry()
+    uplink = LinkBudget(settings.links.up_mbit_s, lambda: state.running > 0)
+    gate = OrderGate()
+    chunks = ChunkServer(cache, swarms, uplink, gate, core.metrics)
     engine = EngineClient(settings.upstream.url)
     load = UpstreamLoad(engine)
     attempts = AttemptServer(
         state, engine, Ledger(), settings.upstream.concurrency, load, core.metrics
     )
-    exchange_slot = _ExchangeSlot(core.configuration)
+    exchange_slot = _ExchangeSlot()
     handlers = exchange_slot.handlers() | {
         MANIFEST.name: chunks.serve_manifest,
         HOLDINGS.name: chunks.serve_holdings,
@@ -101,30 +178,30 @@
         settings.process.peer_port,
         handlers,
         settings.upstream.concurrency + AGENT_PEER_EXTRA_THREADS,
+        core.credentials.server,
     )
     router = _build_agent_router(core, chunks, state)
-    http = HttpServer(
-        router, settings.process.address, settings.process.http_port, AGENT_HTTP_THREADS
-    )
+    http = _build_http(settings, router, AGENT_HTTP_THREADS, AGENT_BODY_KIB * KIB)
     view = MemberView(_make_record(settings, "agent", peer_server, http))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
     stopping = threading.Event()
     activation = Activation(
         engine,
-        LeaseStore(core.table, settings.process.id),
         FencingCounter(view.own.incarnation),
+        gate,
         settings.process.id,
-        lambda digest: f"{http.url}/weights/{digest}",
-        stopping,
+        lambda number: f"{http.url}/weights/{number}",
     )
     environment = TransferEnvironment(
         view=view,
         peers=core.peers,
         objects=ObjectStore(settings.platform.object_url, settings.platform.timeout_s),
-        origin=Origin(settings.platform.origin_url),
+        origin=wrappers.origin(Origin(settings.platform.origin_url)),
         cache=cache,
+        swarms=swarms,
         metrics=core.metrics,
+        origin_region=settings.platform.origin_region,
     )
     deployer = Deployer(
         settings.upstream.service,
@@ -134,7 +211,7 @@
         state,
         environment,
         activation,
-        cache,
+        Waves(LeaseStore(core.table, settings.process.id), stopping),
         core.metrics,
         stopping,
     )
@@ -146,20 +223,19 @@
 class _ExchangeSlot:
     """Stands between the peer server and the exchange, which needs the server's port."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self) -> None:
         self.exchange: Exchange | None = None
-        self._configuration = configuration
 
     def handlers(self):
-        return {EXCHANGE.name: self._serve_exchange, REVISION.name: self._serve_revision}
+        methods = (EXCHANGE, REVISION, SYNC, PROBE, PUSH, STATUS)
+        return {method.name: self._bind(method.name) for method in methods}
 
-    def _serve_exchange(self, message, context):
-        assert self.exchange is not None
-        return self.exchange.serve(message)
+    def _bind(self, name: str):
+        def serve(message, context):
+            assert self.exchange is not None
+            return self.exchange.handlers[name](message, context)
 
-    def _serve_revision(self, message, context) -> RevisionReply:
-        held = self._configuration.number > 0
-        return RevisionReply(self._configuration.revision if held else None)
+        return serve
 
 
 class _LateRouter:
@@ -173,12 +249,21 @@
         return self.target(environ, start_response)
 
 
-def _build_core(settings: Settings) -> Core:
+def _build_http(settings: Settings, app, threads: int, max_body_b: int) -> HttpServer:
+    security = settings.security
+    context = make_server_context(security.http_certificate, security.http_key)
+    process = settings.process
+    return HttpServer(app, process.address, process.http_port, threads, max_body_b, context)
+
+
+def _build_core(settings: Settings, wrappers: Wrappers = UNSHAPED) -> Core:
+    credentials = load_peer_credentials(settings.security)
     return Core(
         metrics=Metrics(settings.process.id),
         table=Table(settings.platform.table_url, settings.platform.timeout_s),
-        configuration=Configuration(),
-        peers=PeerPool(),
+        configuration=_build_configuration(settings),
+        peers=wrappers.peers(PeerPool(credentials.channel)),
+        credentials=credentials,
     )
 
 
@@ -188,12 +273,20 @@
         core.configuration,
         RevisionStore(core.table),
         MachineList(settings.platform.machines_url, settings.platform.timeout_s),
-        core.peers,
+        PeerPool(core.credentials.channel, EXCHANGE_CHANNELS),
         settings.membership,
         core.metrics,
     )
 
 
+def _build_configuration(settings: Settings) -> Configuration:
+    membership = settings.membership
+    return Configuration(
+        load_operator_keys(settings.security.operators),
+        Justification(membership.isolation_grace_s, membership.suspect_after_s),
+    )
+
+
 def _make_record(
     settings: Settings, role: str, peer_server: PeerServer, http: HttpServer
 ) -> MemberRecord:
@@ -207,6 +300,7 @@
         incarnation=int(time.time() * MS_PER_S),
         service=settings.upstream.service if settings.upstream else "",
         serving="-",
+        codec=NEWEST,
     )
 
 
@@ -216,7 +310,7 @@
         return Response(200, body, content_type)
 
     def serve_health(request) -> Response:
-        is_ready = state.digest is not None and not state.is_leaving
+        is_ready = state.is_ready()
         return Response.json({"ready": is_ready}, 200 if is_ready else 503)
 
     router = Router(lambda error: Response.json({"title": type(error).__name__}, 500))
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -39,6 +39,10 @@
     """A conditional write was refused because its condition did not hold."""
 
 
+class RecordInvalid(PlatformError):
+    """A row, object or list of the platform could not be decoded."""
+
+
 class ObjectMissing(PlatformError):
     """The object store or the origin holds no object of that name."""
 
@@ -93,6 +97,12 @@
         self.operator = operator
 
 
+class ProgramFailed(ConfigurationError):
+    """An operator program ended with an error or printed nothing."""
+
+    exit_code = 6
+
+
 class NoConfiguration(ConfigurationError):
     """This process holds no configuration that it can justify."""
 
@@ -122,6 +132,10 @@
     """The chunk cache has no room for the version."""
 
 
+class AdapterMismatch(WeightsError):
+    """An adapter's manifest names another base than the version that it should serve with."""
+
+
 class TransferOvertaken(WeightsError):
     """The transfer was stopped because another version is wanted now."""
 
@@ -142,6 +156,10 @@
     """A peer's message could not be decoded."""
 
 
+class ActivationAbandoned(HibiscustrayError):
+    """A swap was given up before anything was ordered."""
+
+
 class LeaseError(HibiscustrayError):
     """A lease could not be held."""
 
@@ -222,6 +240,13 @@
     kind = "overloaded"
 
 
+class ConfigurationUnknown(NotRun):
+    """The process holds no configuration that it can justify."""
+
+    status = 503
+    kind = "no-configuration"
+
+
 class NoReplica(NotRun):
     """No replica can take the request now."""
 
@@ -250,5 +275,11 @@
     kind = "deadline-passed-running"
 
 
+class MetricsUnreadable(HibiscustrayError):
+    """A process's metrics could not be read."""
+
+    exit_code = 6
+
+
 class ShareExhausted(HibiscustrayError):
     """A bounded resource has no room left."""
--- a/hibiscustray/peers/__init__.py
+++ b/hibiscustray/peers/__init__.py
@@ -11,6 +11,7 @@
     ExchangeMessage,
     Failed,
     Frame,
+    HaveSet,
     HoldingsReply,
     HoldingsRequest,
     ManifestReply,
@@ -19,6 +20,8 @@
     Refused,
     RevisionReply,
     RevisionRequest,
+    StatusReply,
+    StatusRequest,
     TicketReply,
     TicketRequest,
 )
@@ -34,6 +37,7 @@
     "ExchangeMessage",
     "Failed",
     "Frame",
+    "HaveSet",
     "HoldingsReply",
     "HoldingsRequest",
     "ManifestReply",
@@ -45,6 +49,8 @@
     "Refused",
     "RevisionReply",
     "RevisionRequest",
+    "StatusReply",
+    "StatusRequest",
     "TicketReply",
     "TicketRequest",
 ]
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -37,15 +37,53 @@
     serving: str = ""
     adapters: tuple[str, ...] = ()
     revision: int = 0
+    codec: int = 1
 
 
 class ExchangeMessage(Message, frozen=True):
-    """A heartbeat: the sender's own record, recent changes and the revision in force."""
+    """A heartbeat: the sender's own record, recent changes and the revision in force.
+
+    `is_established` says that the sender may serve its revision; `view_hash` is equal for equal
+    views of the membership.
+    """
 
     sender: MemberRecord
     changes: tuple[MemberRecord, ...] = ()
     revision: int = 0
-    confirmed_age_s: float = 0.0
+    digest: str = ""
+    is_established: bool = False
+    view_hash: int = 0
+
+
+class SyncRequest(Message, frozen=True):
+    """Asks for the records that differ, by the hashes of the sender's buckets."""
+
+    buckets: bytes
+    limit: int = 64
+
+
+class SyncReply(Message, frozen=True):
+    """Records of the buckets whose hashes differ."""
+
+    records: tuple[MemberRecord, ...] = ()
+
+
+class ProbeRequest(Message, frozen=True):
+    """Asks the receiver to try an address that the sender does not reach."""
+
+    address: str
+
+
+class ProbeReply(Message, frozen=True):
+    """Whether the address answered."""
+
+    is_reached: bool = False
+
+
+class PushRequest(Message, frozen=True):
+    """Hands over a revision that was just accepted."""
+
+    revision: Revision
 
 
 class RevisionRequest(Message, frozen=True):
@@ -58,6 +96,17 @@
     revision: Revision | None = None
 
 
+class StatusRequest(Message, frozen=True):
+    """Asks a process for its own record."""
+
+
+class StatusReply(Message, frozen=True):
+    """The sender's own record, and whether it may serve the revision that it holds."""
+
+    member: MemberRecord
+    is_justified: bool = False
+
+
 class ManifestRequest(Message, frozen=True):
     """Asks for a manifest by its digest."""
 
@@ -70,31 +119,48 @@
     body: bytes = b""
 
 
+class HaveSet(Message, frozen=True):
+    """Which chunks of a version the agent at an address holds, as a bitmap."""
+
+    address: str
+    bitmap: bytes
+
+
 class HoldingsRequest(Message, frozen=True):
-    """Asks which chunks of a version the receiver holds."""
+    """Asks which chunks of a version the receiver holds, telling what the sender knows."""
 
     digest: str
+    have: tuple[HaveSet, ...] = ()
 
 
 class HoldingsReply(Message, frozen=True):
-    """A bitmap of the chunks held, most significant bit first, and the sender's upload queue."""
+    """The chunks held and those being drawn, the upload queue (ms), and known have-sets."""
 
     bitmap: bytes = b""
-    queued: int = 0
+    queued_ms: int = 0
+    drawing: bytes = b""
+    have: tuple[HaveSet, ...] = ()
 
 
 class ChunkRequest(Message, frozen=True):
-    """Asks for one chunk of a version."""
+    """Asks for one chunk of a version, telling what the sender knows."""
 
     digest: str
     index: int
+    have: tuple[HaveSet, ...] = ()
 
 
 class ChunkReply(Message, frozen=True):
-    """A chunk's bytes, or nothing when the sender does not hold it."""
+    """A chunk's bytes, or nothing when the sender does not hold it or is busy.
+
+    `busy_s` is the length of the sender's upload queue in seconds.
+    """
 
     data: bytes = b""
     is_held: bool = True
+    is_busy: bool = False
+    busy_s: float = 0.0
+    have: tuple[HaveSet, ...] = ()
 
 
 class TicketRequest(Message, frozen=True):
--- a/hibiscustray/settings/model.py
+++ b/hibiscustray/settings/model.py
@@ -33,6 +33,7 @@
     object_url: str
     machines_url: str
     origin_url: str
+    origin_region: str = ""
     timeout_s: Positive = 2.0
 
 
@@ -56,13 +57,14 @@
 
 @dataclass(frozen=True)
 class MembershipSettings:
-    """Intervals of the heartbeat and of the platform's list."""
+    """Intervals of the heartbeat and of the platform's list, and peers to try without it."""
 
     heartbeat_s: Positive = 1.0
     suspect_after_s: Positive = 3.0
     list_interval_s: Positive = 5.0
     poll_interval_s: Positive = 1.0
     isolation_grace_s: Positive = 30.0
+    seeds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -93,6 +95,7 @@
     http_certificate: str = ""
     http_key: str = ""
     teams: str = ""
+    operators: str = ""
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import queue
+import ssl
 import threading
 import time
 from collections.abc import Iterator
@@ -19,6 +20,7 @@
 
 DEFAULT_TOKENS = 16
 THREADS = 64
+CHUNKS_A_READ = 16
 REPORT_LAG_S = 0.5
 CLIENT_CHECK_S = 0.2
 EVENT_LAG = 8
@@ -48,7 +50,10 @@
         port: int,
         pace: EnginePace | None = None,
         checks_fencing: bool = True,
+        threads: int = THREADS,
+        context: ssl.SSLContext | None = None,
     ) -> None:
+        self._context = context
         self.records: list[EngineRecord] = []
         self.orders: list[LoadOrder] = []
         self.stale_orders_taken = 0
@@ -66,7 +71,7 @@
         router.add("GET", "/load", self._serve_load)
         router.add("GET", "/cache/events", self._serve_cache_events)
         router.add("GET", "/records", lambda _: Response.json(self.records))
-        self._http = HttpServer(router, address, port, THREADS)
+        self._http = HttpServer(router, address, port, threads)
 
     @property
     def url(self) -> str:
@@ -109,7 +114,11 @@
             if is_stale and self._checks_fencing:
                 return Response.json({"fencing": self.weights.fencing}, 409)
             self.stale_orders_taken += is_stale
-        digest = _read_weights(order.weights_url)
+        digest, _ = _read_weights(f"{order.weights_url}/{order.digest}", self._context)
+        for adapter in order.adapters:
+            read, base = _read_weights(f"{order.weights_url}/{adapter}", self._context)
+            if (read, base) != (adapter, digest):
+                return Response.json({"adapter": adapter, "base": base}, 422)
         with self._lock:
             self.orders.append(order)
             self.weights = EngineWeights(digest, order.adapters, order.fencing)
@@ -179,15 +188,23 @@
             yield token
 
 
-def _read_weights(url: str) -> str:
-    """Read all chunks and return the digest that the bytes themselves give."""
-    client = HttpClient(url, 60.0)
+def _read_weights(url: str, context: ssl.SSLContext | None) -> tuple[str, str]:
+    """Read all chunks; return the digest that the bytes themselves give, and the base."""
+    client = HttpClient(url, 60.0, context)
     layout = msgspec.json.decode(client.call("GET", "").body)
     chunks = []
-    for index in range(layout["count"]):
-        chunks.append(hashlib.sha256(client.call("GET", f"/{index}").body).digest())
+    for first in range(0, layout["count"], CHUNKS_A_READ):
+        last = min(first + CHUNKS_A_READ, layout["count"]) - 1
+        chunks += _hash_chunks(client.call("GET", f"/{first}-{last}").body, layout["chunk_size"])
     client.close()
-    return _digest_layout(layout, chunks)
+    return _digest_layout(layout, chunks), layout["base"]
+
+
+def _hash_chunks(data: bytes, chunk_size: int) -> list[bytes]:
+    return [
+        hashlib.sha256(data[start : start + chunk_size]).digest()
+        for start in range(0, len(data), chunk_size)
+    ]
 
 
 def _digest_layout(layout: dict, chunks: list[bytes]) -> str:
