--- a/hibiscustray/routing/admission.py
+++ b/hibiscustray/routing/admission.py
@@ -10,15 +10,15 @@
 from hibiscustray.exceptions import DeadlineExceeded, Overloaded
 from hibiscustray.requests import CallerRequest
 from hibiscustray.routing.choice import ReplicaChooser
-from hibiscustray.routing.fairness import FairQueue
+from hibiscustray.routing.fairness import FairQueue, find_fair_level
 from hibiscustray.routing.policies import Adaptive, FirstCome, Policy
 
 RECHECK_S = 0.1
 ACTIVE_KEPT_S = 30.0
-RESERVE_SHARE = 0.1
+RESERVE_SHARE = 0.2
 WAITING_THREADS_SHARE = 0.3
 RUNNING_THREADS_SHARE = 0.6
-MIN_WAITING_PER_TEAM = 2
+FREE_WAITING_SHARE = 0.5
 HOLD_SMOOTHING = 0.05
 DEFAULT_HOLD_S = 0.5
 EVERYONE = ""
@@ -124,7 +124,8 @@
             return
         share = request.weight / max(request.weight, self._sum_weights())
         waiting = self._queue.count(team)
-        if waiting >= max(MIN_WAITING_PER_TEAM, self._rules.max_waiting * share):
+        free = self._rules.max_waiting - len(self._queue)
+        if waiting >= max(1.0, self._rules.max_waiting * share, FREE_WAITING_SHARE * free):
             raise Overloaded(f"team {team} has {waiting} requests waiting", self._hold_s)
         rate = max(1, capacity) * self._backlogged_share(team, request.weight) / self._hold_s
         wait_s = (waiting + 1) / rate
@@ -159,9 +160,13 @@
         return total < capacity - reserve
 
     def _has_share_left(self, team: str, capacity: int) -> bool:
+        demands = [
+            (self._running.get(name, 0) + self._queue.count(name), weight)
+            for name, (_, weight) in self._active.items()
+        ]
         _, weight = self._active[team]
-        share = capacity * weight / self._sum_weights()
-        return self._running.get(team, 0) < max(1.0, share)
+        level = find_fair_level(demands, capacity)
+        return self._running.get(team, 0) < max(1.0, level * weight)
 
     def _is_under_share(self, team: str) -> bool:
         with self._lock:
--- a/hibiscustray/routing/choice.py
+++ b/hibiscustray/routing/choice.py
@@ -28,6 +28,7 @@
 CANDIDATES_KEPT_S = 0.1
 SAMPLE_SIZE = 3
 AFFINITY_LOAD_FACTOR = 1.25
+AFFINITY_LIMIT_SHARE = 0.8
 OTHER_ZONE_FACTOR = 1.1
 OTHER_REGION_FACTOR = 1.25
 DEFAULT_UNIT_S = 0.05
@@ -98,8 +99,7 @@
             state = self._state(member_id)
             state.others = max(0, load - state.outstanding)
             state.reported_at = time.monotonic()
-            if waiting:
-                state.limit.decrease(state.reported_at)
+            state.limit.note_queue(waiting, state.reported_at)
 
     def release(self, choice: Choice, is_answered: bool) -> None:
         """Note that an attempt has ended, with a whole answer or without."""
@@ -173,7 +173,11 @@
             return None
         total = sum(candidate.load for candidate in candidates)
         bound = math.ceil(AFFINITY_LOAD_FACTOR * (total + 1) / len(candidates))
-        light = [c.member for c in candidates if c.load < bound and c.has_room]
+        light = [
+            c.member
+            for c in candidates
+            if c.load < bound and c.load < AFFINITY_LIMIT_SHARE * c.state.limit.value
+        ]
         return next(iter(rank_members(light, str(estimate.prefix))), None)
 
     def _pick_light(self, candidates: list[Candidate]) -> MemberRecord:
--- a/hibiscustray/routing/concurrency.py
+++ b/hibiscustray/routing/concurrency.py
@@ -7,7 +7,8 @@
 MAX_LIMIT = 256.0
 DECREASE_FACTOR = 0.9
 COOLDOWN_S = 0.5
-FULL_SHARE = 0.8
+FULL_SHARE = 0.7
+QUEUE_SHARE = 0.25
 BASELINE_DRIFT = 0.002
 NEVER_SLOW_S = 0.1
 FIRST_TOLERANCE = 2.5
@@ -32,7 +33,8 @@
 class ConcurrencyLimit:
     """Rises by one per limit's worth of answers in time while full, falls when they slow down.
 
-    The first payload tells soonest that a replica queues; whole answers tell where there is none.
+    An upstream that reports its queue is judged by that: a short one keeps its batch full. Of the
+    others the first payload tells soonest that they queue, and whole answers where it is absent.
     """
 
     def __init__(self, initial: float = INITIAL_LIMIT) -> None:
@@ -40,11 +42,12 @@
         self._first = Baseline(FIRST_TOLERANCE)
         self._unit = Baseline(UNIT_TOLERANCE)
         self._decreased_at = -COOLDOWN_S
+        self._reports_queue = False
 
     @property
     def value(self) -> int:
         """Return the number of requests that may be outstanding."""
-        return int(self._limit)
+        return round(self._limit)
 
     def observe(
         self, whole_s: float, units: int, first_s: float | None, outstanding: int, now: float
@@ -53,11 +56,18 @@
         is_slow = self._unit.is_slow(whole_s / units) and whole_s > NEVER_SLOW_S
         if first_s is not None:
             is_slow = self._first.is_slow(first_s) and first_s > NEVER_SLOW_S
-        if is_slow:
+        if is_slow and not self._reports_queue:
             self.decrease(now)
         elif outstanding >= FULL_SHARE * self._limit:
             self._limit = min(MAX_LIMIT, self._limit + 1.0 / self._limit)
 
+    def note_queue(self, waiting: int, now: float) -> None:
+        """Take in how many requests the upstream reports as queued."""
+        if waiting > 0:
+            self._reports_queue = True
+        if waiting > max(1.0, QUEUE_SHARE * self._limit):
+            self.decrease(now)
+
     def decrease(self, now: float) -> None:
         """Cut the limit, at most once per cooldown, as when a replica refuses for load."""
         if now - self._decreased_at < COOLDOWN_S:
--- a/hibiscustray/routing/fairness.py
+++ b/hibiscustray/routing/fairness.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -109,3 +110,20 @@
     def _pass_turn(self) -> None:
         self._turns.rotate(-1)
         self._is_topped_up = False
+
+
+def find_fair_level(demands: Iterable[tuple[float, float]], capacity: float) -> float:
+    """Return the max-min fair places per weight, from pairs of demand and weight.
+
+    A team that asks for less than its level gets what it asks; the others share the rest.
+    """
+    left = capacity
+    pending = sorted(demands, key=lambda pair: pair[0] / pair[1])
+    weight_left = sum(weight for _, weight in pending)
+    for demand, weight in pending:
+        level = left / weight_left
+        if demand / weight > level:
+            return level
+        left -= demand
+        weight_left -= weight
+    return math.inf
