--- a/hibiscustray/benchmarks/request_faults.py
+++ b/hibiscustray/benchmarks/request_faults.py
@@ -26,8 +26,7 @@
 
 
 def _kill_replica(site: Site, index: int) -> None:
-    site.models[index].agent.stop()
-    site.models[index].engine.stop()
+    site.models[index].agent.abort()
 
 
 def _silence(site: Site, index: int) -> None:
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -8,7 +8,9 @@
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
+from hibiscustray.agent.keyed import KeyedRequests
 from hibiscustray.agent.load import UpstreamLoad
+from hibiscustray.agent.outcomes import OutcomeWriter
 from hibiscustray.agent.state import ServingState
 from hibiscustray.deployments import (
     Configuration,
@@ -17,7 +19,7 @@
     RevisionStore,
     load_operator_keys,
 )
-from hibiscustray.entry import Dispatcher, EntryApplication, EntryProcess
+from hibiscustray.entry import Attempter, Dispatcher, EntryApplication, EntryProcess, TicketOffice
 from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
@@ -35,12 +37,13 @@
     REVISION,
     STATUS,
     SYNC,
+    TICKET,
 )
 from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
 from hibiscustray.peers.packing import NEWEST
 from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
-from hibiscustray.requests import Ledger
+from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
 from hibiscustray.routing import Admission, ReplicaChooser, make_policy
 from hibiscustray.settings import OperatorSettings, Settings
@@ -125,16 +128,15 @@
     )
     router = _LateRouter()
     http = _build_http(settings, router, settings.limits.threads, settings.limits.body_kib * KIB)
-    view = MemberView(_make_record(settings, "entry", peer_server, http))
+    view = MemberView(_make_record(settings, "entry", peer_server, http, _make_incarnation()))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
     policy = make_policy(settings.routing)
     chooser = ReplicaChooser(view, core.configuration, policy, settings.process.id)
     admission = Admission(policy, chooser, settings.limits.threads)
     watchdog = Watchdog()
-    dispatcher = Dispatcher(
-        core.configuration, chooser, admission, core.peers, watchdog, core.metrics
-    )
+    attempter = Attempter(chooser, core.peers, watchdog)
+    dispatcher = Dispatcher(chooser, admission, view, attempter, core.metrics)
     application = EntryApplication(
         core.configuration,
         dispatcher,
@@ -143,11 +145,20 @@
         core.metrics,
         ServiceLevelRecorder(core.configuration, core.metrics),
         ProcessIdentity(view.own.id, view.own.incarnation),
+        TicketOffice(chooser, core.peers),
     )
     sampler = Sampler(SampleStore(core.table), core.metrics, view.own.id, view.own.incarnation)
     router.target = application.router
     return EntryProcess(
-        application, http, peer_server, exchange, view, core.peers, watchdog, sampler
+        application,
+        http,
+        peer_server,
+        exchange,
+        view,
+        core.peers,
+        watchdog,
+        sampler,
+        settings.limits.balancer_lag_s,
     )
 
 
@@ -162,9 +173,18 @@
     gate = OrderGate()
     chunks = ChunkServer(cache, swarms, uplink, gate, core.metrics)
     engine = EngineClient(settings.upstream.url)
+    incarnation = _make_incarnation()
+    keyed = _build_keyed(settings, core, incarnation)
     load = UpstreamLoad(engine)
     attempts = AttemptServer(
-        state, engine, Ledger(), settings.upstream.concurrency, load, core.metrics
+        state,
+        engine,
+        keyed,
+        incarnation,
+        settings.upstream.concurrency,
+        load,
+        core.metrics,
+        settings.upstream.busy_means_not_run,
     )
     exchange_slot = _ExchangeSlot()
     handlers = exchange_slot.handlers() | {
@@ -172,6 +192,7 @@
         HOLDINGS.name: chunks.serve_holdings,
         CHUNK.name: chunks.serve_chunk,
         ATTEMPT.name: attempts.serve,
+        TICKET.name: attempts.serve_ticket,
     }
     peer_server = PeerServer(
         settings.process.address,
@@ -182,7 +203,7 @@
     )
     router = _build_agent_router(core, chunks, state)
     http = _build_http(settings, router, AGENT_HTTP_THREADS, AGENT_BODY_KIB * KIB)
-    view = MemberView(_make_record(settings, "agent", peer_server, http))
+    view = MemberView(_make_record(settings, "agent", peer_server, http, incarnation))
     exchange = _build_exchange(settings, core, view)
     exchange_slot.exchange = exchange
     stopping = threading.Event()
@@ -216,7 +237,7 @@
         stopping,
     )
     return AgentProcess(
-        http, peer_server, exchange, view, core.peers, deployer, state, load, core.metrics
+        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics, keyed, load
     )
 
 
@@ -288,7 +309,7 @@
 
 
 def _make_record(
-    settings: Settings, role: str, peer_server: PeerServer, http: HttpServer
+    settings: Settings, role: str, peer_server: PeerServer, http: HttpServer, incarnation: int
 ) -> MemberRecord:
     return MemberRecord(
         id=settings.process.id,
@@ -297,13 +318,27 @@
         availability_zone=settings.process.availability_zone,
         peer_address=peer_server.address,
         http_url=http.url,
-        incarnation=int(time.time() * MS_PER_S),
+        incarnation=incarnation,
         service=settings.upstream.service if settings.upstream else "",
         serving="-",
         codec=NEWEST,
     )
 
 
+def _make_incarnation() -> int:
+    return int(time.time() * MS_PER_S)
+
+
+def _build_keyed(settings: Settings, core: Core, incarnation: int) -> KeyedRequests:
+    claims = ClaimStore(core.table, settings.process.id, incarnation)
+    return KeyedRequests(
+        Ledger(),
+        TicketIssuer(settings.process.id, incarnation),
+        claims,
+        OutcomeWriter(claims, core.metrics),
+    )
+
+
 def _build_agent_router(core: Core, chunks: ChunkServer, state: ServingState) -> Router:
     def serve_metrics(request) -> Response:
         body, content_type = core.metrics.render_text()
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -15,7 +15,9 @@
 from hibiscustray.entry.bodies import check_chat_body, read_chat_model
 from hibiscustray.entry.dispatch import Dispatcher
 from hibiscustray.entry.problems import describe_problem, make_problem_response
+from hibiscustray.entry.recording import RecordedBody, RequestRecord
 from hibiscustray.entry.teams import TeamCredentials
+from hibiscustray.entry.tickets import TicketOffice
 from hibiscustray.exceptions import (
     ConfigurationUnknown,
     DeadlineInvalid,
@@ -25,8 +27,7 @@
     ServiceUnknown,
 )
 from hibiscustray.peers import End
-from hibiscustray.reports import ServiceLevelEvent, ServiceLevelRecorder
-from hibiscustray.reports.recorder import ABANDONED, ANSWERED
+from hibiscustray.reports import ServiceLevelRecorder
 from hibiscustray.requests import CallerRequest, estimate_call, estimate_chat
 from hibiscustray.settings import LimitSettings
 from hibiscustray.telemetry import Metrics
@@ -37,12 +38,20 @@
 DEADLINE_HEADER = "hibiscustray-deadline-ms"
 REPEATABLE_HEADER = "hibiscustray-repeatable"
 KEY_HEADER = "idempotency-key"
+RETRY_COUNT_HEADER = "hibiscustray-retry-count"
 MAX_KEY_LENGTH = 200
 MS_PER_S = 1000.0
 KIB = 1024
 RETRY_AFTER_S = 1.0
 
 
+class TicketAnswer(msgspec.Struct, frozen=True):
+    """An idempotency key that works without the platform's store, and its lifetime."""
+
+    key: str
+    lifetime_s: float
+
+
 @dataclass(frozen=True)
 class ProcessIdentity:
     """Which incarnation of which process answers."""
@@ -60,17 +69,6 @@
     incarnation: int
 
 
-@dataclass
-class Progress:
-    """What is known of a request while it is served."""
-
-    started: float
-    cpu_started: float
-    team: str = "unknown"
-    service: str = "unknown"
-    first_payload_s: float | None = None
-
-
 class EntryApplication:
     """Reads callers' requests, hands them to the dispatcher and writes answers."""
 
@@ -83,9 +81,11 @@
         metrics: Metrics,
         recorder: ServiceLevelRecorder,
         identity: ProcessIdentity,
+        tickets: TicketOffice,
     ) -> None:
         self._recorder = recorder
         self._identity = identity
+        self._tickets = tickets
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._credentials = credentials
@@ -96,6 +96,7 @@
         self._idle = threading.Condition()
         self.router = Router(lambda error: make_problem_response(error, "-"))
         self.router.add("POST", "/v1/services/{service}", self._serve_service)
+        self.router.add("POST", "/v1/services/{service}/tickets", self._serve_ticket)
         self.router.add("POST", CHAT_PATH, self._serve_chat)
         self.router.add("GET", "/health", self._serve_health)
         self.router.add("GET", "/metrics", self._serve_metrics)
@@ -124,45 +125,53 @@
     def _serve_service(self, request: Request) -> Response:
         return self._serve(request, lambda body: request.groups["service"], "")
 
+    def _serve_ticket(self, request: Request) -> Response:
+        request_id = uuid.uuid4().hex
+        try:
+            team = self._credentials.identify(request.headers.get("authorization", ""))
+            service = self._find_service(request.groups["service"])
+            reply = self._tickets.get_ticket(team, service)
+        except HibiscustrayError as error:
+            return make_problem_response(error, request_id)
+        self._metrics.count("tickets_total", {"team": team, "service": service.name})
+        return Response.json(TicketAnswer(reply.key, reply.lifetime_s), 201)
+
     def _serve(self, request: Request, name_service, path: str) -> Response:
         request_id = uuid.uuid4().hex
-        progress = Progress(time.monotonic(), time.thread_time())
+        record = RequestRecord(self._recorder, self._metrics, self._note_end)
         self._change_running(1)
         try:
-            progress.team = self._credentials.identify(request.headers.get("authorization", ""))
-            caller, service = self._read_request(request, request_id, progress, name_service, path)
-            answer = self._dispatcher.run(caller, service)
+            record.team = self._credentials.identify(request.headers.get("authorization", ""))
+            caller, service = self._read_request(request, request_id, record, name_service, path)
+            answer = record.follow(self._dispatcher.run(caller, service))
             first = next(answer)
-        except HibiscustrayError as error:
-            self._record_failure(progress, error, request_id)
+        except Exception as error:
+            record.fail(describe_problem(error, request_id))
             return make_problem_response(error, request_id)
-        progress.first_payload_s = time.monotonic() - progress.started
-        answer = self._record(chain([first], answer), progress, request_id)
+        items = chain([first], answer)
         headers = (("Hibiscustray-Request-Id", request_id),)
         if caller.is_stream:
-            body = self._stream_events(answer, request, request_id)
+            body = RecordedBody(self._stream_events(items, request_id, record), answer, record)
             return Response(200, body, EVENT_STREAM, headers)
-        return self._collect(answer, request_id, headers)
+        *parts, end = items
+        return Response(end.status, b"".join(parts), end.content_type, headers)
 
     def _read_request(
-        self, request: Request, request_id: str, progress: Progress, name_service, path: str
+        self, request: Request, request_id: str, record: RequestRecord, name_service, path: str
     ) -> tuple[CallerRequest, Service]:
         if len(request.body) > self._limits.body_kib * KIB:
             raise RequestTooLarge(f"the body is over {self._limits.body_kib} KiB")
         if not self._configuration.is_justified():
             raise ConfigurationUnknown("this entry is cut off or has just started", RETRY_AFTER_S)
         body = _decode_body(request.body)
-        name = name_service(body)
-        service = self._configuration.deployment.find_service(name)
-        if service is None:
-            raise ServiceUnknown(f"there is no service {name!r}")
-        progress.service = service.name
+        service = self._find_service(name_service(body))
+        record.service = service.name
         if service.kind == "model":
             check_chat_body(body)
-        known_team = self._configuration.deployment.find_team(progress.team)
+        known_team = self._configuration.deployment.find_team(record.team)
         caller = CallerRequest(
             id=request_id,
-            team=progress.team,
+            team=record.team,
             service=service.name,
             path=path or (CHAT_PATH if service.kind == "model" else "/"),
             body=request.body,
@@ -173,9 +182,17 @@
             priority=known_team.priority if known_team else 5,
             weight=known_team.weight if known_team else 1.0,
             estimate=estimate_chat(body) if service.kind == "model" else estimate_call(),
+            is_first=_read_first(request),
+            is_abandoned=request.is_disconnected,
         )
         return caller, service
 
+    def _find_service(self, name: str) -> Service:
+        service = self._configuration.deployment.find_service(name)
+        if service is None:
+            raise ServiceUnknown(f"there is no service {name!r}")
+        return service
+
     def _read_deadline(self, request: Request) -> float:
         text = request.headers.get(DEADLINE_HEADER)
         if text is None:
@@ -189,61 +206,26 @@
             raise DeadlineInvalid(f"the deadline must be from 1 to {longest} ms")
         return seconds
 
-    def _record(self, answer: Iterator[bytes | End], progress: Progress, request_id: str):
-        """Pass an answer on and record how it ended, once."""
-        try:
-            yield from answer
-        except HibiscustrayError as error:
-            self._record_failure(progress, error, request_id)
-            raise
-        except GeneratorExit:
-            self._record_end(progress, ABANDONED, "caller-left")
-            raise
-        self._record_end(progress, ANSWERED, "")
-
-    def _record_failure(self, progress: Progress, error: Exception, request_id: str) -> None:
-        problem = describe_problem(error, request_id)
-        self._record_end(progress, problem.outcome, problem.type.rsplit(":", 1)[1])
-
-    def _record_end(self, progress: Progress, outcome: str, kind: str) -> None:
-        self._change_running(-1)
-        cpu_s = time.thread_time() - progress.cpu_started
-        self._metrics.count("request_cpu_seconds_total", amount=cpu_s)
-        self._recorder.record(
-            ServiceLevelEvent(
-                progress.service,
-                progress.team,
-                outcome,
-                kind,
-                progress.first_payload_s,
-                time.monotonic() - progress.started,
-            )
-        )
-
     def _change_running(self, change: int) -> None:
         with self._idle:
             self._running += change
             self._idle.notify_all()
 
-    def _collect(self, answer: Iterator[bytes | End], request_id: str, headers) -> Response:
-        try:
-            *parts, end = answer
-        except HibiscustrayError as error:
-            return make_problem_response(error, request_id)
-        return Response(end.status, b"".join(parts), end.content_type, headers)
+    def _note_end(self) -> None:
+        self._change_running(-1)
 
-    def _stream_events(self, answer, request: Request, request_id: str) -> Iterator[bytes]:
+    def _stream_events(
+        self, answer: Iterator[bytes | End], request_id: str, record: RequestRecord
+    ) -> Iterator[bytes]:
         try:
             for item in answer:
-                if request.is_disconnected():
-                    answer.close()
-                    return
                 if isinstance(item, End):
                     yield b"event: end\ndata: [DONE]\n\n"
                 else:
                     yield b"data: " + item + b"\n\n"
-        except HibiscustrayError as error:
+        except Exception as error:
             problem = describe_problem(error, request_id)
+            record.fail(problem)
             yield b"event: error\ndata: " + msgspec.json.encode({"error": problem}) + b"\n\n"
 
 
@@ -268,3 +250,13 @@
     if len(key) > MAX_KEY_LENGTH or not (key.isascii() and key.isprintable()):
         raise RequestMalformed(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} or not printable ASCII")
     return key
+
+
+def _read_first(request: Request) -> bool:
+    """Tell whether the caller declares that it never sent the key before."""
+    text = request.headers.get(RETRY_COUNT_HEADER)
+    if text is None:
+        return False
+    if not text.isascii() or not text.isdigit():
+        raise RequestMalformed(f"{RETRY_COUNT_HEADER}: found {text[:40]!r}; allowed: 0 or more")
+    return int(text) == 0
--- a/hibiscustray/entry/process.py
+++ b/hibiscustray/entry/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 
 from hibiscustray.entry.application import EntryApplication
 from hibiscustray.entry.watchdog import Watchdog
@@ -28,6 +29,7 @@
         peers: PeerPool,
         watchdog: Watchdog,
         sampler: Sampler,
+        balancer_lag_s: float,
     ) -> None:
         self.application = application
         self.http = http
@@ -37,6 +39,8 @@
         self._peers = peers
         self._watchdog = watchdog
         self._sampler = sampler
+        self._balancer_lag_s = balancer_lag_s
+        self._is_stopped = False
 
     @property
     def url(self) -> str:
@@ -53,16 +57,21 @@
         log.info("entry started", extra={"url": self.url})
 
     def drain(self, timeout_s: float) -> bool:
-        """Turn health, then wait until no request runs; tell whether that was reached."""
+        """Turn health, serve on while the balancer notices, then wait until no request runs."""
+        deadline = time.monotonic() + timeout_s
         self.application.leave()
         self.view.update_own(status=LEAVING)
         self._exchange.announce()
-        return self.application.wait_until_idle(timeout_s)
+        time.sleep(min(self._balancer_lag_s, timeout_s))
+        return self.application.wait_until_idle(max(0.0, deadline - time.monotonic()))
 
     def stop(self) -> None:
-        """End all servers and threads."""
-        self.view.update_own(status=LEFT)
+        """End all servers and threads; a second call does nothing."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
         self.http.stop()
+        self.view.update_own(status=LEFT)
         self._sampler.stop()
         self._exchange.stop()
         self._peer_server.stop()
--- a/hibiscustray/standins/service.py
+++ b/hibiscustray/standins/service.py
@@ -20,6 +20,7 @@
         self.runs: Counter[str] = Counter()
         self.request_ids: set[str] = set()
         self.delay_s = delay_s
+        self.busy_status = 0
         self._lock = threading.Lock()
         router = Router(lambda error: Response.json({"error": str(error)}, 500))
         router.add("POST", "/", self._serve_call)
@@ -47,4 +48,6 @@
             self.runs[reference] += 1
             self.request_ids.add(request.headers.get("x-request-id", ""))
             run = self.runs[reference]
+        if self.busy_status:
+            return Response.json({"error": "busy"}, self.busy_status)
         return Response.json({"reference": reference, "confirmed": True, "run": run})
