--- a/hibiscustray/routing/admission.py
+++ b/hibiscustray/routing/admission.py
@@ -15,7 +15,7 @@
 
 RECHECK_S = 0.1
 ACTIVE_KEPT_S = 30.0
-RESERVE_SHARE = 0.3
+RESERVE_SHARE = 0.25
 WAITING_THREADS_SHARE = 0.3
 RUNNING_THREADS_SHARE = 0.6
 FREE_WAITING_SHARE = 0.5
@@ -153,12 +153,19 @@
 
     def _may_run(self, team: str, capacity: int) -> bool:
         total = sum(self._running.values())
-        if not self._rules.is_fair or self._has_share_left(team, capacity):
+        if not self._rules.is_fair:
+            return total < capacity
+        reserve = self._read_reserve(capacity)
+        if self._has_share_left(team, capacity - reserve):
             return total < capacity
-        is_alone = len(self._active) <= 1
-        reserve = 0 if is_alone else max(1, round(RESERVE_SHARE * capacity))
         return total < capacity - reserve
 
+    def _read_reserve(self, capacity: int) -> int:
+        """Return the places kept for active teams that have nothing waiting, none without such."""
+        if len(self._active) <= 1 or all(self._queue.count(team) for team in self._active):
+            return 0
+        return max(1, round(RESERVE_SHARE * capacity))
+
     def _has_share_left(self, team: str, capacity: int) -> bool:
         demands = [
             (self._running.get(name, 0) + self._queue.count(name), weight)
@@ -170,7 +177,9 @@
 
     def _is_under_share(self, team: str) -> bool:
         with self._lock:
-            return self._rules.is_fair and self._has_share_left(team, self._read_capacity())
+            capacity = self._read_capacity()
+            spare = capacity - self._read_reserve(capacity)
+            return self._rules.is_fair and self._has_share_left(team, spare)
 
     def _note_active(self, team: str, weight: float) -> None:
         now = time.monotonic()
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,137 @@
+"""Choice of replicas: load, health, zones, prefixes and subsets."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscustray.deployments import Deployment, Service
+from hibiscustray.exceptions import NoReplica
+from hibiscustray.membership import MemberView
+from hibiscustray.peers import MemberRecord
+from hibiscustray.requests import Estimate
+from hibiscustray.routing.choice import ReplicaChooser
+from hibiscustray.routing.health import Progress, ReplicaHealth
+from hibiscustray.routing.policies import Adaptive, LeastOutstanding, RoundRobin
+from hibiscustray.routing.subset import take_subset
+
+BOOKING = Service("booking", kind="plain")
+
+
+class FixedConfiguration:
+    """A configuration in force from the start."""
+
+    deployment = Deployment("test", services=(BOOKING,))
+
+
+def make_member(index: int, zone: str = "akl-a", role: str = "agent") -> MemberRecord:
+    """Return a live member of the booking service."""
+    return MemberRecord(
+        id=f"{role}-{index}",
+        role=role,
+        region=zone[:3],
+        availability_zone=zone,
+        peer_address=f"127.0.0.1:{index + 1}",
+        http_url="",
+        incarnation=1,
+        service="booking",
+    )
+
+
+def make_chooser(policy, zones: list[str]) -> ReplicaChooser:
+    """Return a chooser of an entry in akl-a that knows a replica in each zone."""
+    view = MemberView(make_member(0, role="entry"))
+    view.merge(make_member(index, zone) for index, zone in enumerate(zones))
+    return ReplicaChooser(view, FixedConfiguration(), policy, "seed")
+
+
+def run_one(chooser: ReplicaChooser, seconds: float, estimate: Estimate | None = None) -> str:
+    """Carry an attempt that takes so long; return the replica that it went to."""
+    choice = chooser.choose(BOOKING, set(), estimate=estimate)
+    choice.progress.started_at -= seconds
+    chooser.release(choice, is_answered=True)
+    return choice.member.id
+
+
+def test_round_robin_takes_turns():
+    chooser = make_chooser(RoundRobin(), ["akl-a"] * 3)
+    taken = Counter(chooser.choose(BOOKING, set()).member.id for _ in range(9))
+    assert set(taken.values()) == {3}
+
+
+@pytest.mark.parametrize("policy", [LeastOutstanding(), Adaptive(24)])
+def test_outstanding_work_is_spread(policy):
+    chooser = make_chooser(policy, ["akl-a"] * 4)
+    taken = Counter(chooser.choose(BOOKING, set()).member.id for _ in range(12))
+    assert max(taken.values()) <= 4
+
+
+def test_excluded_replicas_are_not_chosen():
+    chooser = make_chooser(Adaptive(24), ["akl-a"] * 2)
+    assert chooser.choose(BOOKING, {"agent-0"}).member.id == "agent-1"
+    with pytest.raises(NoReplica):
+        chooser.choose(BOOKING, {"agent-0", "agent-1"})
+
+
+def test_a_replica_slower_than_the_others_gets_no_more_work():
+    chooser = make_chooser(Adaptive(24), ["akl-a"] * 6)
+    for _ in range(60):
+        run_one(chooser, 0.5)
+    stuck = chooser.choose(BOOKING, set())
+    stuck.progress.started_at -= 5.0
+    taken = {run_one(chooser, 0.5) for _ in range(60)}
+    assert stuck.member.id not in taken
+
+
+def test_a_slow_replica_is_probed_and_comes_back():
+    health = ReplicaHealth()
+    assert not health.take_probe(0.0)
+    assert health.take_probe(5.0)
+    assert not health.take_probe(6.0)
+    health.settle()
+    assert not health.take_probe(7.0)
+
+
+def test_a_stream_that_stalls_shows_before_it_ends():
+    health = ReplicaHealth()
+    progress = Progress("agent-0", 100, True, started_at=0.0, heard_at=0.0)
+    health.begin(progress)
+    progress.note_payloads(3, 0.1)
+    assert health.read_unit(0.03, 0.2) == 0.03
+    assert health.read_unit(0.03, 0.6) > 0.3
+
+
+def test_the_own_zone_comes_first_and_spills_by_load():
+    chooser = make_chooser(Adaptive(24), ["akl-a", "wlg-a", "wlg-a"])
+    choices = [chooser.choose(BOOKING, set()).member.availability_zone for _ in range(10)]
+    assert choices[0] == "akl-a"
+    assert "wlg-a" in choices
+
+
+def test_reported_work_of_others_is_avoided():
+    chooser = make_chooser(Adaptive(24), ["akl-a"] * 3)
+    chooser.report("agent-0", 4, 0)
+    chooser.report("agent-1", 4, 0)
+    assert chooser.choose(BOOKING, set()).member.id == "agent-2"
+    assert chooser.read_capacity(BOOKING) == 4
+
+
+def test_prompts_of_one_prefix_meet_until_their_home_is_loaded():
+    chooser = make_chooser(Adaptive(24), ["akl-a"] * 6)
+    estimate = Estimate(100, 32, prefix=12345)
+    assert len({run_one(chooser, 0.5, estimate) for _ in range(20)}) == 1
+    held = Counter(chooser.choose(BOOKING, set(), estimate=estimate).member.id for _ in range(12))
+    assert max(held.values()) <= 4
+
+
+@given(size=st.integers(1, 8), count=st.integers(1, 30), lost=st.integers(0, 29))
+def test_a_subset_is_bounded_and_changes_little(size, count, lost):
+    members = [make_member(index) for index in range(count)]
+    before = take_subset(members, "entry-0", size)
+    left = [member for member in members if member.id != f"agent-{lost}"]
+    after = take_subset(left, "entry-0", size)
+    assert len(before) == min(size, count)
+    assert len({m.id for m in before} - {m.id for m in after}) <= 1
