--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -86,6 +86,17 @@
     sys.exit(run_bench_weights(WeightsOptions(is_json=is_json, plot=plot, **shape)))
 
 
+@bench.command("entry")
+@click.option("--rate", type=float, default=100.0, show_default=True, help="Requests a second.")
+@click.option("--seconds", type=float, default=5.0, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_entry(rate: float, seconds: float, is_json: bool) -> None:
+    """Measure the latency that entry and agent add to a plain call."""
+    from hibiscustray.commands.bench_entry import run_command
+
+    sys.exit(run_command(rate, seconds, is_json))
+
+
 @bench.command("requests")
 @click.option("--entries", type=click.IntRange(1), default=2, show_default=True)
 @click.option("--replicas", type=click.IntRange(1), default=6, show_default=True)
--- /dev/null
+++ b/hibiscustray/commands/bench_entry.py
@@ -0,0 +1,19 @@
+"""The command `bench entry`: the latency that the system adds to a call."""
+
+from __future__ import annotations
+
+import click
+import msgspec
+
+from hibiscustray.benchmarks.entry_cost import measure_entry_cost
+
+
+def run_command(rate: float, seconds: float, is_json: bool) -> int:
+    """Measure and print the added latency."""
+    cost = measure_entry_cost(rate, seconds)
+    if is_json:
+        click.echo(msgspec.json.encode(cost))
+    else:
+        for name, value in msgspec.to_builtins(cost).items():
+            click.echo(f"{name:<16} {value}")
+    return 0
--- /dev/null
+++ b/tests/commands/test_bench_requests.py
@@ -0,0 +1,36 @@
+"""The command `bench requests`: options and one short run."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from hibiscustray.__main__ import cli
+from hibiscustray.exceptions import SettingsError
+
+
+@pytest.mark.parametrize(
+    "option",
+    [
+        ("--rush", "team-9:10"),
+        ("--rush", "team-0:none"),
+        ("--mix", "0.9:0.9"),
+        ("--faults", "fire"),
+        ("--policy", "best"),
+    ],
+)
+def test_a_wrong_option_is_named(option):
+    result = CliRunner().invoke(cli, ["bench", "requests", *option])
+    assert isinstance(result.exception, SettingsError)
+    assert option[0] in str(result.exception)
+
+
+def test_counts_of_a_run_under_a_dying_vm_have_no_violation():
+    arguments = "--replicas 3 --teams 2 --rate 6 --seconds 4 --faults die --seed 3 --json"
+    result = CliRunner().invoke(cli, ["bench", "requests", *arguments.split()])
+    report = msgspec.json.decode(result.stdout.splitlines()[-1])
+    counts = report["results"][0]["counts"]
+    assert counts["sent"] > 0
+    names = ("hung", "run_twice", "false_not_run", "wrong_answer")
+    assert {name: counts[name] for name in names} == dict.fromkeys(names, 0)
