--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -112,6 +112,17 @@
     sys.exit(run_bench_configuration(ConfigurationOptions(nodes, changes, faults, seed, is_json)))
 
 
+@bench.command("entry")
+@click.option("--rate", type=float, default=100.0, show_default=True, help="Requests a second.")
+@click.option("--seconds", type=float, default=5.0, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_entry(rate: float, seconds: float, is_json: bool) -> None:
+    """Measure the latency that entry and agent add to a plain call."""
+    from hibiscustray.commands.bench_entry import run_command
+
+    sys.exit(run_command(rate, seconds, is_json))
+
+
 @bench.command("requests")
 @click.option("--entries", type=click.IntRange(1), default=2, show_default=True)
 @click.option("--replicas", type=click.IntRange(1), default=6, show_default=True)
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -9,6 +9,7 @@
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
 from hibiscustray.agent.keyed import KeyedRequests
+from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.outcomes import OutcomeWriter
 from hibiscustray.agent.state import ServingState
 from hibiscustray.deployments import (
@@ -174,12 +175,14 @@
     engine = EngineClient(settings.upstream.url)
     incarnation = _make_incarnation()
     keyed = _build_keyed(settings, core, incarnation)
+    load = UpstreamLoad(engine)
     attempts = AttemptServer(
         state,
         engine,
         keyed,
         incarnation,
         settings.upstream.concurrency,
+        load,
         core.metrics,
         settings.upstream.busy_means_not_run,
     )
@@ -234,7 +237,7 @@
         stopping,
     )
     return AgentProcess(
-        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics, keyed
+        http, peer_server, exchange, view, core.peers, deployer, state, core.metrics, keyed, load
     )
 
 
