--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -26,7 +26,7 @@
 log = logging.getLogger(__name__)
 
 JSON = "application/json"
-LOOP_TIMEOUT_S = 0.5
+LOOP_TIMEOUT_S = 2.0
 FINISH_S = 5.0
 FINISH_TICK_S = 0.02
 IDLE_TIMEOUT_S = 30
