--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -104,7 +104,7 @@
 class ProgramFailed(ConfigurationError):
     """An operator program ended with an error or printed nothing."""
 
-    exit_code = 6
+    exit_code = 7
 
 
 class NoConfiguration(ConfigurationError):
