--- a/hibiscustray/weights/plan.py
+++ b/hibiscustray/weights/plan.py
@@ -15,13 +15,15 @@
 
 def rank_drawer(digest: str, index: int, ids: Iterable[str], own: str) -> int:
     """Return a member's place among those that may bring in a chunk, 0 first."""
-    own_score = _score(digest, index, own)
-    return sum(1 for other in ids if other != own and _score(digest, index, other) > own_score)
+    seed = _make_seed(digest, index)
+    own_score = _score(own, seed)
+    return sum(1 for other in ids if _score(other, seed) > own_score)
 
 
 def choose_drawer(digest: str, index: int, ids: Iterable[str]) -> str:
     """Return the member that brings in a chunk."""
-    return max(ids, key=lambda member: _score(digest, index, member))
+    seed = _make_seed(digest, index)
+    return max(ids, key=lambda member: _score(member, seed))
 
 
 def choose_source(
@@ -32,20 +34,29 @@
     The regions form a chain for each chunk, the origin's region first and the others in hash
     order, so that remote regions import different shares from there and swap them.
     """
+    seed = _make_seed(digest, index)
     chain = sorted(
         {*regions, own_region},
-        key=lambda region: (region != origin_region, _score(digest, index, region)),
+        key=lambda region: (region != origin_region, _score(region, seed)),
     )
     place = chain.index(own_region)
     return chain[place - 1] if place > 0 else ""
 
 
-def is_neighbour(digest: str, own: str, other: str, count: int) -> bool:
-    """Tell whether two of some members exchange chunks; both sides decide the same."""
+def measure_distance(digest: str, own: str, other: str) -> float:
+    """Return a number from 0 to 1 that both members of a pair compute alike."""
     first, second = sorted((own, other))
-    share = _score(digest, 0, f"{first}/{second}") / HASH_SPAN
-    return share * count < NEIGHBOURS
+    return _score(f"{first}/{second}", _make_seed(digest, 0)) / HASH_SPAN
 
 
-def _score(digest: str, index: int, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{digest}/{index}/{name}".encode())
+def is_neighbour(distance: float, count: int) -> bool:
+    """Tell whether two of some members exchange chunks, by their distance."""
+    return distance * count < NEIGHBOURS
+
+
+def _make_seed(digest: str, index: int) -> int:
+    return xxhash.xxh64_intdigest(digest.encode(), seed=index)
+
+
+def _score(name: str, seed: int) -> int:
+    return xxhash.xxh64_intdigest(name.encode(), seed=seed)
--- a/hibiscustray/weights/swarm.py
+++ b/hibiscustray/weights/swarm.py
@@ -11,10 +11,10 @@
 from hibiscustray.membership import MemberView
 from hibiscustray.peers import HaveSet, MemberRecord
 from hibiscustray.weights.cache import decode_bitmap, encode_bitmap, list_chunks
-from hibiscustray.weights.plan import is_neighbour
+from hibiscustray.weights.plan import is_neighbour, measure_distance
 
 GOSSIP_ENTRIES = 4
-MEMBERS_AGE_S = 0.25
+MEMBERS_AGE_S = 1.0
 DRAW_STALL_S = 10.0
 
 
@@ -67,6 +67,7 @@
         self._distrusted: set[str] = set()
         self._failing: set[str] = set()
         self._called_in: set[str] = set()
+        self._distances: dict[str, float] = {}
         self._drawing: dict[int, float] = {}
         self.planned = 0
         self._members = Members({}, {})
@@ -80,7 +81,7 @@
         return frozenset(self._distrusted)
 
     def members(self) -> Members:
-        """Return the trusted live replicas, at most a fraction of a second old."""
+        """Return the trusted live replicas, at most a second old."""
         with self._lock:
             now = time.monotonic()
             if now - self._members_at > MEMBERS_AGE_S:
@@ -226,7 +227,11 @@
         """Tell whether chunks are exchanged with a member; few are asked in the own region."""
         if member.region != self._view.own.region or address in self._called_in:
             return True
-        return is_neighbour(self.digest, self._view.own.id, member.id, count)
+        distance = self._distances.get(member.id)
+        if distance is None:
+            distance = measure_distance(self.digest, self._view.own.id, member.id)
+            self._distances[member.id] = distance
+        return is_neighbour(distance, count)
 
 
 class SwarmRegistry:
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -12,6 +12,7 @@
     choose_drawer,
     choose_source,
     is_neighbour,
+    measure_distance,
     rank_drawer,
 )
 
@@ -75,11 +76,12 @@
 
 @given(st.sampled_from(MEMBERS), st.sampled_from(MEMBERS), st.integers(1, 600))
 def test_neighbours_agree_and_small_services_are_all_neighbours(own, other, count):
-    assert is_neighbour("d", own, other, count) == is_neighbour("d", other, own, count)
-    assert count > NEIGHBOURS or is_neighbour("d", own, other, count)
+    distance = measure_distance("d", own, other)
+    assert distance == measure_distance("d", other, own)
+    assert count > NEIGHBOURS or is_neighbour(distance, count)
 
 
 def test_no_member_of_a_large_service_is_cut_off():
     ids = [f"vm-{i}" for i in range(500)]
     for own in ids[:50]:
-        assert sum(is_neighbour("d", own, other, 500) for other in ids) >= 5
+        assert sum(is_neighbour(measure_distance("d", own, other), 500) for other in ids) >= 5
