Keeps claims that hang from filling an agent, and probes within the deadline

A table that hangs held each claim for up to 4 s and two agents in turn, which took the agents' places from bookings with tickets; now one claim at a time tries the table and a refusal is final at once.

--- a/hibiscustray/entry/attempt.py
+++ b/hibiscustray/entry/attempt.py
@@ -127,7 +127,7 @@
         except PeerUnreachable as error:
             return NotTaken(error, is_gone=True)
         except PeerConnectionLost as error:
-            is_alive = watch.is_silent() and self._probe(member, client)
+            is_alive = watch.is_silent() and self._probe(member, client, request.time_left())
             return Lost(error, is_alive)
         finally:
             watch.close()
@@ -158,11 +158,14 @@
                 return Lost(OutcomeUnknown(detail), is_alive=True, is_settled=True)
         return None
 
-    def _probe(self, member: MemberRecord, client: PeerClient) -> bool:
+    def _probe(self, member: MemberRecord, client: PeerClient, time_left_s: float) -> bool:
         """Open a new connection to an agent whose old one went silent; tell whether it answers."""
         self._peers.renew(member.peer_address, client)
+        timeout_s = min(PROBE_TIMEOUT_S, time_left_s)
+        if timeout_s <= 0:
+            return False
         try:
-            self._peers.get(member.peer_address).read_revision(PROBE_TIMEOUT_S)
+            self._peers.get(member.peer_address).read_revision(timeout_s)
         except PeerError:
             return False
         return True
--- a/hibiscustray/entry/keyed.py
+++ b/hibiscustray/entry/keyed.py
@@ -34,7 +34,6 @@
 from hibiscustray.telemetry import Metrics
 
 MAX_ATTEMPTS = 6
-CLAIM_ATTEMPTS = 2
 RETRY_PAUSE_S = 0.2
 RETRY_AFTER_S = 1.0
 
@@ -120,7 +119,6 @@
         self._may_have_run = not request.is_first
         self._error: Exception = NoReplica("no replica was tried", RETRY_AFTER_S)
         self._reader = AnswerReader(request.id)
-        self._unclaimed = 0
 
     def renew_reader(self) -> AnswerReader:
         """Return the reader for the next attempt; that of a stream goes on."""
@@ -175,12 +173,8 @@
             self.binding = Binding(member.id, member.incarnation)
 
     def _take_refusal(self, last: NotTaken, owner: MemberRecord | None) -> bool:
-        if last.is_final or isinstance(last.error, (KeyReused, *LATE)):
+        if last.is_final or isinstance(last.error, (ClaimUnavailable, KeyReused, *LATE)):
             return True
-        if isinstance(last.error, ClaimUnavailable):
-            self._unclaimed += 1
-            if self._unclaimed >= CLAIM_ATTEMPTS:
-                return True
         if self.request.time_left() <= 0:
             return True
         if owner is not None and last.is_gone:
--- a/hibiscustray/requests/claims.py
+++ b/hibiscustray/requests/claims.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 import uuid
 from collections.abc import Callable
@@ -14,7 +15,13 @@
 
 import msgspec
 
-from hibiscustray.exceptions import PreconditionFailed, RecordInvalid, StoreAnswerLost
+from hibiscustray.exceptions import (
+    PlatformError,
+    PreconditionFailed,
+    RecordInvalid,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
 from hibiscustray.platform import Put, Row, Table
 from hibiscustray.requests.ledger import KEPT_S, Mismatch, Repeat, Uncertain
 
@@ -69,6 +76,8 @@
         self._agent = agent
         self._incarnation = incarnation
         self._timer = timer
+        self._is_down = False
+        self._probe = threading.Lock()
 
     def claim(
         self, key: str, body_digest: str
@@ -77,7 +86,23 @@
 
         Raises `StoreUnavailable` or `StoreAnswerLost` when the claim could not be confirmed; the
         caller then does not run the request, and a write that lands later names this incarnation.
+        While the table does not answer, one claim at a time tries it and the others fail at once.
         """
+        is_probe = self._is_down
+        if is_probe and not self._probe.acquire(blocking=False):
+            raise StoreUnavailable("the table did not answer the claim before")
+        try:
+            claimed = self._claim(key, body_digest)
+            self._is_down = False
+            return claimed
+        except PlatformError:
+            self._is_down = True
+            raise
+        finally:
+            if is_probe:
+                self._probe.release()
+
+    def _claim(self, key: str, body_digest: str):
         claim = Claim(key, 1, self._make_body(body_digest))
         change_id = uuid.uuid4().hex
         for _ in range(CLAIM_TRIES):
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
 import pytest
 
-from hibiscustray.exceptions import PlatformError
+from hibiscustray.exceptions import PlatformError, StoreUnavailable
 from hibiscustray.requests import Claim, ClaimStore, Elsewhere, Mismatch, Repeat, Uncertain
 from hibiscustray.requests.ledger import KEPT_S
 from tests.requests.tables import FakeTable
@@ -101,3 +103,22 @@
     table.rows[key] = replace(row, body=b"?")
     with pytest.raises(PlatformError):
         store.claim("k", "d")
+
+
+def test_claims_do_not_queue_behind_a_table_that_hangs(table):
+    store = ClaimStore(table, "a", 1)
+    table.mode = "down"
+    with pytest.raises(PlatformError):
+        store.claim("k", "d")
+    table.mode = "up"
+    hanging, released = threading.Event(), threading.Event()
+    commit = table.transact
+    table.transact = lambda *write: hanging.set() or released.wait(5.0) and commit(*write)
+    with ThreadPoolExecutor(1) as pool:
+        probing = pool.submit(store.claim, "k", "d")
+        assert hanging.wait(5.0)
+        with pytest.raises(StoreUnavailable):
+            store.claim("k2", "d")
+        released.set()
+        assert isinstance(probing.result(), Claim)
+    assert isinstance(store.claim("k2", "d"), Claim)
