--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -131,6 +131,35 @@
     sys.exit(run_command(**options))
 
 
+@bench.command("stream")
+@click.option("--entry-url", "url", required=True, help="URL of a running entry.")
+@click.option("--team-key", "key_file", type=FILE, required=True, help="File with a team's key.")
+@click.option("--service", default="guide-llm", show_default=True)
+@click.option("--entry-pid", type=int, required=True)
+@click.option("--agent-pid", type=int, required=True)
+@click.option("--streams", type=click.IntRange(1), default=16, show_default=True)
+@click.option("--tokens", type=click.IntRange(1), default=64, show_default=True)
+@click.option("--seconds", type=float, default=10.0, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_stream(key_file: Path, is_json: bool, **options) -> None:
+    """Measure what streams through a running entry and agent cost them."""
+    from hibiscustray.commands.bench_stream import run_bench_stream
+
+    sys.exit(run_bench_stream(key_file, is_json, **options))
+
+
+@bench.command()
+@click.option("--entry-pid", type=int, required=True, help="Process id of an idle entry.")
+@click.option("--agent-pid", type=int, required=True, help="Process id of an idle agent.")
+@click.option("--seconds", type=float, default=20.0, show_default=True, help="Time to watch.")
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def idle(entry_pid: int, agent_pid: int, seconds: float, is_json: bool) -> None:
+    """Measure memory and processor time of a running entry and agent."""
+    from hibiscustray.commands.bench_idle import run_idle
+
+    sys.exit(run_idle(entry_pid, agent_pid, seconds, is_json))
+
+
 @bench.command("bookings")
 @click.option("--bookings", type=click.IntRange(1), default=200, show_default=True)
 @click.option("--callers", type=click.IntRange(1), default=4, show_default=True)
@@ -173,27 +202,27 @@
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def platform(settings: Path) -> None:
     """Run the platform's stand-in: table, object store, VM list and origin."""
-    from hibiscustray.commands.standing import run_platform
+    from hibiscustray.commands.standing import build_platform, run_standin
 
-    run_platform(settings)
+    run_standin(build_platform(settings), "platform")
 
 
 @standin.command()
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def engine(settings: Path) -> None:
     """Run a model engine's stand-in."""
-    from hibiscustray.commands.standing import run_engine
+    from hibiscustray.commands.standing import build_engine, run_standin
 
-    run_engine(settings)
+    run_standin(build_engine(settings), "engine")
 
 
 @standin.command()
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def service(settings: Path) -> None:
     """Run a plain service's stand-in."""
-    from hibiscustray.commands.standing import run_service
+    from hibiscustray.commands.standing import build_service, run_standin
 
-    run_service(settings)
+    run_standin(build_service(settings), "service")
 
 
 @standin.command()
@@ -274,6 +303,25 @@
     sys.exit(roll_back(settings, revision))
 
 
+@cli.command()
+@OPERATOR
+def snapshot(settings: Path) -> None:
+    """Write all accepted revisions to the object store and print the snapshot's key."""
+    from hibiscustray.commands.operating import save_snapshot
+
+    sys.exit(save_snapshot(settings))
+
+
+@cli.command()
+@OPERATOR
+@click.option("--key", default="snapshots/revisions/latest", show_default=True)
+def restore(settings: Path, key: str) -> None:
+    """Write a snapshot's revisions into an empty table."""
+    from hibiscustray.commands.operating import restore_snapshot
+
+    sys.exit(restore_snapshot(settings, key))
+
+
 @cli.command()
 @OPERATOR
 @click.option("--path", required=True, help="Path under which the origin serves the file.")
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -310,7 +310,7 @@
 
     def _watch(self) -> None:
         while not self.is_done():
-            for address in self._swarm.sample_peers(1):
+            for address in self._swarm.sample_peers(len(self._swarm.members().by_region)):
                 self._ask_holdings(address)
             self._replace_drawers()
             is_start = self._held().bit_count() < WATCH_START_SHARE * self._manifest.count
@@ -347,6 +347,8 @@
             if reply is None:
                 continue
             brought = decode_bitmap(reply.bitmap, self._manifest.count)
+            if brought >> index & 1:
+                self._swarm.call_in(address)
             if (brought | decode_bitmap(reply.drawing, self._manifest.count)) >> index & 1:
                 return
         self._env.metrics.count("draw_fallbacks_total")
