--- a/hibiscustray/benchmarks/request_faults.py
+++ b/hibiscustray/benchmarks/request_faults.py
@@ -26,7 +26,8 @@
 
 
 def _kill_replica(site: Site, index: int) -> None:
-    site.models[index].agent.abort()
+    site.models[index].agent.stop(0.0)
+    site.models[index].engine.stop()
 
 
 def _silence(site: Site, index: int) -> None:
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -209,7 +209,7 @@
     stopping = threading.Event()
     activation = Activation(
         engine,
-        FencingCounter(view.own.incarnation),
+        FencingCounter(view.own.incarnation, lambda: view.own.incarnation),
         gate,
         settings.process.id,
         lambda number: f"{http.url}/weights/{number}",
--- a/hibiscustray/deployments/revisions.py
+++ b/hibiscustray/deployments/revisions.py
@@ -6,6 +6,7 @@
 import logging
 import time
 import uuid
+from collections.abc import Sequence
 from typing import Literal
 
 import msgspec
@@ -30,6 +31,8 @@
 HEAD_SORT = "head"
 CHANGE_VERSION = 1
 RESOLVE_LIMIT_S = 30.0
+WINNER_LIMIT_S = 2.0
+WINNER_INTERVAL_S = 0.1
 
 
 class Revision(msgspec.Struct, frozen=True):
@@ -100,6 +103,32 @@
             return self._resolve(revision, error)
         return revision
 
+    def restore(self, revisions: Sequence[Revision]) -> None:
+        """Write a snapshot's revisions into an empty table; raise `RevisionConflict` otherwise.
+
+        Rows that an earlier, broken-off restore has written are kept; the head comes last.
+        """
+        head = self.read_head()
+        if head is not None:
+            raise RevisionConflict(head.number, head.operator)
+        for revision in revisions:
+            self._restore_past(revision)
+        if revisions:
+            last = revisions[-1]
+            row = Row(HEAD_PARTITION, HEAD_SORT, last.number, msgspec.msgpack.encode(last))
+            self._table.transact(uuid.uuid4().hex, [Put(row, 0)])
+
+    def _restore_past(self, revision: Revision) -> None:
+        body = msgspec.msgpack.encode(revision)
+        sort = _history_sort(revision.number)
+        past = Row(HISTORY_PARTITION, sort, revision.number, body)
+        fate = _make_fate_row(revision.change_id, ChangeFate("accepted"))
+        try:
+            self._table.transact(uuid.uuid4().hex, [Put(past, 0), Put(fate, 0)])
+        except PreconditionFailed:
+            if self.read(revision.number) != revision:
+                raise
+
     def _resolve(self, revision: Revision, cause: Exception) -> Revision:
         """Make a change's fate certain, then report it."""
         retrying = Retrying(
@@ -112,7 +141,7 @@
             fate = retrying(self._settle, revision.change_id)
             if fate.outcome == "accepted":
                 return revision
-            winner = retrying(self._find_winner, revision.number)
+            winner = retrying(self._await_winner, revision.number, cause)
         except (StoreUnavailable, StoreAnswerLost, PreconditionFailed) as error:
             raise StoreAnswerLost(
                 f"revision {revision.number} may have been accepted: {error}"
@@ -130,6 +159,16 @@
         self._table.transact(uuid.uuid4().hex, [Put(_make_fate_row(change_id, fate), 0)])
         return fate
 
+    def _await_winner(self, number: int, cause: Exception) -> Revision | None:
+        """Find who won, reading again while the store's reads lag behind its refusal."""
+        deadline = time.monotonic() + WINNER_LIMIT_S
+        while True:
+            winner = self._find_winner(number)
+            is_refused = isinstance(cause, PreconditionFailed)
+            if winner is not None or not is_refused or time.monotonic() >= deadline:
+                return winner
+            time.sleep(WINNER_INTERVAL_S)
+
     def _find_winner(self, number: int) -> Revision | None:
         """Return the revision that stands in the way of a number, if any."""
         row = self._table.get(HISTORY_PARTITION, _history_sort(number))
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -19,6 +19,7 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher
 
+from hibiscustray.exceptions import SettingsError
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.tls import TlsTerminator
 
@@ -186,6 +187,7 @@
         if context is not None:
             self._server.terminator = TlsTerminator(context, self._server.take)
         self._scheme = "https" if context is not None else "http"
+        self._closing = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
         self.address = address
@@ -200,10 +202,16 @@
         """Begin to serve."""
         self._thread.start()
 
+    def close_listener(self) -> None:
+        """Accept no new connections; those that are open are served on."""
+        self._closing.set()
+        self._server.pull_trigger()
+
     def stop(self) -> None:
         """Stop accepting and finish the answers being written; a second call does nothing."""
         if self._stopping.is_set():
             return
+        self._closing.set()
         self._stopping.set()
         self._server.pull_trigger()
         if self._thread.is_alive():
@@ -214,11 +222,13 @@
         wasyncore.close_all(self._map)
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
+        while not self._closing.is_set():
             self._loop(LOOP_TIMEOUT_S)
         self._server.accepting = False
         self._map.pop(self._server.socket.fileno(), None)
         self._server.socket.close()
+        while not self._stopping.is_set():
+            self._loop(LOOP_TIMEOUT_S)
         deadline = time.monotonic() + FINISH_S
         while time.monotonic() < deadline and self._is_writing():
             self._loop(FINISH_TICK_S)
@@ -269,7 +279,12 @@
 def _listen(address: str, port: int) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((address, port))
+    try:
+        listener.bind((address, port))
+    except OSError as error:
+        listener.close()
+        problem = f"address {address}, port {port}: found {error.strerror}; allowed: a free port"
+        raise SettingsError((problem,)) from error
     return listener
 
 
