Renders the capacity page from committed benchmark output

Before: no page. After: make capacity renders it from docs/measurements and names the command that makes a missing file. Conclusion: figures on it are never typed by hand.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 BINARY_ROOT ?= /dev/shm/hibiscustray
 
-.PHONY: venv demo test lint format example-trust example-cairnbeam bench-idle bench-stream binary binary-check
+.PHONY: venv demo test lint format example-trust example-cairnbeam bench-idle bench-stream capacity binary binary-check
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -39,6 +39,9 @@
 bench-stream: venv
 	PYTHON=$(BIN)/python examples/measure.sh examples/trust stream $(BIN)/hibiscustray
 
+capacity: venv
+	$(BIN)/hibiscustray report capacity docs/measurements --output docs/CAPACITY.md
+
 binary: venv
 	rm -rf build/runtime
 	$(BIN)/python tools/collect_runtime.py . build/runtime
--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -204,6 +204,16 @@
     sys.exit(run_burn_report(BurnOptions(table_url, entry_urls, is_json, page)))
 
 
+@report.command("capacity")
+@click.argument("folder", type=click.Path(file_okay=False, path_type=Path))
+@click.option("--output", type=click.Path(dir_okay=False, path_type=Path), required=True)
+def report_capacity(folder: Path, output: Path) -> None:
+    """Write the capacity page from the benchmarks' output in a folder."""
+    from hibiscustray.reports.capacity import Target, read_measurements, render_capacity
+
+    output.write_text(render_capacity(read_measurements(folder), Target()))
+
+
 @cli.group()
 def standin() -> None:
     """Run a stand-in of the platform, an engine or a plain service."""
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -305,6 +305,10 @@
     exit_code = 6
 
 
+class MeasurementMissing(HibiscustrayError):
+    """A benchmark's output that a page is made from is absent or unreadable."""
+
+
 class ProcessMissing(HibiscustrayError):
     """There is no process of that id on this machine."""
 
--- /dev/null
+++ b/hibiscustray/reports/capacity.py
@@ -0,0 +1,161 @@
+"""The capacity page: figures at the two-year target, worked out from committed measurements."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from importlib.resources import files
+from pathlib import Path
+from typing import Any
+
+import jinja2
+import msgspec
+
+from hibiscustray.exceptions import MeasurementMissing
+
+SECONDS_PER_DAY = 86_400
+SAMPLE_INTERVAL_S = 60
+US_PER_S = 1_000_000
+PERCENT = 100.0
+
+
+@dataclass(frozen=True)
+class Target:
+    """The sizes that the system has to carry, and what a node may spend on control."""
+
+    entries: int = 390
+    replicas: int = 720
+    requests_per_s: float = 2500.0
+    tokens_per_s: float = 1_100_000.0
+    changes_per_day: int = 530
+    weight_vms: int = 500
+    control_cpu_percent: float = 1.1
+    control_rss_mib: float = 64.0
+    control_bytes_per_s: float = 4096.0
+    store_reads_per_s: float = 2000.0
+    store_writes_per_s: float = 300.0
+
+    @property
+    def nodes(self) -> int:
+        """Return the number of the system's processes."""
+        return self.entries + self.replicas
+
+
+@dataclass(frozen=True)
+class Measurements:
+    """What the benchmarks printed, as read from their committed output."""
+
+    idle: dict[str, Any]
+    stream: dict[str, Any]
+    configuration: dict[str, Any]
+    weights: tuple[dict[str, Any], ...]
+
+
+@dataclass(frozen=True)
+class RoleLoad:
+    """What one process of a role carries and spends at the target."""
+
+    processes: int
+    tokens_per_s: float
+    requests_per_s: float
+    cpu_us_per_token: float
+    data_cores: float
+    idle_cpu_percent: float
+    idle_rss_mib: float
+    loaded_rss_mib: float
+
+
+@dataclass(frozen=True)
+class SpreadSlope:
+    """How the time to serve grows with the replicas, fitted as a + b log2(replicas)."""
+
+    constant: float
+    per_doubling: float
+
+    def at(self, replicas: int) -> float:
+        """Return the time as a share of the window T."""
+        return self.constant + self.per_doubling * math.log2(replicas)
+
+
+def read_measurements(folder: Path) -> Measurements:
+    """Read the benchmarks' committed output; raise `MeasurementMissing`."""
+    return Measurements(
+        idle=_read(folder / "idle.json", "make bench-idle"),
+        stream=_read(folder / "stream.json", "make bench-stream"),
+        configuration=_read(
+            folder / "configuration-none.json", "hibiscustray bench configuration --nodes 200"
+        ),
+        weights=_read_weights(folder),
+    )
+
+
+def render_capacity(measurements: Measurements, target: Target) -> str:
+    """Return the page as Markdown."""
+    template = files("hibiscustray.reports").joinpath("capacity.md.j2").read_text()
+    environment = jinja2.Environment(
+        undefined=jinja2.StrictUndefined, trim_blocks=True, lstrip_blocks=True
+    )
+    configuration = measurements.configuration
+    slope = fit_spread([(w["replicas"], w["ratio_to_window"]) for w in measurements.weights])
+    return environment.from_string(template).render(
+        target=target,
+        entry=_make_role(measurements, "entry", target.entries, target),
+        agent=_make_role(measurements, "agent", target.replicas, target),
+        sizes=configuration["sizes"],
+        control=configuration["worked_out_at_target"],
+        configuration=configuration,
+        weights=measurements.weights,
+        weights_share=slope.at(target.weight_vms),
+        slope=slope,
+        stream=measurements.stream,
+        sample_writes=target.entries / SAMPLE_INTERVAL_S,
+        changes_per_s=target.changes_per_day / SECONDS_PER_DAY,
+        tokens_per_entry_core=US_PER_S / measurements.stream["entry_cpu_us_per_token"],
+        percent=PERCENT,
+    )
+
+
+def fit_spread(points: list[tuple[int, float]]) -> SpreadSlope:
+    """Fit a line through the measured times over the logarithm of the replicas."""
+    logs = [math.log2(replicas) for replicas, _ in points]
+    shares = [share for _, share in points]
+    mean_log = sum(logs) / len(logs)
+    mean_share = sum(shares) / len(shares)
+    spread = sum((x - mean_log) ** 2 for x in logs)
+    if not spread:
+        return SpreadSlope(mean_share, 0.0)
+    products = [(x - mean_log) * (y - mean_share) for x, y in zip(logs, shares, strict=True)]
+    per_doubling = sum(products) / spread
+    return SpreadSlope(mean_share - per_doubling * mean_log, per_doubling)
+
+
+def _make_role(measurements: Measurements, role: str, count: int, target: Target) -> RoleLoad:
+    tokens_per_s = target.tokens_per_s / count
+    cpu_us = measurements.stream[f"{role}_cpu_us_per_token"]
+    return RoleLoad(
+        processes=count,
+        tokens_per_s=tokens_per_s,
+        requests_per_s=target.requests_per_s / count,
+        cpu_us_per_token=cpu_us,
+        data_cores=tokens_per_s * cpu_us / US_PER_S,
+        idle_cpu_percent=measurements.idle[f"{role}_cpu_percent"],
+        idle_rss_mib=measurements.idle[f"{role}_rss_mib"],
+        loaded_rss_mib=measurements.stream[f"{role}_rss_mib"],
+    )
+
+
+def _read(path: Path, command: str) -> dict[str, Any]:
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
+    except (OSError, msgspec.DecodeError) as error:
+        raise MeasurementMissing(f"{path}: run `{command}` and keep its JSON there") from error
+
+
+def _read_weights(folder: Path) -> tuple[dict[str, Any], ...]:
+    paths = folder.glob("weights-time-*-none.json")
+    command = "hibiscustray bench weights --objective time"
+    runs = [_read(path, command) for path in paths]
+    if not runs:
+        raise MeasurementMissing(f"{folder}/weights-time-*-none.json: run `{command}`")
+    single = [run for run in runs if run["regions"] == 1]
+    return tuple(sorted(single, key=lambda run: run["replicas"]))
