--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,12 @@
 	$(BIN)/python -m pytest
 
 lint: venv
-	$(BIN)/black --check --quiet hibiscustray tests examples
-	$(BIN)/ruff check --quiet hibiscustray tests examples
+	$(BIN)/black --check --quiet hibiscustray tests examples tools
+	$(BIN)/ruff check --quiet hibiscustray tests examples tools
 
 format: venv
-	$(BIN)/black --quiet hibiscustray tests examples
-	$(BIN)/ruff check --quiet --fix hibiscustray tests examples
+	$(BIN)/black --quiet hibiscustray tests examples tools
+	$(BIN)/ruff check --quiet --fix hibiscustray tests examples tools
 
 example-trust: venv
 	PYTHON=$(BIN)/python examples/run.sh examples/trust $(BIN)/hibiscustray
