--- a/hibiscustray/benchmarks/configuration.py
+++ b/hibiscustray/benchmarks/configuration.py
@@ -133,7 +133,9 @@
         _open_store(fleet).accept(_render_plan("first"), "first", 0, uuid.uuid4().hex)
         while time.monotonic() < deadline:
             nodes = fleet.list_nodes()
-            is_whole = all(node.view.count() == len(nodes) for node in nodes)
+            is_whole = all(
+                node.view.count() == len(nodes) and not node.view.count_pending() for node in nodes
+            )
             if is_whole and all(node.configuration.is_justified() for node in nodes):
                 return
             time.sleep(JOIN_POLL_S)
--- a/hibiscustray/membership/detector.py
+++ b/hibiscustray/membership/detector.py
@@ -13,7 +13,7 @@
 from hibiscustray.settings import MembershipSettings
 from hibiscustray.telemetry import Metrics
 
-HELPERS = 2
+HELPERS = 3
 MISSING_PER_ROUND = 2
 
 
@@ -72,11 +72,7 @@
 
     def _ask_helpers(self, target: MemberRecord) -> bool:
         """Tell whether another member reaches the target."""
-        own = self._view.own.id
-        live = [
-            m for m in self._view.members() if m.status == LIVE and m.id not in (own, target.id)
-        ]
-        for helper in self._random.sample(live, min(HELPERS, len(live))):
+        for helper in self._choose_helpers(target):
             try:
                 reply = self._peers.get(helper.peer_address).probe(
                     target.peer_address, self._settings.heartbeat_s
@@ -86,3 +82,11 @@
             if reply.is_reached:
                 return True
         return False
+
+    def _choose_helpers(self, target: MemberRecord) -> list[MemberRecord]:
+        """Return one member of each region, since a cut often lies between two regions."""
+        excluded = (self._view.own.id, target.id)
+        live = [m for m in self._view.members() if m.status == LIVE and m.id not in excluded]
+        self._random.shuffle(live)
+        by_region = {m.region: m for m in live}
+        return list(by_region.values())[:HELPERS]
--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -291,7 +291,7 @@
         except PeerError:
             return
         self._metrics.count("syncs_total")
-        if self._view.merge(reply.records):
+        if self._view.merge(reply.records, is_spread=False):
             self._next_sync = now + SYNC_AGAIN_S
 
     def _review(self) -> None:
--- a/hibiscustray/membership/view.py
+++ b/hibiscustray/membership/view.py
@@ -69,9 +69,9 @@
             self._store(self._own)
             return self._own
 
-    def merge(self, records: Iterable[MemberRecord]) -> list[MemberRecord]:
-        """Take in what others say and return the records that were news."""
-        return [record for record in records if self._merge_one(record)]
+    def merge(self, records: Iterable[MemberRecord], is_spread: bool = True) -> list[MemberRecord]:
+        """Take in what others say, spread it further, and return the records that were news."""
+        return [record for record in records if self._merge_one(record, is_spread)]
 
     def accuse(self, member_id: str, status: str) -> None:
         """Spread that a member does not answer, as suspect or dead."""
@@ -131,6 +131,10 @@
                     del self._sends_left[member_id]
             return tuple(self._members[i] for i in chosen if i != self._own.id)
 
+    def count_pending(self) -> int:
+        """Return how many changes are still to be given out."""
+        return len(self._sends_left)
+
     def hash_buckets(self) -> bytes:
         """Return the hashes of the buckets that the records fall into."""
         with self._lock:
@@ -159,7 +163,7 @@
                 self._active = tuple(m for m in self._members.values() if m.status not in GONE)
             return self._active
 
-    def _merge_one(self, record: MemberRecord) -> bool:
+    def _merge_one(self, record: MemberRecord, is_spread: bool = True) -> bool:
         with self._lock:
             if record.id == self._own.id:
                 self._refute(record)
@@ -170,7 +174,7 @@
             if known is None and record.status in GONE and not self._is_newcomer():
                 return False
             self._count_false_suspicion(known, record)
-            self._store(record)
+            self._store(record, is_spread)
         for listener in self._listeners:
             listener(record)
         return True
@@ -201,7 +205,7 @@
         )
         self._store(self._own)
 
-    def _store(self, record: MemberRecord) -> None:
+    def _store(self, record: MemberRecord, is_spread: bool = True) -> None:
         known = self._members.get(record.id)
         self._members[record.id] = record
         self._hash.replace(known, record)
@@ -213,7 +217,8 @@
         self._replicas.clear()
         if known is None or (known.status in GONE) != (record.status in GONE):
             self._ring = None
-        self._sends_left[record.id] = 1 + math.ceil(math.log2(len(self._members) + 1))
+        if is_spread:
+            self._sends_left[record.id] = 1 + math.ceil(math.log2(len(self._members) + 1))
 
 
 def age_key(record: MemberRecord) -> tuple[int, int, int]:
