--- a/hibiscustray/membership/view.py
+++ b/hibiscustray/membership/view.py
@@ -129,7 +129,7 @@
                 self._sends_left[member_id] -= 1
                 if self._sends_left[member_id] <= 0:
                     del self._sends_left[member_id]
-            return tuple(self._members[i] for i in chosen if i != self._own.id)
+            return tuple(self._members[i] for i in chosen)
 
     def count_pending(self) -> int:
         """Return how many changes are still to be given out."""
@@ -217,7 +217,7 @@
         self._replicas.clear()
         if known is None or (known.status in GONE) != (record.status in GONE):
             self._ring = None
-        if is_spread:
+        if is_spread and record.id != self._own.id:
             self._sends_left[record.id] = 1 + math.ceil(math.log2(len(self._members) + 1))
 
 
