--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -96,6 +96,17 @@
     sys.exit(run_bench_weights(WeightsOptions(is_json=is_json, plot=plot, **shape)))
 
 
+@bench.command("entry")
+@click.option("--rate", type=float, default=100.0, show_default=True, help="Requests a second.")
+@click.option("--seconds", type=float, default=5.0, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_entry(rate: float, seconds: float, is_json: bool) -> None:
+    """Measure the latency that entry and agent add to a plain call."""
+    from hibiscustray.commands.bench_entry import run_command
+
+    sys.exit(run_command(rate, seconds, is_json))
+
+
 @bench.command("configuration")
 @click.option("--nodes", type=click.IntRange(1), default=50, show_default=True)
 @click.option("--changes", type=click.IntRange(1), default=5, show_default=True)
@@ -131,6 +142,23 @@
     sys.exit(run_command(**options))
 
 
+@bench.command("stream")
+@click.option("--entry-url", "url", required=True, help="URL of a running entry.")
+@click.option("--team-key", "key_file", type=FILE, required=True, help="File with a team's key.")
+@click.option("--service", default="guide-llm", show_default=True)
+@click.option("--entry-pid", type=int, required=True)
+@click.option("--agent-pid", type=int, required=True)
+@click.option("--streams", type=click.IntRange(1), default=16, show_default=True)
+@click.option("--tokens", type=click.IntRange(1), default=64, show_default=True)
+@click.option("--seconds", type=float, default=10.0, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_stream(key_file: Path, is_json: bool, **options) -> None:
+    """Measure what streams through a running entry and agent cost them."""
+    from hibiscustray.commands.bench_stream import run_bench_stream
+
+    sys.exit(run_bench_stream(key_file, is_json, **options))
+
+
 @bench.command()
 @click.option("--entry-pid", type=int, required=True, help="Process id of an idle entry.")
 @click.option("--agent-pid", type=int, required=True, help="Process id of an idle agent.")
@@ -143,6 +171,18 @@
     sys.exit(run_idle(entry_pid, agent_pid, seconds, is_json))
 
 
+@bench.command("bookings")
+@click.option("--bookings", type=click.IntRange(1), default=200, show_default=True)
+@click.option("--callers", type=click.IntRange(1), default=4, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object.")
+def bench_bookings(**options) -> None:
+    """Measure ways to run bookings at most once, through lost answers and an outage."""
+    from hibiscustray.commands.bench_bookings import run_bench_bookings
+
+    sys.exit(run_bench_bookings(**options))
+
+
 @cli.group()
 def report() -> None:
     """Report on a running system."""
@@ -173,27 +213,27 @@
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def platform(settings: Path) -> None:
     """Run the platform's stand-in: table, object store, VM list and origin."""
-    from hibiscustray.commands.standing import run_platform
+    from hibiscustray.commands.standing import build_platform, run_standin
 
-    run_platform(settings)
+    run_standin(build_platform(settings), "platform")
 
 
 @standin.command()
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def engine(settings: Path) -> None:
     """Run a model engine's stand-in."""
-    from hibiscustray.commands.standing import run_engine
+    from hibiscustray.commands.standing import build_engine, run_standin
 
-    run_engine(settings)
+    run_standin(build_engine(settings), "engine")
 
 
 @standin.command()
 @click.option("--settings", type=FILE, required=True, help="INI file of this stand-in.")
 def service(settings: Path) -> None:
     """Run a plain service's stand-in."""
-    from hibiscustray.commands.standing import run_service
+    from hibiscustray.commands.standing import build_service, run_standin
 
-    run_service(settings)
+    run_standin(build_service(settings), "service")
 
 
 @standin.command()
--- a/hibiscustray/agent/attempts.py
+++ b/hibiscustray/agent/attempts.py
@@ -10,6 +10,7 @@
 import grpc
 
 from hibiscustray.agent.keyed import KeyedRequest, KeyedRequests
+from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.state import ServingState
 from hibiscustray.agent.upstream_call import (
     RETRY_AFTER_S,
@@ -58,6 +59,7 @@
         keyed: KeyedRequests,
         incarnation: int,
         concurrency: int,
+        load: UpstreamLoad,
         metrics: Metrics,
         trusts_busy: bool = False,
     ) -> None:
@@ -68,6 +70,7 @@
         self._metrics = metrics
         self._trusts_busy = trusts_busy
         self._concurrency = concurrency
+        self._load = load
         self._callers = ThreadPoolExecutor(concurrency * 2, thread_name_prefix="upstream")
 
     def serve(self, request: AttemptRequest, context: grpc.ServicerContext) -> Iterator[Frame]:
@@ -185,7 +188,7 @@
                 yield self._give_up(abandon())
                 return
             if not batch:
-                yield Beat(self._state.running)
+                yield Beat(self._state.running, self._load.waiting)
 
     def _give_up(self, is_unstarted: bool) -> Frame:
         if is_unstarted:
@@ -196,8 +199,8 @@
         match settlement:
             case Repeat(status=status, content_type=content_type):
                 self._metrics.count("attempts_answered_total")
-                load = self._state.running
-                return End(digest.count, digest.value(), status, content_type, load)
+                load, waiting = self._state.running, self._load.waiting
+                return End(digest.count, digest.value(), status, content_type, load, waiting)
             case NotStarted():
                 return self._refuse(settlement)
             case Elsewhere(agent=agent, incarnation=incarnation):
