--- a/hibiscustray/agent/keyed.py
+++ b/hibiscustray/agent/keyed.py
@@ -35,11 +35,16 @@
 
 @dataclass(frozen=True)
 class KeyedRequest:
-    """A request's key as the ledger and the table know it, and the digest of its body."""
+    """A request's key as the caller sent it and as the ledger and the table know it."""
 
+    request: AttemptRequest
     key: str
     body_digest: str
-    is_ticket: bool
+
+    @property
+    def is_ticket(self) -> bool:
+        """Tell whether the key claims to be a ticket."""
+        return is_ticket(self.request.key)
 
 
 class KeyedRequests:
@@ -73,10 +78,10 @@
         """Take the request's key, or tell what became of the request that took it."""
         name = f"{request.team}/{request.service}/{request.key}"
         digest = hashlib.sha256(request.body).hexdigest()
-        keyed = KeyedRequest(name, digest, is_ticket(request.key))
+        keyed = KeyedRequest(request, name, digest)
         if not keyed.is_ticket:
             return keyed, self._begin_ledger(keyed)
-        match self._tickets.check(request.key, request.team, request.service):
+        match self._check(keyed):
             case Forged():
                 return keyed, NotStarted("ticket", "the ticket is not genuine", 0.0, True)
             case Foreign():
@@ -143,11 +148,14 @@
 
     def _check_again(self, keyed: KeyedRequest) -> Settlement | None:
         """Refuse a ticket that expired while its request waited for a thread."""
-        team, service, key = keyed.key.split("/", 2)
-        if isinstance(self._tickets.check(key, team, service), Valid):
+        if isinstance(self._check(keyed), Valid):
             return None
         return NotStarted("ticket-expired", "the ticket has expired", 0.0, True)
 
+    def _check(self, keyed: KeyedRequest) -> Valid | Expired | Foreign | Forged:
+        request = keyed.request
+        return self._tickets.check(request.key, request.team, request.service)
+
     def _look_up(self, keyed: KeyedRequest) -> Settlement:
         """Tell what the issuer of a ticket left in the table at its planned stop."""
         try:
