--- a/hibiscustray/agent/process.py
+++ b/hibiscustray/agent/process.py
@@ -7,6 +7,7 @@
 
 from hibiscustray.agent.deployer import Deployer
 from hibiscustray.agent.keyed import KeyedRequests
+from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.state import ServingState
 from hibiscustray.membership import Exchange, MemberView
 from hibiscustray.peers import PeerPool, PeerServer
@@ -33,6 +34,7 @@
         state: ServingState,
         metrics: Metrics,
         keyed: KeyedRequests,
+        load: UpstreamLoad,
     ) -> None:
         self.http = http
         self.view = view
@@ -43,6 +45,7 @@
         self._peers = peers
         self._deployer = deployer
         self._keyed = keyed
+        self._load = load
         self._is_stopped = False
 
     @property
@@ -57,6 +60,7 @@
         self.http.start()
         self._exchange.start()
         self._deployer.start(on_progress)
+        self._load.start()
         log.info("agent started", extra={"peer_address": self._peer_server.address})
 
     def drain(self, timeout_s: float) -> bool:
@@ -69,15 +73,18 @@
     def stop(self, grace_s: float = STOP_GRACE_S) -> None:
         """End all servers and threads; a second call does nothing.
 
-        Without a grace time running calls are cut and nothing is kept, as when the VM dies.
+        Without a grace time running calls are cut, nothing is kept and nobody is told, as when
+        the VM dies.
         """
         if self._is_stopped:
             return
         self._is_stopped = True
+        self._load.stop()
         self._deployer.stop()
         self._peer_server.stop(grace_s)
         self._keyed.stop(grace_s)
-        self.view.update_own(status=LEFT)
+        if grace_s:
+            self.view.update_own(status=LEFT)
         self._exchange.stop()
         self.http.stop()
         self._peers.close()
--- a/hibiscustray/entry/attempt.py
+++ b/hibiscustray/entry/attempt.py
@@ -141,11 +141,11 @@
                 yield from reader.accept(frame)
             case End():
                 reader.finish(frame)
-                self._chooser.report(choice.member.id, frame.load)
+                self._chooser.report(choice.member.id, frame.load, frame.waiting)
                 yield frame
                 return frame
-            case Beat(load=load):
-                self._chooser.report(choice.member.id, load)
+            case Beat(load=load, waiting=waiting):
+                self._chooser.report(choice.member.id, load, waiting)
             case Refused(kind=kind):
                 if kind == BUSY:
                     self._chooser.note_busy(choice)
