--- a/hibiscustray/benchmarks/bookings.py
+++ b/hibiscustray/benchmarks/bookings.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from hibiscustray.benchmarks.judging import Percentiles, measure_percentiles
+from hibiscustray.benchmarks.request_counts import Percentiles, measure_percentiles
 from hibiscustray.deployments import Team
 from hibiscustray.operator import DeploymentPlan, PlainService
 from hibiscustray.standins.site import TEAM, TEAM_KEY, Site, SiteShape
--- a/hibiscustray/benchmarks/requests.py
+++ b/hibiscustray/benchmarks/requests.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from hibiscustray.benchmarks.judging import (
+from hibiscustray.benchmarks.load import UNKNOWN, CallRecord, LoadGenerator, Mix, plan_arrivals
+from hibiscustray.benchmarks.request_counts import (
     Counts,
     RunRecords,
     TeamLatency,
@@ -16,7 +17,6 @@
     summarise_calls,
     summarise_teams,
 )
-from hibiscustray.benchmarks.load import UNKNOWN, CallRecord, LoadGenerator, Mix, plan_arrivals
 from hibiscustray.benchmarks.request_faults import Fault, FaultPlan, plan_faults
 from hibiscustray.deployments import Team
 from hibiscustray.operator import DeploymentPlan, Model, PlainService, ServicePlan
--- a/tests/benchmarks/test_judging.py
+++ b/tests/benchmarks/test_request_counts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from hibiscustray.benchmarks.judging import RunRecords, count_run
 from hibiscustray.benchmarks.load import (
     ANSWERED,
     HUNG,
@@ -12,6 +11,7 @@
     Mix,
     plan_arrivals,
 )
+from hibiscustray.benchmarks.request_counts import RunRecords, count_run
 from hibiscustray.standins.engine import EngineRecord
 
 
