--- a/tests/entry/test_attempt.py
+++ b/tests/entry/test_attempt.py
@@ -25,7 +25,7 @@
 class NoChooser:
     """Takes the reports that attempts make."""
 
-    def report(self, member_id, load):
+    def report(self, member_id, load, waiting):
         pass
 
 
