--- a/tests/agent/test_attempts.py
+++ b/tests/agent/test_attempts.py
@@ -91,7 +91,7 @@
     state.serve(DIGEST)
     engine = EngineClient(upstream.http.url)
     load = UpstreamLoad(engine)
-    return AttemptServer(state, engine, keyed, 1, concurrency, load, metrics, trusts_busy)
+    return AttemptServer(state, engine, keyed, 1, concurrency, metrics, trusts_busy, load)
 
 
 def make_attempt(**changes):
