--- a/tests/agent/test_attempts.py
+++ b/tests/agent/test_attempts.py
@@ -11,7 +11,6 @@
 
 from hibiscustray.agent.attempts import AttemptServer
 from hibiscustray.agent.keyed import KeyedRequests
-from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.outcomes import OutcomeWriter
 from hibiscustray.agent.state import ServingState
 from hibiscustray.agent.upstream_call import UpstreamCall
@@ -90,8 +89,7 @@
     keyed = KeyedRequests(Ledger(), TicketIssuer("a", 1), claims, writer)
     state.serve(DIGEST)
     engine = EngineClient(upstream.http.url)
-    load = UpstreamLoad(engine)
-    return AttemptServer(state, engine, keyed, 1, concurrency, load, metrics, trusts_busy)
+    return AttemptServer(state, engine, keyed, 1, concurrency, metrics, trusts_busy)
 
 
 def make_attempt(**changes):
