--- a/hibiscustray/agent/attempts.py
+++ b/hibiscustray/agent/attempts.py
@@ -59,9 +59,9 @@
         keyed: KeyedRequests,
         incarnation: int,
         concurrency: int,
-        load: UpstreamLoad,
         metrics: Metrics,
         trusts_busy: bool = False,
+        load: UpstreamLoad | None = None,
     ) -> None:
         self._state = state
         self._engine = engine
@@ -70,7 +70,7 @@
         self._metrics = metrics
         self._trusts_busy = trusts_busy
         self._concurrency = concurrency
-        self._load = load
+        self._load = load or UpstreamLoad(engine)
         self._callers = ThreadPoolExecutor(concurrency * 2, thread_name_prefix="upstream")
 
     def serve(self, request: AttemptRequest, context: grpc.ServicerContext) -> Iterator[Frame]:
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -182,9 +182,9 @@
         keyed,
         incarnation,
         settings.upstream.concurrency,
-        load,
         core.metrics,
         settings.upstream.busy_means_not_run,
+        load,
     )
     exchange_slot = _ExchangeSlot()
     handlers = exchange_slot.handlers() | {
