--- a/hibiscustray/agent/load.py
+++ b/hibiscustray/agent/load.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+from collections.abc import Callable
 
 from hibiscustray.exceptions import UpstreamError
 from hibiscustray.platform import EngineClient
@@ -15,10 +16,11 @@
 
 
 class UpstreamLoad:
-    """Keeps the upstream's last report, and none while it does not report."""
+    """Keeps the upstream's last report, and none while it is idle or does not report."""
 
-    def __init__(self, engine: EngineClient) -> None:
+    def __init__(self, engine: EngineClient, is_busy: Callable[[], bool] = lambda: True) -> None:
         self._engine = engine
+        self._is_busy = is_busy
         self._load = EngineLoad()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="upstream-load", daemon=True)
@@ -39,6 +41,9 @@
     def _run(self) -> None:
         is_reporting = True
         while not self._stopping.wait(READ_INTERVAL_S):
+            if not self._is_busy():
+                self._load = EngineLoad()
+                continue
             try:
                 self._load = self._engine.read_load()
             except UpstreamError as error:
--- a/hibiscustray/benchmarks/load.py
+++ b/hibiscustray/benchmarks/load.py
@@ -214,6 +214,7 @@
         }
         if key:
             headers["Idempotency-Key"] = key
+            headers["Hibiscustray-Retry-Count"] = str(int(self._is_repeat))
         stream = self._client.open(
             "POST", path, msgspec.json.encode(body), headers, self._deadline_s + GRACE_S
         )
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -175,7 +175,7 @@
     engine = EngineClient(settings.upstream.url)
     incarnation = _make_incarnation()
     keyed = _build_keyed(settings, core, incarnation)
-    load = UpstreamLoad(engine)
+    load = UpstreamLoad(engine, lambda: state.running > 0)
     attempts = AttemptServer(
         state,
         engine,
--- a/hibiscustray/standins/callers.py
+++ b/hibiscustray/standins/callers.py
@@ -108,7 +108,10 @@
     def book(self, client: HttpClient, key: str, service: str) -> CallerResult:
         """Send one booking that must run at most once."""
         reference = uuid.uuid4().hex
-        headers = _make_headers(key) | {"Idempotency-Key": reference}
+        headers = _make_headers(key) | {
+            "Idempotency-Key": reference,
+            "Hibiscustray-Retry-Count": "0",
+        }
         body = msgspec.json.encode({"reference": reference})
         reply = client.call("POST", f"/v1/services/{service}", body, headers)
         answer = msgspec.json.decode(reply.body)
--- /dev/null
+++ b/tests/agent/test_load.py
@@ -0,0 +1,46 @@
+"""Tests of the reading of an upstream's load."""
+
+from __future__ import annotations
+
+import threading
+
+from hibiscustray.agent.load import UpstreamLoad
+from hibiscustray.platform.engine import EngineLoad
+
+
+class Engine:
+    """An upstream that reports three waiting requests and tells when it was asked twice."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.was_read_twice = threading.Event()
+
+    def read_load(self) -> EngineLoad:
+        self.reads += 1
+        if self.reads >= 2:
+            self.was_read_twice.set()
+        return EngineLoad(waiting=3)
+
+
+def test_a_busy_upstream_is_read():
+    engine = Engine()
+    load = UpstreamLoad(engine, lambda: True)
+    load.start()
+    assert engine.was_read_twice.wait(30.0)
+    load.stop()
+    assert load.waiting == 3
+
+
+def test_an_idle_upstream_is_left_alone():
+    engine = Engine()
+    asked = threading.Semaphore(0)
+
+    def note_question() -> bool:
+        asked.release()
+        return False
+
+    load = UpstreamLoad(engine, note_question)
+    load.start()
+    assert all(asked.acquire(timeout=30.0) for _ in range(3))
+    load.stop()
+    assert (engine.reads, load.waiting) == (0, 0)
