Follows the service in force, not the one a gate or a request was made with

A dump showed engines and agents idle and the entry's queue full: its gate kept the service of the revision it was made in, so a new revision that no longer listed the old version left it without an allowed replica, and its list, shared by name, spoiled newer requests too. Besides, a deployment that lists only the new version forbade every replica not yet swapped. Ruled out: a stuck engine, a stuck agent, and lost membership news (the entry's view was right; changes of what a replica serves are now passed on at once all the same, and small fleets sync every second). A service without any replica is refused after 5 s instead of at the deadline. Conclusion: replicas go on with their previous version until swapped, unless the service says serves_previous = no.

--- a/hibiscustray/deployments/model.py
+++ b/hibiscustray/deployments/model.py
@@ -35,6 +35,7 @@
     objective: Literal["time", "origin_bytes"] = "time"
     max_unavailable: Count = 1
     engines_check_fencing: bool = True
+    serves_previous: bool = True
     availability_percent: Percent = 99.9
     first_token_ms: Positive = 980.0
     answer_ms: Positive = 30000.0
--- a/hibiscustray/entry/replicas.py
+++ b/hibiscustray/entry/replicas.py
@@ -10,6 +10,7 @@
 from hibiscustray.routing import Choice, ReplicaChooser
 
 WAIT_TICK_S = 0.1
+NO_REPLICA_WAIT_S = 5.0
 
 
 class ReplicaPicker:
@@ -28,8 +29,10 @@
     ) -> Choice:
         """Return a replica, to be released; raise `NoReplica` or `CallerLeft`.
 
-        When all replicas are excluded, they are taken back in after a pause.
+        When all replicas are excluded, they are taken back in after a pause. A service that has
+        none for a while is refused at once rather than at the deadline.
         """
+        wait_until = min(wait_until, time.monotonic() + NO_REPLICA_WAIT_S)
         while True:
             try:
                 return self._chooser.choose(
--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -7,7 +7,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Any
 
@@ -45,6 +45,8 @@
 FAREWELL_S = 0.5
 FORGET_INTERVAL_S = 10.0
 SYNC_INTERVAL_S = 15.0
+SHORTEST_SYNC_S = 1.0
+SYNC_MEMBERS_PER_S = 75
 SYNC_AGAIN_S = 1.0
 SYNC_RECORDS = 64
 FIRST_SYNC_RECORDS = 4096
@@ -239,8 +241,10 @@
 
     def _take_in(self, message: ExchangeMessage, address: str) -> None:
         self._peers.learn_codec(address, message.sender.codec)
-        news = self._view.merge((message.sender, *message.changes))
-        if any(record.status in (LEAVING, LEFT) for record in news):
+        records = (message.sender, *message.changes)
+        served = {known.id: known.serving for known in map(self._view.get, _ids(records)) if known}
+        news = self._view.merge(records)
+        if any(_is_urgent(record, served.get(record.id)) for record in news):
             self.announce()
         self._note_peer(message)
 
@@ -281,7 +285,8 @@
         now = time.monotonic()
         if message.view_hash == self._view.hash or now < self._next_sync:
             return
-        self._next_sync = now + SYNC_INTERVAL_S * self._random.uniform(0.8, 1.2)
+        interval_s = find_sync_interval(self._view.count())
+        self._next_sync = now + interval_s * self._random.uniform(0.8, 1.2)
         is_small = self._view.count() <= SMALL_VIEW
         limit = FIRST_SYNC_RECORDS if is_small else SYNC_RECORDS
         try:
@@ -332,3 +337,17 @@
         except PeerError:
             return
         self._finish(reply, address)
+
+
+def find_sync_interval(members: int) -> float:
+    """Return the seconds between syncs, longer in a large fleet to keep the bytes constant."""
+    return min(SYNC_INTERVAL_S, max(SHORTEST_SYNC_S, members / SYNC_MEMBERS_PER_S))
+
+
+def _ids(records: Iterable[MemberRecord]) -> Iterator[str]:
+    return (record.id for record in records)
+
+
+def _is_urgent(record: MemberRecord, served_before: str | None) -> bool:
+    """Tell whether entries must hear of a change before the next heartbeat."""
+    return record.status in (LEAVING, LEFT) or served_before not in (None, record.serving)
--- a/hibiscustray/operator/objects.py
+++ b/hibiscustray/operator/objects.py
@@ -48,6 +48,7 @@
     objective: Literal["time", "origin_bytes"] = "time"
     max_unavailable: int = 1
     engines_check_fencing: bool = True
+    serves_previous: bool = True
 
     def build(self) -> Service:
         """Return the service as configured."""
@@ -59,6 +60,7 @@
             objective=self.objective,
             max_unavailable=self.max_unavailable,
             engines_check_fencing=self.engines_check_fencing,
+            serves_previous=self.serves_previous,
         )
 
 
--- a/hibiscustray/routing/admission.py
+++ b/hibiscustray/routing/admission.py
@@ -7,13 +7,15 @@
 from dataclasses import dataclass, field
 
 from hibiscustray.deployments import Service
-from hibiscustray.exceptions import DeadlineExceeded, Overloaded
+from hibiscustray.exceptions import DeadlineExceeded, NoReplica, Overloaded
 from hibiscustray.requests import CallerRequest
 from hibiscustray.routing.choice import ReplicaChooser
 from hibiscustray.routing.fairness import FairQueue, find_fair_level
 from hibiscustray.routing.policies import Adaptive, FirstCome, Policy
 
 RECHECK_S = 0.1
+NO_REPLICA_WAIT_S = 5.0
+RETRY_AFTER_S = 1.0
 ACTIVE_KEPT_S = 30.0
 RESERVE_SHARE = 0.25
 WAITING_THREADS_SHARE = 0.3
@@ -103,6 +105,7 @@
 
     def _await(self, request: CallerRequest, waiter: Waiter) -> None:
         service_s = self._estimate_service_s(request)
+        hopeless_at = time.monotonic() + NO_REPLICA_WAIT_S
         while not waiter.granted.is_set():
             spare_s = request.time_left() - service_s
             if spare_s > 0:
@@ -112,7 +115,12 @@
                     return
                 if spare_s <= 0 and self._queue.remove(waiter.team, waiter):
                     raise self._make_late_refusal(service_s)
-                self._grant(self._read_capacity())
+                capacity = self._read_capacity()
+                if capacity > 0 or sum(self._running.values()):
+                    hopeless_at = time.monotonic() + NO_REPLICA_WAIT_S
+                elif time.monotonic() > hopeless_at and self._queue.remove(waiter.team, waiter):
+                    raise NoReplica(f"no replica serves {self._service.name}", RETRY_AFTER_S)
+                self._grant(capacity)
 
     def _make_late_refusal(self, service_s: float) -> Exception:
         if self._rules.refuses_early:
--- a/hibiscustray/routing/choice.py
+++ b/hibiscustray/routing/choice.py
@@ -26,6 +26,7 @@
 
 RETRY_AFTER_S = 1.0
 CANDIDATES_KEPT_S = 0.1
+NOT_SERVING = "-"
 SAMPLE_SIZE = 3
 AFFINITY_LOAD_FACTOR = 1.25
 AFFINITY_LIMIT_SHARE = 0.8
@@ -144,8 +145,16 @@
         return listing.members
 
     def _read_members(self, service: Service) -> list[MemberRecord]:
-        allowed = allowed_digests(self._configuration.deployment, service)
-        members = [m for m in self._view.replicas(service.name) if m.serving in allowed]
+        # The request's service may be of an earlier revision than the one in force now.
+        deployment = self._configuration.deployment
+        current = deployment.find_service(service.name)
+        if current is None:
+            return []
+        members = [
+            member
+            for member in self._view.replicas(service.name)
+            if may_serve(deployment, current, member.serving)
+        ]
         match self._policy:
             case Adaptive(subset=size) | FirstCome(subset=size):
                 return take_subset(members, self._view.own.id, size)
@@ -210,14 +219,20 @@
         return self._states.setdefault(member_id, ReplicaState())
 
 
-def allowed_digests(deployment: Deployment, service: Service) -> set[str]:
-    """Return the digests that may serve: all listed versions of the service's model."""
+def may_serve(deployment: Deployment, service: Service, digest: str) -> bool:
+    """Tell whether a replica that serves a digest may get a service's requests.
+
+    A replica that was not swapped yet goes on with its previous version, unless the service
+    forbids that; versions that the deployment still lists are allowed in any case.
+    """
     if service.kind == "plain":
-        return {""}
+        return digest == ""
+    if digest in ("", NOT_SERVING):
+        return False
     current = deployment.find_version(service.version)
-    if current is None:
-        return set()
-    return {
+    if service.serves_previous or current is None:
+        return service.serves_previous
+    return digest in {
         version.manifest
         for version in deployment.versions
         if version.kind == "model" and version.model == current.model
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -7,8 +7,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
-from hibiscustray.deployments import Deployment, Service
+from hibiscustray.deployments import Deployment, Service, Version
 from hibiscustray.exceptions import NoReplica
 from hibiscustray.membership import MemberView
 from hibiscustray.peers import MemberRecord
@@ -135,3 +136,31 @@
     after = take_subset(left, "entry-0", size)
     assert len(before) == min(size, count)
     assert len({m.id for m in before} - {m.id for m in after}) <= 1
+
+
+def make_rolled_deployment(serves_previous: bool, versions: tuple[str, ...]) -> Deployment:
+    """Return a deployment whose model service carries the last of the versions."""
+    service = Service("guide", version=versions[-1], serves_previous=serves_previous)
+    listed = tuple(Version(name, "guide", name * 32) for name in versions)
+    return Deployment("test", listed, (service,))
+
+
+@pytest.mark.parametrize(
+    ("serves_previous", "versions", "expected"),
+    [
+        (True, ("v2",), {"agent-0", "agent-1"}),
+        (False, ("v2",), {"agent-1"}),
+        (False, ("v1", "v2"), {"agent-0", "agent-1"}),
+    ],
+)
+def test_a_request_of_an_earlier_revision_follows_the_one_in_force(
+    serves_previous, versions, expected
+):
+    view = MemberView(make_member(0, role="entry"))
+    for index, serving in enumerate(("v1" * 32, "v2" * 32, "-")):
+        view.merge([structs.replace(make_member(index), service="guide", serving=serving)])
+    configuration = FixedConfiguration()
+    configuration.deployment = make_rolled_deployment(serves_previous, versions)
+    chooser = ReplicaChooser(view, configuration, RoundRobin(), "seed")
+    earlier = Service("guide", version="v0")
+    assert {chooser.choose(earlier, set()).member.id for _ in range(6)} == expected
