--- a/hibiscustray/reports/capacity.py
+++ b/hibiscustray/reports/capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from dataclasses import dataclass
 from importlib.resources import files
 from pathlib import Path
@@ -17,6 +18,7 @@
 SAMPLE_INTERVAL_S = 60
 US_PER_S = 1_000_000
 PERCENT = 100.0
+WEIGHTS_FILE = re.compile(r"weights-time-\d+\.json")
 
 
 @dataclass(frozen=True)
@@ -159,10 +161,10 @@
 
 
 def _read_weights(folder: Path) -> tuple[dict[str, Any], ...]:
-    paths = folder.glob("weights-time-*-none.json")
+    paths = [path for path in folder.iterdir() if WEIGHTS_FILE.fullmatch(path.name)]
     command = "hibiscustray bench weights --objective time"
     runs = [_read(path, command) for path in paths]
     if not runs:
-        raise MeasurementMissing(f"{folder}/weights-time-*-none.json: run `{command}`")
+        raise MeasurementMissing(f"{folder}/weights-time-N.json: run `{command}`")
     single = [run for run in runs if run["regions"] == 1]
     return tuple(sorted(single, key=lambda run: run["replicas"]))
