--- a/hibiscustray/routing/admission.py
+++ b/hibiscustray/routing/admission.py
@@ -116,7 +116,7 @@
                 if spare_s <= 0 and self._queue.remove(waiter.team, waiter):
                     raise self._make_late_refusal(service_s)
                 capacity = self._read_capacity()
-                if capacity > 0 or sum(self._running.values()):
+                if self._chooser.is_served(self._service):
                     hopeless_at = time.monotonic() + NO_REPLICA_WAIT_S
                 elif time.monotonic() > hopeless_at and self._queue.remove(waiter.team, waiter):
                     raise NoReplica(f"no replica serves {self._service.name}", RETRY_AFTER_S)
--- a/hibiscustray/routing/choice.py
+++ b/hibiscustray/routing/choice.py
@@ -129,6 +129,10 @@
             usable, _ = split_slow(*self._weigh(members, now))
             return sum(max(0, c.state.limit.value - c.state.read_others(now)) for c in usable)
 
+    def is_served(self, service: Service) -> bool:
+        """Tell whether any replica may get a service's requests."""
+        return bool(self._list_members(service, time.monotonic()))
+
     def read_unit(self, service: Service) -> float | None:
         """Return the typical seconds per token of a service, None before any is known."""
         members = self._list_members(service, time.monotonic())
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -11,6 +11,7 @@
 from hibiscustray.deployments import Deployment, RevisionStore, Team, render_deployment
 from hibiscustray.exceptions import NoConfiguration
 from hibiscustray.membership import list_processes, push_revision, spread_revision
+from hibiscustray.membership.exchange import find_sync_interval
 from hibiscustray.peers import PeerPool
 from hibiscustray.peers.messages import DEAD, LEAVING, LIVE
 from hibiscustray.platform import MachineList, Table
@@ -160,3 +161,16 @@
     found = list_processes(MachineList(fleet.platform.url, TIMEOUT_S), peers)
     peers.close()
     assert sorted(found) == [node.id for node in fleet.list_nodes()]
+
+
+def test_small_fleets_sync_often_and_large_ones_at_a_constant_cost():
+    assert find_sync_interval(2) == 1.0
+    assert find_sync_interval(12) == 2.4
+    assert find_sync_interval(1110) == 15.0
+
+
+def test_what_a_member_serves_reaches_every_process(fleet):
+    swapped, *others = fleet.list_nodes()
+    swapped.view.update_own(serving="a" * 64)
+    swapped.exchange.announce()
+    wait_until(lambda: {o.view.get(swapped.id).serving for o in others} == {"a" * 64})
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 from hibiscustray.deployments import Service
-from hibiscustray.exceptions import DeadlineExceeded, NotRun, Overloaded
+from hibiscustray.exceptions import DeadlineExceeded, NoReplica, NotRun, Overloaded
 from hibiscustray.requests import CallerRequest, Estimate
+from hibiscustray.routing import admission
 from hibiscustray.routing.admission import Admission, GateRules, ServiceGate, make_rules
 from hibiscustray.routing.policies import Adaptive, FirstCome, RoundRobin
 
@@ -29,6 +30,9 @@
     def read_capacity(self, service: Service) -> int:
         return self.capacity
 
+    def is_served(self, service: Service) -> bool:
+        return self.capacity > 0
+
     def read_unit(self, service: Service) -> float | None:
         return self.unit_s
 
@@ -147,3 +151,15 @@
     assert peak <= capacity
     assert sum(gate._running.values()) == 0
     assert len(gate._queue) == 0
+
+
+def test_those_who_wait_for_a_service_without_a_replica_are_refused_long_before_the_deadline(
+    monkeypatch,
+):
+    monkeypatch.setattr(admission, "NO_REPLICA_WAIT_S", 0.05)
+    gate = make_gate(0)
+    gate.enter(make_request("only"))
+    request = make_request("only", seconds=3600.0)
+    with pytest.raises(NoReplica):
+        gate.enter(request)
+    assert request.time_left() > 1800.0
