--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -9,31 +9,11 @@
 import click
 
 from hibiscustray import __version__
+from hibiscustray.benchmarks.names import CONFIGURATION_FAULTS, WEIGHTS_FAULTS
 from hibiscustray.exceptions import HibiscustrayError
 
 os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
 
-CONFIGURATION_FAULTS = (
-    "none",
-    "store_outage",
-    "lost_answers",
-    "race",
-    "restart",
-    "partition",
-    "pause",
-    "all",
-)
-WEIGHTS_FAULTS = (
-    "none",
-    "corrupt",
-    "stall",
-    "die",
-    "churn",
-    "origin_outage",
-    "store_outage",
-    "version_change",
-    "all",
-)
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
--- a/hibiscustray/benchmarks/configuration_faults.py
+++ b/hibiscustray/benchmarks/configuration_faults.py
@@ -7,8 +7,8 @@
 import time
 
 from hibiscustray.benchmarks.configuration_fleet import Fleet
+from hibiscustray.benchmarks.names import CONFIGURATION_FAULTS
 
-FAULTS = ("none", "store_outage", "lost_answers", "race", "restart", "partition", "pause", "all")
 OUTAGE_S = 8.0
 PAUSE_S = 4.0
 PARTITION_S = 4.0
@@ -23,7 +23,7 @@
 
     def __init__(self, fleet: Fleet, faults: str, seed: int) -> None:
         self._fleet = fleet
-        self._active = set(FAULTS[1:-1]) if faults == "all" else {faults}
+        self._active = set(CONFIGURATION_FAULTS[1:-1]) if faults == "all" else {faults}
         self._random = random.Random(seed)
         self._timers: list[threading.Timer] = []
 
--- /dev/null
+++ b/hibiscustray/benchmarks/names.py
@@ -0,0 +1,25 @@
+"""Names of the faults that benchmarks bring about, apart so that the command line loads fast."""
+
+from __future__ import annotations
+
+CONFIGURATION_FAULTS = (
+    "none",
+    "store_outage",
+    "lost_answers",
+    "race",
+    "restart",
+    "partition",
+    "pause",
+    "all",
+)
+WEIGHTS_FAULTS = (
+    "none",
+    "corrupt",
+    "stall",
+    "die",
+    "churn",
+    "origin_outage",
+    "store_outage",
+    "version_change",
+    "all",
+)
--- a/hibiscustray/benchmarks/weights_faults.py
+++ b/hibiscustray/benchmarks/weights_faults.py
@@ -10,18 +10,8 @@
 from dataclasses import dataclass, field
 
 from hibiscustray.benchmarks.fleet import SERVICE, Fleet
+from hibiscustray.benchmarks.names import WEIGHTS_FAULTS
 
-FAULTS = (
-    "none",
-    "corrupt",
-    "stall",
-    "die",
-    "churn",
-    "origin_outage",
-    "store_outage",
-    "version_change",
-    "all",
-)
 VICTIM_SHARE = 1 / 7
 THREADS = 16
 
@@ -48,7 +38,7 @@
         self._victims = self._random.sample(
             range(fleet.shape.replicas), max(1, round(fleet.shape.replicas * VICTIM_SHARE))
         )
-        self._kinds = FAULTS[1:-1] if kind == "all" else (kind,)
+        self._kinds = WEIGHTS_FAULTS[1:-1] if kind == "all" else (kind,)
 
     def start(self) -> None:
         """Schedule all faults."""
