Moves the clients of published protocols to a folder named for them

Cause: hibiscustray/platform/ is to hold the adapter to the users' platform alone. Ruled out: leaving the clients beside it, since the adapter may decide nothing and these are the product's own interface. Conclusion: a rename only; no behaviour changes.

--- a/hibiscustray/agent/attempts.py
+++ b/hibiscustray/agent/attempts.py
@@ -32,7 +32,7 @@
     TicketRequest,
 )
 from hibiscustray.peers.messages import BUSY
-from hibiscustray.platform import EngineClient
+from hibiscustray.protocols import EngineClient
 from hibiscustray.requests import (
     TICKET_LIFETIME_S,
     AnswerDigest,
--- a/hibiscustray/agent/load.py
+++ b/hibiscustray/agent/load.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from hibiscustray.exceptions import UpstreamError
-from hibiscustray.platform import EngineClient
-from hibiscustray.platform.engine import EngineLoad
+from hibiscustray.protocols import EngineClient
+from hibiscustray.protocols.engine import EngineLoad
 
 log = logging.getLogger(__name__)
 
--- a/hibiscustray/agent/upstream_call.py
+++ b/hibiscustray/agent/upstream_call.py
@@ -17,8 +17,8 @@
     UpstreamUnreachable,
 )
 from hibiscustray.peers import AttemptRequest
-from hibiscustray.platform import EngineClient
-from hibiscustray.platform.engine import HttpStream
+from hibiscustray.protocols import EngineClient
+from hibiscustray.protocols.engine import HttpStream
 from hibiscustray.requests import Elsewhere, Repeat, Uncertain
 
 EVENT_PREFIX = b"data: "
--- a/hibiscustray/benchmarks/configuration.py
+++ b/hibiscustray/benchmarks/configuration.py
@@ -19,7 +19,7 @@
 from hibiscustray.exceptions import RevisionConflict, StoreAnswerLost, StoreUnavailable
 from hibiscustray.membership import spread_revision
 from hibiscustray.peers import PeerPool
-from hibiscustray.platform import MachineList, Table
+from hibiscustray.protocols import MachineList, Table
 
 OPERATORS = 8
 TIMEOUT_S = 2.0
--- a/hibiscustray/benchmarks/configuration_nodes.py
+++ b/hibiscustray/benchmarks/configuration_nodes.py
@@ -13,7 +13,7 @@
 from hibiscustray.peers import MemberRecord, PeerClient, PeerPool, PeerServer
 from hibiscustray.peers.codec import EXCHANGE, PROBE, PUSH, REVISION, STATUS, SYNC
 from hibiscustray.peers.packing import NEWEST
-from hibiscustray.platform import MachineList, Row, Table
+from hibiscustray.protocols import MachineList, Row, Table
 from hibiscustray.settings import MembershipSettings
 from hibiscustray.telemetry import Metrics
 
--- a/hibiscustray/benchmarks/configuration_orders.py
+++ b/hibiscustray/benchmarks/configuration_orders.py
@@ -6,7 +6,7 @@
 
 from hibiscustray.deployments import Configuration
 from hibiscustray.exceptions import FencingRejected
-from hibiscustray.platform import EngineWeights, LoadOrder
+from hibiscustray.protocols import EngineWeights, LoadOrder
 from hibiscustray.rollout import FencingCounter
 
 
--- a/hibiscustray/commands/report_burn.py
+++ b/hibiscustray/commands/report_burn.py
@@ -12,7 +12,7 @@
 
 from hibiscustray.deployments import RevisionStore, parse_deployment
 from hibiscustray.exceptions import MetricsUnreadable, NoConfiguration, UpstreamError
-from hibiscustray.platform import Table
+from hibiscustray.protocols import Table
 from hibiscustray.reports import Sample, SampleStore, make_burn_report, parse_exposition
 from hibiscustray.reports.burn import WINDOWS_S, BurnReport
 from hibiscustray.reports.pages import render_page, render_table
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -41,7 +41,7 @@
 )
 from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
 from hibiscustray.peers.packing import NEWEST
-from hibiscustray.platform import EngineClient, MachineList, ObjectStore, Origin, Table
+from hibiscustray.protocols import EngineClient, MachineList, ObjectStore, Origin, Table
 from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
--- a/hibiscustray/deployments/snapshots.py
+++ b/hibiscustray/deployments/snapshots.py
@@ -12,7 +12,7 @@
 
 from hibiscustray.deployments.revisions import Revision
 from hibiscustray.exceptions import RecordInvalid
-from hibiscustray.platform import ObjectStore
+from hibiscustray.protocols import ObjectStore
 
 MAGIC = b"HTSN"
 PLAIN = 1
--- a/hibiscustray/membership/exchange.py
+++ b/hibiscustray/membership/exchange.py
@@ -32,7 +32,7 @@
     SyncReply,
     SyncRequest,
 )
-from hibiscustray.platform import MachineList
+from hibiscustray.protocols import MachineList
 from hibiscustray.settings import MembershipSettings
 from hibiscustray.telemetry import Metrics
 
--- a/hibiscustray/membership/polling.py
+++ b/hibiscustray/membership/polling.py
@@ -12,7 +12,7 @@
 from hibiscustray.exceptions import PlatformError
 from hibiscustray.membership.view import MemberView
 from hibiscustray.peers.messages import DEAD, LEFT
-from hibiscustray.platform import MachineList, RateBudget, VirtualMachine
+from hibiscustray.protocols import MachineList, RateBudget, VirtualMachine
 from hibiscustray.settings import MembershipSettings
 from hibiscustray.telemetry import Metrics
 
--- a/hibiscustray/membership/spread.py
+++ b/hibiscustray/membership/spread.py
@@ -11,7 +11,7 @@
 from hibiscustray.membership.hashes import PACKING
 from hibiscustray.peers import MemberRecord, PeerPool
 from hibiscustray.peers.messages import DEAD, LEAVING, LEFT, SyncRequest
-from hibiscustray.platform import MachineList
+from hibiscustray.protocols import MachineList
 
 RECEIVERS = 16
 CALL_TIMEOUT_S = 1.0
--- a/hibiscustray/operator/client.py
+++ b/hibiscustray/operator/client.py
@@ -10,7 +10,7 @@
 from hibiscustray.deployments import Revision, RevisionStore, parse_deployment
 from hibiscustray.deployments.snapshots import LATEST_KEY, Snapshot, SnapshotStore
 from hibiscustray.operator.objects import DeploymentPlan
-from hibiscustray.platform import ObjectStore, Table
+from hibiscustray.protocols import ObjectStore, Table
 from hibiscustray.weights import build_manifest, publish_weights
 
 TIMEOUT_S = 5.0
--- a/hibiscustray/operator/status.py
+++ b/hibiscustray/operator/status.py
@@ -8,7 +8,7 @@
 from hibiscustray.deployments import Deployment, Revision, parse_deployment
 from hibiscustray.exceptions import PeerError
 from hibiscustray.peers import MemberRecord, PeerPool
-from hibiscustray.platform import MachineList
+from hibiscustray.protocols import MachineList
 
 ASK_TIMEOUT_S = 2.0
 ASK_THREADS = 16
--- a/hibiscustray/reports/samples.py
+++ b/hibiscustray/reports/samples.py
@@ -16,7 +16,7 @@
 import xxhash
 
 from hibiscustray.exceptions import MetricsUnreadable, PlatformError
-from hibiscustray.platform import Delete, Put, Row, Table
+from hibiscustray.protocols import Delete, Put, Row, Table
 from hibiscustray.reports.series import Series, parse_exposition
 from hibiscustray.telemetry import Metrics
 
--- a/hibiscustray/requests/claims.py
+++ b/hibiscustray/requests/claims.py
@@ -22,7 +22,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from hibiscustray.platform import Put, Row, Table
+from hibiscustray.protocols import Put, Row, Table
 from hibiscustray.requests.ledger import KEPT_S, Mismatch, Repeat, Uncertain
 
 PARTITION_PREFIX = "claim/"
--- a/hibiscustray/rollout/activation.py
+++ b/hibiscustray/rollout/activation.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from hibiscustray.exceptions import ActivationAbandoned
-from hibiscustray.platform import EngineClient, LoadOrder
+from hibiscustray.protocols import EngineClient, LoadOrder
 from hibiscustray.rollout.fencing import FencingCounter
 from hibiscustray.rollout.waves import WaveSlot
 
--- a/hibiscustray/rollout/leases.py
+++ b/hibiscustray/rollout/leases.py
@@ -17,7 +17,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from hibiscustray.platform import Put, Row, Table
+from hibiscustray.protocols import Put, Row, Table
 
 LEASE_PARTITION = "lease"
 CLOCK_DRIFT = 1.05
--- a/hibiscustray/standins/engine.py
+++ b/hibiscustray/standins/engine.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from hibiscustray.platform.engine import EngineLoad, EngineWeights, LoadOrder
+from hibiscustray.protocols.engine import EngineLoad, EngineWeights, LoadOrder
 from hibiscustray.standins.batching import DEFAULT_PRIORITY, Batch, EnginePace, Sequence
 from hibiscustray.web import HttpClient, HttpServer, Request, Response, Router
 from hibiscustray.weights import Manifest
--- a/hibiscustray/standins/links.py
+++ b/hibiscustray/standins/links.py
@@ -12,7 +12,7 @@
 from hibiscustray.composition import Wrappers
 from hibiscustray.exceptions import OriginUnavailable, PeerConnectionLost
 from hibiscustray.peers import ChunkReply, ChunkRequest, PeerPool
-from hibiscustray.platform import Origin
+from hibiscustray.protocols import Origin
 from hibiscustray.weights import LinkBudget
 
 ORIGIN = "origin"
--- a/hibiscustray/standins/platform.py
+++ b/hibiscustray/standins/platform.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from hibiscustray.platform.machines import PEER_KEY, RUNNING
-from hibiscustray.platform.objects import BUCKET
-from hibiscustray.platform.table import TARGET_PREFIX
+from hibiscustray.protocols.machines import PEER_KEY, RUNNING
+from hibiscustray.protocols.objects import BUCKET
+from hibiscustray.protocols.table import TARGET_PREFIX
 from hibiscustray.web import HttpServer, Request, Response, Router
 from hibiscustray.weights import LinkBudget
 
--- a/hibiscustray/weights/lookup.py
+++ b/hibiscustray/weights/lookup.py
@@ -6,7 +6,7 @@
 
 from hibiscustray.exceptions import ObjectMissing, PeerError, StoreUnavailable, WeightsError
 from hibiscustray.peers import PeerPool
-from hibiscustray.platform import ObjectStore
+from hibiscustray.protocols import ObjectStore
 from hibiscustray.weights.cache import ChunkCache
 from hibiscustray.weights.manifest import Manifest, decode_manifest
 from hibiscustray.weights.publishing import manifest_key
--- a/hibiscustray/weights/publishing.py
+++ b/hibiscustray/weights/publishing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hibiscustray.platform import ObjectStore
+from hibiscustray.protocols import ObjectStore
 from hibiscustray.weights.manifest import Manifest
 
 
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -20,7 +20,7 @@
 )
 from hibiscustray.membership import MemberView
 from hibiscustray.peers import ChunkReply, ChunkRequest, HoldingsReply, HoldingsRequest, PeerPool
-from hibiscustray.platform import ObjectStore, Origin
+from hibiscustray.protocols import ObjectStore, Origin
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights.cache import ChunkCache, decode_bitmap, list_chunks
 from hibiscustray.weights.choice import ChunkChooser, FromOrigin, FromPeer, Job, Objective
--- a/tests/agent/test_attempts.py
+++ b/tests/agent/test_attempts.py
@@ -15,7 +15,7 @@
 from hibiscustray.agent.state import ServingState
 from hibiscustray.agent.upstream_call import UpstreamCall
 from hibiscustray.peers import AttemptRequest, Beat, Data, End, Failed, Refused
-from hibiscustray.platform import EngineClient
+from hibiscustray.protocols import EngineClient
 from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer, Uncertain
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import HttpServer, Response, Router
--- a/tests/agent/test_deployer.py
+++ b/tests/agent/test_deployer.py
@@ -14,7 +14,7 @@
 from hibiscustray.deployments import Configuration, Revision
 from hibiscustray.exceptions import ActivationAbandoned, UpstreamUnreachable
 from hibiscustray.operator import Adapter, DeploymentPlan, Model, ServicePlan
-from hibiscustray.platform.engine import EngineWeights
+from hibiscustray.protocols.engine import EngineWeights
 from hibiscustray.weights import ChunkCache, TransferEnvironment, build_manifest, manifest_key
 from tests.weights.network import CHUNK_B, SERVICE, Network, Pool
 
--- a/tests/agent/test_load.py
+++ b/tests/agent/test_load.py
@@ -5,7 +5,7 @@
 import threading
 
 from hibiscustray.agent.load import UpstreamLoad
-from hibiscustray.platform.engine import EngineLoad
+from hibiscustray.protocols.engine import EngineLoad
 
 
 class Engine:
--- a/tests/benchmarks/test_configuration.py
+++ b/tests/benchmarks/test_configuration.py
@@ -11,7 +11,7 @@
 from hibiscustray.benchmarks.configuration import NodeCost, work_out_cost
 from hibiscustray.benchmarks.configuration_orders import RecordingEngine
 from hibiscustray.exceptions import FencingRejected
-from hibiscustray.platform import LoadOrder
+from hibiscustray.protocols import LoadOrder
 
 
 def make_cost(nodes: int, value: float) -> NodeCost:
--- a/tests/deployments/test_revisions.py
+++ b/tests/deployments/test_revisions.py
@@ -21,7 +21,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from hibiscustray.platform import Put, Row, Table
+from hibiscustray.protocols import Put, Row, Table
 from hibiscustray.standins.platform import PlatformStandIn
 
 ADDRESS = "127.0.0.1"
--- a/tests/deployments/test_snapshots.py
+++ b/tests/deployments/test_snapshots.py
@@ -21,7 +21,7 @@
 )
 from hibiscustray.exceptions import RecordInvalid, RevisionConflict
 from hibiscustray.operator import Operator
-from hibiscustray.platform import ObjectStore, Table
+from hibiscustray.protocols import ObjectStore, Table
 from hibiscustray.standins.platform import PlatformStandIn
 
 ADDRESS = "127.0.0.1"
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -14,7 +14,7 @@
 from hibiscustray.membership.exchange import find_sync_interval
 from hibiscustray.peers import PeerPool
 from hibiscustray.peers.messages import DEAD, LEAVING, LIVE
-from hibiscustray.platform import MachineList, Table
+from hibiscustray.protocols import MachineList, Table
 from hibiscustray.settings import MembershipSettings
 
 SIZE = 8
--- a/tests/platform/test_answers.py
+++ b/tests/protocols/test_answers.py
@@ -13,9 +13,9 @@
 from hibiscustray.deployments import parse_deployment
 from hibiscustray.deployments.revisions import decode_revision
 from hibiscustray.exceptions import PlatformError, RecordInvalid, SettingsError, StoreUnavailable
-from hibiscustray.platform import MachineList, Row, Table
-from hibiscustray.platform import budget as budget_module
-from hibiscustray.platform.budget import RateBudget
+from hibiscustray.protocols import MachineList, Row, Table
+from hibiscustray.protocols import budget as budget_module
+from hibiscustray.protocols.budget import RateBudget
 from hibiscustray.web.client import HttpReply
 
 json_values = st.recursive(
--- a/tests/rollout/test_activation.py
+++ b/tests/rollout/test_activation.py
@@ -8,7 +8,7 @@
 
 from hibiscustray.agent import ChunkServer
 from hibiscustray.exceptions import ActivationAbandoned, FencingRejected, UpstreamError
-from hibiscustray.platform import EngineClient, LoadOrder
+from hibiscustray.protocols import EngineClient, LoadOrder
 from hibiscustray.rollout import Activation, FencingCounter, OrderGate, Target
 from hibiscustray.standins import EngineStandIn
 from hibiscustray.telemetry import Metrics
--- a/tests/rollout/test_waves.py
+++ b/tests/rollout/test_waves.py
@@ -8,7 +8,7 @@
 import pytest
 
 from hibiscustray.exceptions import LeaseHeld, PreconditionFailed, StoreUnavailable
-from hibiscustray.platform import Row
+from hibiscustray.protocols import Row
 from hibiscustray.rollout import LeaseStore, Waves
 
 SHORT_S = 0.2
