--- a/Makefile
+++ b/Makefile
@@ -51,4 +51,4 @@
 	  --output-file dist/hibiscustray
 
 binary-check: binary
-	$(BIN)/python tools/check_binary.py dist/hibiscustray
+	$(BIN)/python tools/check_binary.py dist/hibiscustray $(dir $(BINARY_ROOT))
--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -41,6 +41,32 @@
     run_agent(settings)
 
 
+@cli.group()
+def host() -> None:
+    """Run a process on a platform that hosts it and writes its settings file."""
+
+
+HOSTED = click.option("--settings", type=FILE, help="INI file; the platform's own if not given.")
+
+
+@host.command("entry")
+@HOSTED
+def host_entry(settings: Path | None) -> None:
+    """Run an entry that forwards requests straight to replicas."""
+    from hibiscustray.commands.hosting import run_hosted_entry
+
+    run_hosted_entry(settings)
+
+
+@host.command("agent")
+@HOSTED
+def host_agent(settings: Path | None) -> None:
+    """Run an agent that keeps the replica on its VM at the named weights."""
+    from hibiscustray.commands.hosting import run_hosted_agent
+
+    run_hosted_agent(settings)
+
+
 @cli.command()
 @click.option("--weights", type=FILE, help="File to use as weights; 64 MiB are made if absent.")
 @click.option("--seed", type=int, default=1, show_default=True, help="Seed of all choices.")
--- /dev/null
+++ b/hibiscustray/agent/hosted.py
@@ -0,0 +1,59 @@
+"""One hosted agent: its servers and threads, started and stopped in order."""
+
+from __future__ import annotations
+
+import logging
+
+from hibiscustray.agent.stager import WeightsStager
+from hibiscustray.feeds import FeedFollower
+from hibiscustray.peers import PeerPool, PeerServer
+from hibiscustray.settings import HostedSettings
+from hibiscustray.web import HttpServer
+
+log = logging.getLogger(__name__)
+
+STOP_GRACE_S = 1.0
+
+
+class HostedAgentProcess:
+    """Owns everything that runs in a hosted agent."""
+
+    def __init__(
+        self,
+        metrics: HttpServer,
+        peer_server: PeerServer,
+        peers: PeerPool,
+        followers: tuple[FeedFollower, ...],
+        stager: WeightsStager,
+    ) -> None:
+        self._metrics = metrics
+        self._peer_server = peer_server
+        self._peers = peers
+        self._followers = followers
+        self._stager = stager
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._peer_server.start()
+        self._metrics.start()
+        for follower in self._followers:
+            follower.start()
+        self._stager.start()
+        log.info("agent started", extra={"peer_address": self._peer_server.address})
+
+    def drain(self, grace_s: float) -> bool:
+        """Do nothing: an agent holds no callers' requests."""
+        return True
+
+    def reload(self, settings: HostedSettings) -> None:
+        """Take on nothing: what an agent is told does not change while it runs."""
+
+    def stop(self) -> None:
+        """End all servers and threads."""
+        self._stager.stop()
+        for follower in self._followers:
+            follower.stop()
+        self._peer_server.stop(STOP_GRACE_S)
+        self._metrics.stop()
+        self._peers.close()
+        log.info("agent stopped")
--- /dev/null
+++ b/hibiscustray/agent/stager.py
@@ -0,0 +1,296 @@
+"""The thread that brings the engine on this VM to the version that the operator has named."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+from hibiscustray.agent.interface import (
+    EngineReport,
+    LoadMode,
+    OrderAccepted,
+    OrderConflict,
+    OrderInForce,
+    OrderRejected,
+    StagingEngine,
+)
+from hibiscustray.catalog import CatalogHolder, VersionBook
+from hibiscustray.exceptions import (
+    ChunkCorrupt,
+    ChunkMissing,
+    HibiscustrayError,
+    ManifestInvalid,
+    ObjectMissing,
+    OriginUnavailable,
+    TransferOvertaken,
+    UpstreamError,
+)
+from hibiscustray.telemetry import Metrics
+from hibiscustray.weights import Carriers, Transfer, TransferEnvironment, TransferOrder
+from hibiscustray.weights.manifest import Manifest, decode_manifest_body
+
+log = logging.getLogger(__name__)
+
+INTERVAL_S = 0.2
+"""Interval of the engine's report, which costs nothing on its own VM."""
+FAILURE_PAUSE_S = 0.3
+ORDER_PATIENCE_S = 12.0
+"""Time for an order to end: the requests that run, then the load itself."""
+VERIFICATION_LIFE_S = 2.0
+"""Age at which a check of the staged chunks is repeated before an order; they may rot."""
+
+
+class VersionManifests:
+    """Manifests named by model and version, from the origin; peers' copies must name the same."""
+
+    def __init__(self, read_manifest: Callable[[str, int], Manifest]) -> None:
+        self._read_manifest = read_manifest
+        self._failed = ""
+
+    def find(self, digest: str) -> Manifest | None:
+        """Return a manifest, or None if the origin does not give it now."""
+        model, version = split_label(digest)
+        try:
+            manifest = self._read_manifest(model, version)
+        except (OriginUnavailable, ObjectMissing, ManifestInvalid) as error:
+            if self._failed != digest:
+                log.info("manifest not read", extra={"version": digest, "reason": str(error)[:200]})
+            self._failed = digest
+            return None
+        self._failed = ""
+        return manifest
+
+    def check(self, body: bytes, digest: str) -> Manifest:
+        """Return a peer's manifest if it is of the version asked for."""
+        return decode_manifest_body(body)
+
+
+def make_label(model: str, version: int) -> str:
+    """Return the name under which agents exchange the chunks of a version."""
+    return f"{model}@{version}"
+
+
+def split_label(label: str) -> tuple[str, int]:
+    """Return the model and version that a label names."""
+    model, _, version = label.rpartition("@")
+    return model, int(version)
+
+
+class WeightsStager:
+    """Fetches the named version, stages it, checks what lies staged, and orders the load.
+
+    Only this thread orders the engine, with the engine's own count of orders as a precondition, so
+    that an order of an earlier process that arrives late is refused.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        catalogs: CatalogHolder,
+        versions: VersionBook,
+        engine: StagingEngine,
+        environment: TransferEnvironment,
+        metrics: Metrics,
+    ) -> None:
+        self._service = service
+        self._catalogs = catalogs
+        self._versions = versions
+        self._engine = engine
+        self._environment = environment
+        self._metrics = metrics
+        self._transfer: Transfer | None = None
+        self._is_present: bool | None = None
+        self._failure = ""
+        self._recovered: set[tuple[str, int]] = set()
+        self._stopping = threading.Event()
+        self._changed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="stager", daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow the named versions."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Cancel a running transfer and end the thread."""
+        self._stopping.set()
+        self._changed.set()
+        self.note_version()
+        self._thread.join(timeout=2 * INTERVAL_S)
+
+    def note_version(self) -> None:
+        """Give up a transfer of a version that is no longer the newest."""
+        transfer = self._transfer
+        if transfer is not None:
+            model, version = split_label(transfer.digest)
+            if self._stopping.is_set() or self._versions.newest(model) != version:
+                transfer.cancel()
+        self._changed.set()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._changed.wait(INTERVAL_S)
+            self._changed.clear()
+            try:
+                self._follow()
+                self._failure = ""
+            except TransferOvertaken as error:
+                log.info("transfer given up", extra={"version": str(error)})
+            except HibiscustrayError as error:
+                self._note_failure(error)
+                self._stopping.wait(FAILURE_PAUSE_S)
+
+    def _follow(self) -> None:
+        catalog = self._catalogs.current
+        if catalog is None:
+            return
+        report = self._read_report()
+        for model in catalog.find_models(self._service):
+            version = self._versions.newest(model)
+            held = report.find_version(model) if report is not None else 0
+            if report is not None and held == version:
+                self._recover_cache(model, version)
+                continue
+            manifest = self._fetch(model, version)
+            if report is not None and not report.is_loading:
+                self._load(model, version, manifest)
+
+    def _read_report(self) -> EngineReport | None:
+        """Return the engine's report, None while there is no engine."""
+        try:
+            report = self._engine.read_report()
+        except UpstreamError as error:
+            if self._is_present is not False:
+                log.info("engine absent", extra={"reason": str(error)[:200]})
+            self._is_present = False
+            return None
+        if not self._is_present:
+            log.info(
+                "engine present",
+                extra={"versions": [m.version for m in report.models], "born_ms": report.born_ms},
+            )
+        self._is_present = True
+        return report
+
+    def _recover_cache(self, model: str, version: int) -> None:
+        """Take what an engine has staged into the cache, so that peers can draw from here."""
+        label = make_label(model, version)
+        cache = self._environment.cache
+        if (model, version) in self._recovered or cache.is_whole(label):
+            return
+        manifests = self._environment.manifests
+        manifest = manifests.find(label) if manifests is not None else None
+        if manifest is None:
+            return
+        cache.open(label, manifest)
+        for index in sorted(self._engine.list_staged(model)):
+            try:
+                cache.put(label, index, self._engine.read_staged(model, index), "staging area")
+            except (ChunkCorrupt, ChunkMissing):
+                self._metrics.count("staged_chunks_rejected_total")
+        self._recovered.add((model, version))
+        log.info(
+            "staged weights recovered",
+            extra={"version": label, "chunks": cache.held(label).bit_count()},
+        )
+
+    def _fetch(self, model: str, version: int) -> Manifest:
+        """Bring a version into the cache; raise `TransferOvertaken` if another is wanted."""
+        label = make_label(model, version)
+        cache = self._environment.cache
+        if cache.is_whole(label):
+            manifest = cache.manifest(label)
+            assert manifest is not None
+            return manifest
+        started = time.monotonic()
+        order = TransferOrder(label, Carriers(self._service))
+        self._transfer = transfer = Transfer(self._environment, order)
+        log.info("transfer started", extra={"version": label})
+        try:
+            if self._versions.newest(model) != version or self._stopping.is_set():
+                raise TransferOvertaken(label)
+            manifest = transfer.run()
+        finally:
+            self._transfer = None
+        taken_s = time.monotonic() - started
+        self._metrics.observe("transfer_seconds", taken_s)
+        log.info("transfer whole", extra={"version": label, "took_s": round(taken_s, 3)})
+        return manifest
+
+    def _load(self, model: str, version: int, manifest: Manifest) -> None:
+        label = make_label(model, version)
+        checked_at = self._stage(model, label, manifest)
+        report = self._engine.read_report()
+        if report.find_version(model) == version or report.is_loading:
+            return
+        if self._versions.newest(model) != version:
+            raise TransferOvertaken(label)
+        if time.monotonic() - checked_at > VERIFICATION_LIFE_S:
+            return
+        outcome = self._engine.order_load(
+            model, version, LoadMode.FINISH_RUNNING, report.order_count, version
+        )
+        self._metrics.count("orders_total", {"outcome": type(outcome).__name__})
+        log.info(
+            "load ordered",
+            extra={
+                "version": label,
+                "held": report.find_version(model),
+                "order_count": report.order_count,
+                "running": report.running,
+                "outcome": type(outcome).__name__,
+                "named_s_ago": round(min(self._versions.age_s(model), 9999.0), 3),
+            },
+        )
+        match outcome:
+            case OrderAccepted() | OrderInForce():
+                self._await_load(model, version)
+            case OrderConflict() | OrderRejected():
+                self._stopping.wait(FAILURE_PAUSE_S)
+
+    def _stage(self, model: str, label: str, manifest: Manifest) -> float:
+        """Put all chunks into the staging area, read them back, and return when that began."""
+        cache = self._environment.cache
+        staged = self._engine.list_staged(model)
+        for index in range(manifest.count):
+            if index not in staged or not self._is_staged_whole(model, index, manifest):
+                self._engine.stage(model, index, cache.get(label, index))
+        checked_at = time.monotonic()
+        for index in range(manifest.count):
+            if not self._is_staged_whole(model, index, manifest):
+                self._metrics.count("staged_chunks_rejected_total")
+                self._engine.stage(model, index, cache.get(label, index))
+                checked_at = float("-inf")
+        return checked_at
+
+    def _is_staged_whole(self, model: str, index: int, manifest: Manifest) -> bool:
+        try:
+            manifest.verify(index, self._engine.read_staged(model, index), "staging area")
+        except (ChunkCorrupt, ChunkMissing):
+            return False
+        return True
+
+    def _await_load(self, model: str, version: int) -> None:
+        deadline = time.monotonic() + ORDER_PATIENCE_S
+        while not self._stopping.is_set() and time.monotonic() < deadline:
+            report = self._engine.read_report()
+            if report.find_version(model) == version:
+                log.info(
+                    "weights in service",
+                    extra={
+                        "version": make_label(model, version),
+                        "named_s_ago": round(min(self._versions.age_s(model), 9999.0), 3),
+                    },
+                )
+                return
+            if not report.is_loading:
+                return
+            self._stopping.wait(INTERVAL_S / 4)
+
+    def _note_failure(self, error: HibiscustrayError) -> None:
+        kind = type(error).__name__
+        self._metrics.count("stager_failures_total", {"kind": kind})
+        if kind != self._failure:
+            log.warning("weights not loaded", extra={"kind": kind, "reason": str(error)[:200]})
+        self._failure = kind
--- /dev/null
+++ b/hibiscustray/catalog/__init__.py
@@ -0,0 +1,30 @@
+"""The operator's routes, services, teams and limits, and which revision of them is in force."""
+
+from hibiscustray.catalog.holder import CatalogHolder
+from hibiscustray.catalog.model import (
+    CallerLimits,
+    Catalog,
+    EngineProfile,
+    OriginEntry,
+    Route,
+    RouteKind,
+    ServiceEntry,
+    ServiceShare,
+    TeamEntry,
+)
+from hibiscustray.catalog.versions import VersionBook, WeightsVersion
+
+__all__ = [
+    "CallerLimits",
+    "Catalog",
+    "CatalogHolder",
+    "EngineProfile",
+    "OriginEntry",
+    "Route",
+    "RouteKind",
+    "ServiceEntry",
+    "ServiceShare",
+    "TeamEntry",
+    "VersionBook",
+    "WeightsVersion",
+]
--- /dev/null
+++ b/hibiscustray/catalog/versions.py
@@ -0,0 +1,64 @@
+"""Which version of each model's weights the operator has named, and since when."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from dataclasses import dataclass
+
+log = logging.getLogger(__name__)
+
+FIRST_VERSION = 1
+"""Version of a model that the operator has named none for."""
+
+
+@dataclass(frozen=True)
+class WeightsVersion:
+    """A version that the operator has named for a model."""
+
+    model: str
+    version: int
+
+
+class VersionBook:
+    """The versions named for each model, oldest first, with the time each was learnt."""
+
+    def __init__(self) -> None:
+        self._named: dict[str, list[tuple[int, float]]] = {}
+        self._lock = threading.Lock()
+
+    def note(self, named: WeightsVersion, is_initial: bool = False) -> bool:
+        """Take in a named version; tell whether it is news.
+
+        A version found at the start of this process may have been named long ago, so it counts
+        as named before any bound.
+        """
+        learnt_at = float("-inf") if is_initial else time.monotonic()
+        with self._lock:
+            known = self._named.setdefault(named.model, [])
+            if known and named.version <= known[-1][0]:
+                return False
+            known.append((named.version, learnt_at))
+        log.info(
+            "weights version named",
+            extra={"model": named.model, "version": named.version, "initial": is_initial},
+        )
+        return True
+
+    def newest(self, model: str) -> int:
+        """Return the newest version named for a model."""
+        known = self._named.get(model)
+        return known[-1][0] if known else FIRST_VERSION
+
+    def age_s(self, model: str) -> float:
+        """Return the seconds since the newest version was learnt, infinite if never."""
+        known = self._named.get(model)
+        return time.monotonic() - known[-1][1] if known else float("inf")
+
+    def find_required(self, model: str, bound_s: float) -> int:
+        """Return the oldest version that requests may still begin on, 0 if any will do."""
+        limit = time.monotonic() - bound_s
+        with self._lock:
+            old = [version for version, at in self._named.get(model, ()) if at <= limit]
+        return old[-1] if old else 0
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -8,10 +8,14 @@
 from dataclasses import dataclass
 
 from hibiscustray.agent import AgentProcess, AttemptServer, ChunkServer, Deployer
+from hibiscustray.agent.hosted import HostedAgentProcess
 from hibiscustray.agent.keyed import KeyedRequests
 from hibiscustray.agent.load import UpstreamLoad
 from hibiscustray.agent.outcomes import OutcomeWriter
+from hibiscustray.agent.roster import AgentRoster
+from hibiscustray.agent.stager import VersionManifests, WeightsStager
 from hibiscustray.agent.state import ServingState
+from hibiscustray.catalog import CatalogHolder, VersionBook
 from hibiscustray.deployments import (
     Configuration,
     Justification,
@@ -23,6 +27,8 @@
 from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
+from hibiscustray.feeds import FeedFollower, OperatorListener, ReplicaListener
+from hibiscustray.gateway import GatewayProcess, Relay, RelayLimits
 from hibiscustray.membership import Exchange, MemberView, spread_revision
 from hibiscustray.operator import Operator, SiteStatus, read_status
 from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
@@ -41,21 +47,58 @@
 )
 from hibiscustray.peers.credentials import PeerCredentials, load_peer_credentials
 from hibiscustray.peers.packing import NEWEST
+from hibiscustray.placement import Placer
+from hibiscustray.platform import (
+    FrontApplication,
+    OperatorFeed,
+    PlatformEngine,
+    PlatformOrigin,
+    PlatformReplicaCaller,
+    PlatformStore,
+    ReadinessApplication,
+    ReplicaFeed,
+)
 from hibiscustray.protocols import EngineClient, MachineList, ObjectStore, Origin, Table
+from hibiscustray.replicas import ReplicaDirectory
 from hibiscustray.reports import Sampler, SampleStore, ServiceLevelRecorder
 from hibiscustray.requests import ClaimStore, Ledger, TicketIssuer
 from hibiscustray.rollout import Activation, FencingCounter, LeaseStore, OrderGate, Waves
-from hibiscustray.routing import Admission, ReplicaChooser, make_policy
-from hibiscustray.settings import OperatorSettings, Settings
+from hibiscustray.routing import Admission, ReplicaChooser, RetryBudgets, make_policy
+from hibiscustray.settings import HostedSettings, OperatorSettings, Settings
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import HttpServer, Response, Router, make_server_context
-from hibiscustray.weights import ChunkCache, LinkBudget, SwarmRegistry, TransferEnvironment
+from hibiscustray.weights import (
+    ChunkCache,
+    LinkBudget,
+    SwarmRegistry,
+    TransferEnvironment,
+    TransferPace,
+)
 
 AGENT_HTTP_THREADS = 4
 AGENT_BODY_KIB = 64
 ENTRY_PEER_THREADS = 4
 AGENT_PEER_EXTRA_THREADS = 24
 EXCHANGE_CHANNELS = 16
+HOSTED_SMALL_THREADS = 2
+HOSTED_PEER_THREADS = 12
+HOSTED_WATCH_TICK_S = 0.05
+"""Interval at which left callers and passed deadlines are noticed."""
+RETRY_MARGIN = 0.75
+"""Part of the platform's bound on retries that is used, since entries do not count together."""
+RETRY_ENTRIES = 12
+"""Entries among which the slack of retries is divided."""
+LINK_MARGIN = 0.95
+"""Part of a VM's link that weights may take upwards."""
+HOSTED_PACE = TransferPace(
+    first_timeout_s=1.5,
+    least_timeout_s=1.0,
+    stall_pause_s=1.0,
+    watch_interval_s=0.4,
+    fallback_step_s=1.0,
+    corrupt_pause_s=0.3,
+)
+"""Times of transfers that must end within the platform's bound of eight seconds."""
 KIB = 1024
 MIB = 1024 * KIB
 MS_PER_S = 1000
@@ -241,6 +284,148 @@
     )
 
 
+@dataclass(frozen=True)
+class _Followed:
+    """What hosted processes follow on the platform's store."""
+
+    catalogs: CatalogHolder
+    versions: VersionBook
+    directory: ReplicaDirectory
+    followers: tuple[FeedFollower, ...]
+
+
+def build_hosted_entry(settings: HostedSettings) -> GatewayProcess:
+    """Wire an entry that a platform hosts."""
+    assert settings.entry is not None
+    metrics = Metrics(settings.process.id)
+    followed = _build_followed(settings, metrics)
+    zone = settings.process.availability_zone
+    placer = Placer(followed.directory, zone, settings.regions)
+    bounds = settings.bounds
+    budgets = RetryBudgets(
+        bounds.retry_share * RETRY_MARGIN, bounds.retry_slack * RETRY_MARGIN / RETRY_ENTRIES
+    )
+    watchdog = Watchdog(HOSTED_WATCH_TICK_S)
+    relay = Relay(
+        followed.catalogs,
+        followed.versions,
+        placer,
+        PlatformReplicaCaller(),
+        budgets,
+        watchdog,
+        metrics,
+        RelayLimits(bounds.version_ms / MS_PER_S),
+    )
+    readiness = _LateRouter()
+    entry = settings.entry
+    process = GatewayProcess(
+        _build_hosted_http(entry.callers, FrontApplication(relay), entry.threads),
+        _build_hosted_http(entry.readiness, readiness, HOSTED_SMALL_THREADS),
+        _build_hosted_metrics(settings, metrics),
+        followed.followers,
+        followed.catalogs,
+        followed.directory,
+        relay,
+        watchdog,
+    )
+    readiness.target = ReadinessApplication(process.is_ready, metrics.render_text)
+    return process
+
+
+def build_hosted_agent(settings: HostedSettings) -> HostedAgentProcess:
+    """Wire an agent that a platform hosts beside an upstream."""
+    assert settings.upstream is not None
+    process, service = settings.process, settings.upstream.service
+    metrics = Metrics(process.id)
+    stager_slot: list[WeightsStager] = []
+    followed = _build_followed(
+        settings, metrics, lambda: [stager.note_version() for stager in stager_slot]
+    )
+    cache = ChunkCache(settings.links.cache_mib * MIB)
+    swarms = SwarmRegistry()
+    uplink = LinkBudget(settings.links.mbit_s * LINK_MARGIN)
+    chunks = ChunkServer(cache, swarms, uplink, OrderGate(), metrics)
+    handlers = {
+        MANIFEST.name: chunks.serve_manifest,
+        HOLDINGS.name: chunks.serve_holdings,
+        CHUNK.name: chunks.serve_chunk,
+    }
+    peer_server = PeerServer(process.address, process.peer_port, handlers, HOSTED_PEER_THREADS)
+    own = MemberRecord(
+        id=process.address,
+        role="agent",
+        region=process.region,
+        availability_zone=process.availability_zone,
+        peer_address=f"{process.address}:{process.peer_port}",
+        http_url="",
+        incarnation=_make_incarnation(),
+        service=service,
+    )
+    view = MemberView(own)
+    AgentRoster(view, followed.directory, service, process.peer_port, settings.regions)
+    peers = PeerPool()
+    origin = PlatformOrigin(lambda: _find_origin_address(followed.catalogs))
+    environment = TransferEnvironment(
+        view=view,
+        peers=peers,
+        objects=None,
+        origin=origin,
+        cache=cache,
+        swarms=swarms,
+        metrics=metrics,
+        find_origin_region=lambda: _find_origin_region(followed.catalogs, settings.regions),
+        manifests=VersionManifests(origin.read_manifest),
+        pace=HOSTED_PACE,
+    )
+    stager = WeightsStager(
+        service,
+        followed.catalogs,
+        followed.versions,
+        PlatformEngine(settings.upstream.address),
+        environment,
+        metrics,
+    )
+    stager_slot.append(stager)
+    return HostedAgentProcess(
+        _build_hosted_metrics(settings, metrics), peer_server, peers, followed.followers, stager
+    )
+
+
+def _build_followed(
+    settings: HostedSettings, metrics: Metrics, on_version: Callable[[], object] = lambda: None
+) -> _Followed:
+    catalogs, versions, directory = CatalogHolder(), VersionBook(), ReplicaDirectory()
+    listeners = (OperatorListener(catalogs, versions, on_version), ReplicaListener(directory))
+    store = PlatformStore(settings.store.address)
+    feeds = (OperatorFeed(store), ReplicaFeed(store))
+    followers = tuple(
+        FeedFollower(feed, listener, settings.store.wait_s, metrics)
+        for feed, listener in zip(feeds, listeners, strict=True)
+    )
+    return _Followed(catalogs, versions, directory, followers)
+
+
+def _find_origin_address(catalogs: CatalogHolder) -> str | None:
+    origin = catalogs.current.find_origin() if catalogs.current is not None else None
+    return origin.address if origin is not None else None
+
+
+def _find_origin_region(catalogs: CatalogHolder, regions: dict[str, str]) -> str:
+    origin = catalogs.current.find_origin() if catalogs.current is not None else None
+    return regions.get(origin.availability_zone, "") if origin is not None else ""
+
+
+def _build_hosted_http(address: str, app, threads: int) -> HttpServer:
+    host, _, port = address.rpartition(":")
+    return HttpServer(app, host, int(port), threads)
+
+
+def _build_hosted_metrics(settings: HostedSettings, metrics: Metrics) -> HttpServer:
+    process = settings.process
+    app = ReadinessApplication(lambda: True, metrics.render_text)
+    return HttpServer(app, process.address, process.metrics_port, HOSTED_SMALL_THREADS)
+
+
 class _ExchangeSlot:
     """Stands between the peer server and the exchange, which needs the server's port."""
 
--- a/hibiscustray/entry/watchdog.py
+++ b/hibiscustray/entry/watchdog.py
@@ -10,13 +10,27 @@
 TICK_S = 0.25
 
 
+def _never() -> bool:
+    return False
+
+
 class Watch:
     """The watch on one call."""
 
-    def __init__(self, watchdog: Watchdog, cancel: Callable[[], None], deadline: float) -> None:
+    def __init__(
+        self,
+        watchdog: Watchdog,
+        cancel: Callable[[], None],
+        deadline: float,
+        silence_limit_s: float = SILENCE_LIMIT_S,
+        is_abandoned: Callable[[], bool] = _never,
+    ) -> None:
         self._watchdog = watchdog
         self._cancel = cancel
         self._deadline = deadline
+        self._silence_limit_s = silence_limit_s
+        self._is_abandoned = is_abandoned
+        self._is_cut = False
         self._heard_at: float | None = time.monotonic()
         self._silent = False
 
@@ -32,14 +46,25 @@
         """Tell whether the call was cancelled for silence."""
         return self._silent
 
+    def is_cut(self) -> bool:
+        """Tell whether the call was cancelled, for whatever reason."""
+        return self._is_cut
+
+    def set_cancel(self, cancel: Callable[[], None]) -> None:
+        """Cancel by another function from now on, as once a connection is open."""
+        self._cancel = cancel
+        if self._is_cut:
+            cancel()
+
     def check(self, now: float) -> None:
-        """Cancel the call if it is silent or late."""
+        """Cancel the call if it is silent or late, or if its caller has left."""
         heard_at = self._heard_at
-        if heard_at is not None and now - heard_at > SILENCE_LIMIT_S:
+        if heard_at is not None and now - heard_at > self._silence_limit_s:
             self._silent = True
-            self._cancel()
-        elif now > self._deadline:
-            self._cancel()
+        elif now <= self._deadline and not self._is_abandoned():
+            return
+        self._is_cut = True
+        self._cancel()
 
     def close(self) -> None:
         """End the watch."""
@@ -49,7 +74,8 @@
 class Watchdog:
     """One thread that watches all running calls of an entry."""
 
-    def __init__(self) -> None:
+    def __init__(self, tick_s: float = TICK_S) -> None:
+        self._tick_s = tick_s
         self._watches: set[Watch] = set()
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -64,9 +90,15 @@
         self._stopping.set()
         self._thread.join()
 
-    def watch(self, cancel: Callable[[], None], deadline: float) -> Watch:
+    def watch(
+        self,
+        cancel: Callable[[], None],
+        deadline: float,
+        silence_limit_s: float = SILENCE_LIMIT_S,
+        is_abandoned: Callable[[], bool] = _never,
+    ) -> Watch:
         """Watch a call until the watch is closed."""
-        watch = Watch(self, cancel, deadline)
+        watch = Watch(self, cancel, deadline, silence_limit_s, is_abandoned)
         with self._lock:
             self._watches.add(watch)
         return watch
@@ -77,7 +109,7 @@
             self._watches.discard(watch)
 
     def _run(self) -> None:
-        while not self._stopping.wait(TICK_S):
+        while not self._stopping.wait(self._tick_s):
             now = time.monotonic()
             with self._lock:
                 watches = list(self._watches)
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -43,6 +43,10 @@
     """A row, object or list of the platform could not be decoded."""
 
 
+class HistoryLost(PlatformError):
+    """The store no longer knows what changed since the revision asked for."""
+
+
 class ObjectMissing(PlatformError):
     """The object store or the origin holds no object of that name."""
 
--- /dev/null
+++ b/hibiscustray/feeds/follower.py
@@ -0,0 +1,129 @@
+"""A thread that follows one table and reports what it learns."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+import time
+from typing import Protocol
+
+from hibiscustray.exceptions import HistoryLost, PlatformError
+from hibiscustray.feeds.changes import Change, EntryRejected, FeedPage, FeedSource
+from hibiscustray.telemetry import Metrics
+
+log = logging.getLogger(__name__)
+
+BACKOFF_LEAST_S = 0.1
+BACKOFF_MOST_S = 0.8
+"""Longest pause between failed calls; a change must be in force within seconds of an outage."""
+BACKOFF_FACTOR = 2.0
+REJECTED_LOGGED = 20
+"""Rejected entries that are logged, so that a bad writer cannot flood the log."""
+
+
+class FeedListener(Protocol):
+    """Takes in what a follower learns, on the follower's thread."""
+
+    def replace(self, changes: tuple[Change, ...]) -> None:
+        """Take in the whole table."""
+        ...
+
+    def apply(self, change: Change) -> None:
+        """Take in one change."""
+        ...
+
+    def note_lost(self) -> None:
+        """Note that the table cannot be read."""
+        ...
+
+    def note_regained(self) -> None:
+        """Note that the table can be read again."""
+        ...
+
+
+class FeedFollower:
+    """Reads a table once, then its changes; after an outage or a gap it reads it again."""
+
+    def __init__(
+        self, source: FeedSource, listener: FeedListener, wait_s: float, metrics: Metrics
+    ) -> None:
+        self._source = source
+        self._listener = listener
+        self._wait_s = wait_s
+        self._metrics = metrics
+        self._revision: int | None = None
+        self._lost_at: float | None = None
+        self._rejected = 0
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=f"feed-{source.name}", daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop following; a call under way is left to its timeout."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        pause_s = BACKOFF_LEAST_S
+        while not self._stopping.is_set():
+            try:
+                self._advance()
+            except HistoryLost:
+                log.info("feed history lost", extra={"feed": self._source.name})
+                self._metrics.count("feed_history_lost_total", {"feed": self._source.name})
+                self._revision = None
+            except PlatformError as error:
+                self._note_lost(error)
+                self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
+                pause_s = min(BACKOFF_MOST_S, pause_s * BACKOFF_FACTOR)
+            else:
+                pause_s = BACKOFF_LEAST_S
+
+    def _advance(self) -> None:
+        if self._revision is None:
+            page = self._source.read()
+            self._note_regained()
+            self._listener.replace(self._accept(page))
+        else:
+            # The first call after an outage returns at once, so that its end is noticed.
+            wait_s = self._wait_s if self._lost_at is None else 0.0
+            page = self._source.follow(self._revision, wait_s)
+            self._note_regained()
+            for change in self._accept(page):
+                self._listener.apply(change)
+        self._revision = page.revision
+        self._metrics.count("feed_calls_total", {"feed": self._source.name})
+
+    def _accept(self, page: FeedPage) -> tuple[Change, ...]:
+        for change in page.changes:
+            if isinstance(change, EntryRejected):
+                self._note_rejected(change)
+        return page.changes
+
+    def _note_rejected(self, entry: EntryRejected) -> None:
+        self._metrics.count("feed_entries_rejected_total", {"feed": self._source.name})
+        self._rejected += 1
+        if self._rejected <= REJECTED_LOGGED:
+            log.warning(
+                "entry rejected",
+                extra={"feed": self._source.name, "key": entry.key, "reason": entry.reason},
+            )
+
+    def _note_lost(self, error: PlatformError) -> None:
+        self._metrics.count("feed_failures_total", {"feed": self._source.name})
+        if self._lost_at is None:
+            self._lost_at = time.monotonic()
+            log.warning("feed lost", extra={"feed": self._source.name, "reason": str(error)})
+            self._listener.note_lost()
+
+    def _note_regained(self) -> None:
+        if self._lost_at is not None:
+            outage_s = time.monotonic() - self._lost_at
+            self._lost_at = None
+            log.info(
+                "feed regained", extra={"feed": self._source.name, "outage_s": round(outage_s, 3)}
+            )
+            self._listener.note_regained()
--- /dev/null
+++ b/hibiscustray/gateway/__init__.py
@@ -0,0 +1,24 @@
+"""Forwarding of callers' requests to replicas, whole answers and streams."""
+
+from hibiscustray.gateway.interface import (
+    Generation,
+    InboundAnswer,
+    InboundRequest,
+    OutboundRequest,
+    ReplicaAnswer,
+    ReplicaCaller,
+)
+from hibiscustray.gateway.process import GatewayProcess
+from hibiscustray.gateway.relay import Relay, RelayLimits
+
+__all__ = [
+    "GatewayProcess",
+    "Generation",
+    "InboundAnswer",
+    "InboundRequest",
+    "OutboundRequest",
+    "Relay",
+    "RelayLimits",
+    "ReplicaAnswer",
+    "ReplicaCaller",
+]
--- /dev/null
+++ b/hibiscustray/gateway/process.py
@@ -0,0 +1,101 @@
+"""One gateway entry: its servers and threads, started and stopped in order."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from hibiscustray.catalog import Catalog, CatalogHolder
+from hibiscustray.entry.watchdog import Watchdog
+from hibiscustray.feeds import FeedFollower
+from hibiscustray.gateway.relay import Relay, RelayLimits
+from hibiscustray.replicas import ReplicaDirectory
+from hibiscustray.settings import HostedSettings
+from hibiscustray.web import HttpServer
+
+log = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+BALANCER_LAG_S = 2.6
+"""Time in which the balancer still sends new connections: two missed questions a second apart."""
+STOP_MARGIN_S = 0.6
+"""Time kept of the grace period for the stop itself."""
+IDLE_MARGIN_S = 5.0
+"""An idle connection is kept this much longer than its caller may use it."""
+
+
+class GatewayProcess:
+    """Owns everything that runs in a gateway entry."""
+
+    def __init__(
+        self,
+        front: HttpServer,
+        readiness: HttpServer,
+        metrics: HttpServer,
+        followers: tuple[FeedFollower, ...],
+        catalogs: CatalogHolder,
+        directory: ReplicaDirectory,
+        relay: Relay,
+        watchdog: Watchdog,
+    ) -> None:
+        self._front = front
+        self._readiness = readiness
+        self._metrics = metrics
+        self._followers = followers
+        self._catalogs = catalogs
+        self._directory = directory
+        self._relay = relay
+        self._watchdog = watchdog
+        self._is_leaving = False
+        self._is_stopped = False
+        catalogs.add_listener(self._apply_limits)
+
+    def is_ready(self) -> bool:
+        """Tell whether new connections are wanted; load is no reason against them."""
+        is_informed = self._catalogs.current is not None and self._directory.is_known
+        return is_informed and not self._is_leaving
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._watchdog.start()
+        for follower in self._followers:
+            follower.start()
+        for server in (self._readiness, self._metrics, self._front):
+            server.start()
+        log.info("entry started", extra={"callers": self._front.url})
+
+    def drain(self, grace_s: float) -> bool:
+        """Turn readiness, serve on while the balancer notices, then wait until idle.
+
+        Tells whether every request ended within the grace time.
+        """
+        deadline = time.monotonic() + max(0.0, grace_s - STOP_MARGIN_S)
+        self._is_leaving = True
+        self._front.leave()
+        log.info("entry draining", extra={"running": self._relay.running})
+        time.sleep(min(BALANCER_LAG_S, grace_s))
+        self._front.close_listener()
+        return self._relay.wait_until_idle(max(0.0, deadline - time.monotonic()))
+
+    def reload(self, settings: HostedSettings) -> None:
+        """Take on changed bounds; addresses stay as they were at the start."""
+        self._relay.limits = RelayLimits(settings.bounds.version_ms / MS_PER_S)
+
+    def stop(self) -> None:
+        """End all servers and threads; a second call does nothing."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
+        for follower in self._followers:
+            follower.stop()
+        self._front.stop()
+        self._readiness.stop()
+        self._metrics.stop()
+        self._watchdog.stop()
+        log.info("entry stopped", extra={"running": self._relay.running})
+
+    def _apply_limits(self, catalog: Catalog) -> None:
+        limits = catalog.limits
+        self._front.set_limits(
+            limits.idle_timeout_s + IDLE_MARGIN_S, limits.header_timeout_s, limits.body_b
+        )
--- /dev/null
+++ b/hibiscustray/placement/load.py
@@ -0,0 +1,107 @@
+"""What one entry knows of one replica's load, speed and failures."""
+
+from __future__ import annotations
+
+from hibiscustray.placement.flight import Flight, LoadReading
+
+FAILURE_SMOOTHING = 0.15
+FAILURE_HALF_LIFE_S = 4.0
+"""Time in which the memory of failures halves while nothing is sent."""
+PACE_SMOOTHING = 0.1
+PACE_LEAST = 0.7
+PACE_MOST = 8.0
+"""Bounds of the measured pace, so that one odd answer does not decide."""
+PAUSE_FIRST_S = 0.25
+PAUSE_MOST_S = 2.0
+"""Pauses after refused connections and silence, doubled while they go on."""
+BUSY_PAUSE_S = 0.06
+"""Pause after a replica refused for lack of room: about one of an engine's passes."""
+READING_KEPT_S = 1.0
+"""Age at which half of what a replica said of others' requests is still believed."""
+
+
+class ReplicaLoad:
+    """The load of one replica: own requests exactly, others' as of its last answer."""
+
+    def __init__(self) -> None:
+        self.flights: list[Flight] = []
+        self._others = 0.0
+        self._others_waiting = 0.0
+        self._read_at = float("-inf")
+        self.slots = 0
+        self._failure = 0.0
+        self._failure_at = 0.0
+        self.pace = 1.0
+        self._paused_until = float("-inf")
+        self._pause_s = PAUSE_FIRST_S
+        self.version = 0
+
+    def count(self, now: float) -> float:
+        """Return the requests estimated to be at the replica."""
+        return len(self.flights) + self._others * self._trust(now)
+
+    def count_waiting(self, now: float) -> float:
+        """Return the requests of others estimated to wait there."""
+        return self._others_waiting * self._trust(now)
+
+    def unread_tokens(self, now: float, typical_tokens: float) -> float:
+        """Return the prompt tokens estimated to be queued at the replica."""
+        own = sum(f.demand.prompt_tokens for f in self.flights if f.first_at is None)
+        return own + self.count_waiting(now) * typical_tokens
+
+    def reading_age(self, now: float) -> float:
+        """Return the seconds since the replica last told its load."""
+        return now - self._read_at
+
+    def note_reading(self, reading: LoadReading, now: float) -> None:
+        """Take in what the replica says of its load."""
+        total = reading.running + reading.waiting
+        own_waiting = sum(f.first_at is None for f in self.flights)
+        self._others = max(0.0, total - len(self.flights))
+        self._others_waiting = max(0.0, min(self._others, reading.waiting - own_waiting))
+        self._read_at = now
+        self.slots = reading.slots
+
+    def note_first(self, flight: Flight, now: float) -> None:
+        """Note that an answer has begun, and how long it took against the prediction."""
+        if flight.first_at is not None:
+            return
+        flight.first_at = now
+        ratio = (now - flight.started_at) / max(flight.predicted_s, 1e-3)
+        blended = self.pace * (1 + PACE_SMOOTHING * (min(ratio, PACE_MOST) - 1))
+        self.pace = min(PACE_MOST, max(PACE_LEAST, blended))
+
+    def note_success(self, now: float) -> None:
+        """Note an answer that was whole."""
+        self._failure = self.failure_share(now) * (1 - FAILURE_SMOOTHING)
+        self._failure_at = now
+        self._pause_s = PAUSE_FIRST_S
+
+    def note_failure(self, now: float) -> None:
+        """Note an attempt that failed."""
+        share = self.failure_share(now)
+        self._failure = share + FAILURE_SMOOTHING * (1 - share)
+        self._failure_at = now
+
+    def note_unreachable(self, now: float) -> None:
+        """Note that the replica was silent or took no connection; leave it alone for a while."""
+        self.note_failure(now)
+        self._paused_until = now + self._pause_s
+        self._pause_s = min(PAUSE_MOST_S, 2 * self._pause_s)
+
+    def note_busy(self, now: float, seconds: float = BUSY_PAUSE_S) -> None:
+        """Note that the replica refused for lack of room."""
+        self._paused_until = max(self._paused_until, now + seconds)
+
+    def is_paused(self, now: float) -> bool:
+        """Tell whether the replica is left alone now."""
+        return now < self._paused_until
+
+    def failure_share(self, now: float) -> float:
+        """Return the share of attempts that failed of late, from 0 to 1."""
+        age = max(0.0, now - self._failure_at)
+        return self._failure * 0.5 ** (age / FAILURE_HALF_LIFE_S)
+
+    def _trust(self, now: float) -> float:
+        age = max(0.0, now - self._read_at)
+        return 0.5 ** (age / READING_KEPT_S)
--- /dev/null
+++ b/hibiscustray/platform/__init__.py
@@ -0,0 +1,20 @@
+"""The adapter to the users' platform: its names, formats and calls, and no decisions."""
+
+from hibiscustray.platform.engine import PlatformEngine
+from hibiscustray.platform.front import FrontApplication, ReadinessApplication
+from hibiscustray.platform.origin import PlatformOrigin
+from hibiscustray.platform.replica import PlatformReplicaCaller
+from hibiscustray.platform.store import OperatorFeed, PlatformStore, ReplicaFeed
+from hibiscustray.platform.wire import find_settings_path
+
+__all__ = [
+    "FrontApplication",
+    "OperatorFeed",
+    "PlatformEngine",
+    "PlatformOrigin",
+    "PlatformReplicaCaller",
+    "PlatformStore",
+    "ReadinessApplication",
+    "ReplicaFeed",
+    "find_settings_path",
+]
--- /dev/null
+++ b/hibiscustray/platform/engine.py
@@ -0,0 +1,129 @@
+"""Client of the model engine on this VM: its report, its staging area and its orders."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hibiscustray.agent.interface import (
+    EngineReport,
+    LoadMode,
+    OrderAccepted,
+    OrderConflict,
+    OrderInForce,
+    OrderOutcome,
+    OrderRejected,
+)
+from hibiscustray.exceptions import ChunkMissing, RecordInvalid, UpstreamRejected
+from hibiscustray.platform.records import _Layers, _Model, decode, read_layers
+from hibiscustray.platform.wire import (
+    ORDER_PATH,
+    REPORT_PATH,
+    STAGE_GET_PATH,
+    STAGE_PUT_PATH,
+)
+from hibiscustray.replicas import ServedModel
+from hibiscustray.web import HttpClient, HttpReply
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+CALL_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 0.5
+MODES = {LoadMode.FINISH_RUNNING: "queue", LoadMode.CUT_RUNNING: "truncate"}
+
+
+class _Report(msgspec.Struct, frozen=True):
+    models: tuple[_Model, ...] = ()
+    layers: _Layers | None = None
+    # Whether an order is in progress, not whether requests run.
+    busy: bool = False
+    sequence: int = 0
+    waiting: int = 0
+    running: int = 0
+    born: int = 0
+
+
+class _Staged(msgspec.Struct, frozen=True):
+    held: tuple[int, ...] = ()
+
+
+class PlatformEngine:
+    """Speaks to the replica on this VM."""
+
+    def __init__(self, address: str) -> None:
+        self._http = HttpClient(f"http://{address}", CALL_TIMEOUT_S)
+
+    def read_report(self) -> EngineReport:
+        """Return the engine's state; raise an `UpstreamError`."""
+        wire = self._decode(self._get(REPORT_PATH), _Report)
+        return EngineReport(
+            models=tuple(ServedModel(m.name, m.version) for m in wire.models),
+            layers=read_layers(wire.layers),
+            is_loading=wire.busy,
+            order_count=wire.sequence,
+            running=wire.running,
+            waiting=wire.waiting,
+            born_ms=wire.born,
+        )
+
+    def list_staged(self, model: str) -> frozenset[int]:
+        """Return the chunks that lie in the staging area."""
+        return frozenset(self._decode(self._get(STAGE_GET_PATH + model), _Staged).held)
+
+    def read_staged(self, model: str, index: int) -> bytes:
+        """Return a staged chunk as it lies there; raise `ChunkMissing`."""
+        reply = self._call("GET", f"{STAGE_GET_PATH}{model}?num={index}")
+        if reply.status == 404:
+            raise ChunkMissing(f"chunk {index} of {model} is not staged")
+        _check(reply)
+        return reply.body
+
+    def stage(self, model: str, index: int, data: bytes) -> None:
+        """Put a chunk into the staging area, over what lies there."""
+        _check(self._call("PUT", f"{STAGE_PUT_PATH}{model}?num={index}", data))
+
+    def order_load(
+        self, model: str, version: int, mode: LoadMode, order_count: int, fencing: int
+    ) -> OrderOutcome:
+        """Order the engine to load what is staged, if its count of orders is as expected."""
+        body = {
+            "operation": "start",
+            "model": model,
+            "version": version,
+            "mode": MODES[mode],
+            "precondition": order_count,
+            "fence": fencing,
+        }
+        reply = self._call("POST", ORDER_PATH, msgspec.json.encode(body), JSON_HEADERS)
+        match reply.status:
+            case 202:
+                return OrderAccepted()
+            case 200:
+                return OrderInForce()
+            case 409 | 412:
+                return OrderConflict(reply.body.decode(errors="replace")[:200])
+        return OrderRejected(reply.status, reply.body.decode(errors="replace")[:200])
+
+    def _get(self, path: str) -> HttpReply:
+        reply = self._call("GET", path)
+        _check(reply)
+        return reply
+
+    def _call(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> HttpReply:
+        stream = self._http.open(method, path, body, headers, connect_timeout_s=CONNECT_TIMEOUT_S)
+        try:
+            return HttpReply(stream.status, stream.headers, stream.read_all())
+        finally:
+            stream.close()
+
+    @staticmethod
+    def _decode(reply: HttpReply, kind):
+        try:
+            return decode(reply.body, kind)
+        except RecordInvalid as error:
+            raise UpstreamRejected(reply.status, f"unreadable: {error}") from error
+
+
+def _check(reply: HttpReply) -> None:
+    if not 200 <= reply.status < 300:
+        raise UpstreamRejected(reply.status, reply.body.decode(errors="replace")[:200])
--- /dev/null
+++ b/hibiscustray/platform/records.py
@@ -0,0 +1,253 @@
+"""Decoding of the operator's and the replicas' rows into the product's types.
+
+Fields of later formats are ignored. A row that lacks what is needed raises `RecordInvalid`.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+import msgspec
+
+from hibiscustray.catalog import (
+    CallerLimits,
+    Catalog,
+    EngineProfile,
+    OriginEntry,
+    Route,
+    RouteKind,
+    ServiceEntry,
+    ServiceShare,
+    TeamEntry,
+    WeightsVersion,
+)
+from hibiscustray.exceptions import RecordInvalid
+from hibiscustray.platform.wire import MS_PER_S
+from hibiscustray.replicas import LayerSpan, ReplicaRecord, ReplicaState, ServedModel
+
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+}
+TOKENS_PER_K = 1000.0
+PAIRS_PER_M = 1e6
+
+
+class _Wire(msgspec.Struct, frozen=True, rename="camel"):
+    """Base of messages whose field names are in camel case."""
+
+
+class _Split(_Wire, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Wire, frozen=True):
+    name: str
+    host: str
+    prefix: str
+    kind: Literal["idempotent", "non_idempotent", "streaming"]
+    timeout_ms: float
+    # The time for a full benefit, not a target for the service.
+    target_latency_ms: float = 1000.0
+    service: str = ""
+    split: tuple[_Split, ...] = ()
+    attempts: int = 1
+    priority: int = 5
+    anonymous: bool = False
+    stream_resume: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Usual(_Wire, frozen=True):
+    prompt: float = 1000.0
+    answer: float = 100.0
+
+
+class _EngineModel(_Wire, frozen=True):
+    name: str
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int = 1
+    step_ms: float = 10.0
+    per_seq_ms: float = 0.0
+    # Milliseconds for 1,000 tokens of context, each step and request.
+    context_per_k: float = 0.0
+    read_per_s: float = 10000.0
+    # Milliseconds for a million pairs of a prompt token and an earlier one.
+    pairs_per_m: float = 0.0
+    chunk: int = 2048
+    stride: int = 1
+    report_lag_ms: float = 0.0
+    usual: _Usual = _Usual()
+    kv_tokens: int = msgspec.field(default=0, name="kvTokens")
+    layers: int = 1
+    models: tuple[_EngineModel, ...] = ()
+
+
+class _Service(_Wire, frozen=True):
+    name: str
+    health_path: str = ""
+    max_connections: int = 0
+    engine: _Engine | None = None
+    origin: str = ""
+    zone: str = ""
+    link_mbps: float = 0.0
+
+
+class _Limits(_Wire, frozen=True):
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Tenant(_Wire, frozen=True):
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(_Wire, frozen=True):
+    # The number of the configuration, unlike a version of weights.
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _NamedVersion(_Wire, frozen=True):
+    model: str
+    version: int
+
+
+class _Model(_Wire, frozen=True):
+    name: str
+    version: int = 0
+
+
+class _Layers(_Wire, frozen=True):
+    range_start: int
+    # The end of the range, which it does not hold.
+    target: int
+    version: int = 0
+
+
+class _Server(_Wire, frozen=True):
+    service: str
+    addr: str
+    state: Literal["ready", "draining"]
+    zone: str = ""
+    slots: int = 0
+    warmup_left_ms: float = 0.0
+    models: tuple[_Model, ...] = ()
+    layers: _Layers | None = None
+    born: int = 0
+
+
+def decode_catalog(body: bytes) -> Catalog:
+    """Decode the operator's configuration."""
+    wire = decode(body, _Configuration)
+    return Catalog(
+        revision=wire.version,
+        routes=tuple(_read_route(route) for route in wire.routes),
+        services={service.name: _read_service(service) for service in wire.services},
+        limits=CallerLimits(
+            wire.limits.header_bytes,
+            wire.limits.body_bytes,
+            wire.limits.header_timeout_ms / MS_PER_S,
+            wire.limits.idle_timeout_ms / MS_PER_S,
+        ),
+        teams={
+            key: TeamEntry(tenant.name, tenant.priority)
+            for tenant in wire.tenants
+            for key in tenant.keys
+        },
+    )
+
+
+def decode_version(body: bytes) -> WeightsVersion:
+    """Decode a named version of a model's weights."""
+    wire = decode(body, _NamedVersion)
+    return WeightsVersion(wire.model, wire.version)
+
+
+def decode_replica(replica_id: str, body: bytes) -> ReplicaRecord:
+    """Decode a replica's entry; it carries its id in its key alone."""
+    wire = decode(body, _Server)
+    host, _, port = wire.addr.rpartition(":")
+    if not host or not port.isdigit():
+        raise RecordInvalid(f"address {wire.addr[:60]!r} is no IP:port")
+    return ReplicaRecord(
+        id=replica_id,
+        service=wire.service,
+        address=wire.addr,
+        availability_zone=wire.zone,
+        slots=wire.slots,
+        state=ReplicaState.READY if wire.state == "ready" else ReplicaState.DRAINING,
+        warmup_left_s=wire.warmup_left_ms / MS_PER_S,
+        models=tuple(ServedModel(model.name, model.version) for model in wire.models),
+        layers=read_layers(wire.layers),
+        born_ms=wire.born,
+    )
+
+
+def read_layers(wire: _Layers | None) -> LayerSpan | None:
+    """Return the layers that a replica holds, None if it does not say."""
+    return None if wire is None else LayerSpan(wire.range_start, wire.target, wire.version)
+
+
+def decode(body: bytes, kind: Any) -> Any:
+    """Decode a body of the platform; raise `RecordInvalid`."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordInvalid(str(error)[:200]) from error
+
+
+def _read_route(wire: _Route) -> Route:
+    shares = tuple(ServiceShare(s.service, s.weight) for s in wire.split)
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=KINDS[wire.kind],
+        shares=shares or (ServiceShare(wire.service),),
+        timeout_s=wire.timeout_ms / MS_PER_S,
+        objective_s=wire.target_latency_ms / MS_PER_S,
+        attempts=max(1, wire.attempts),
+        rank=wire.priority,
+        is_anonymous=wire.anonymous,
+        is_resumable=wire.stream_resume,
+        gap_objective_s=wire.gap_target_ms / MS_PER_S,
+    )
+
+
+def _read_service(wire: _Service) -> ServiceEntry:
+    origin = None
+    if wire.origin:
+        origin = OriginEntry(wire.origin, wire.zone, wire.link_mbps, wire.max_connections)
+    engine = None if wire.engine is None else _read_engine(wire.engine)
+    return ServiceEntry(wire.name, wire.health_path, wire.max_connections, engine, origin)
+
+
+def _read_engine(wire: _Engine) -> EngineProfile:
+    return EngineProfile(
+        slots=max(1, wire.slots),
+        step_s=wire.step_ms / MS_PER_S,
+        step_per_request_s=wire.per_seq_ms / MS_PER_S,
+        step_per_context_token_s=wire.context_per_k / MS_PER_S / TOKENS_PER_K,
+        prompt_tokens_per_s=max(1.0, wire.read_per_s),
+        pair_s=wire.pairs_per_m / MS_PER_S / PAIRS_PER_M,
+        chunk_tokens=max(1, wire.chunk),
+        stride=max(1, wire.stride),
+        report_lag_s=wire.report_lag_ms / MS_PER_S,
+        typical_prompt_tokens=wire.usual.prompt,
+        typical_output_tokens=wire.usual.answer,
+        cache_tokens=wire.kv_tokens,
+        layers=wire.layers,
+        models=tuple(model.name for model in wire.models),
+    )
--- /dev/null
+++ b/hibiscustray/platform/wire.py
@@ -0,0 +1,52 @@
+"""Names on the platform's wire: headers, paths and the variable that names the settings file."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from hibiscustray.exceptions import SettingsError
+
+SETTINGS_VARIABLE = "HIBISCUSTRAY_BOOT"
+
+ATTEMPT_ID = "X-Hibiscustray-Attempt-Id"
+TIME_LEFT_MS = "X-Hibiscustray-Deadline-Ms"
+PROOF = "X-Hibiscustray-Server-Seal"
+TEAM = "X-Hibiscustray-Tenant"
+EXPECTED_REPLICA = "X-Hibiscustray-Expect-Instance"
+EXPECTED_VERSION = "X-Hibiscustray-Expect-Version"
+REPLICA_LOAD = "X-Hibiscustray-Replica-Load"
+NOT_RUN = "X-Hibiscustray-Not-Executed"
+MODEL = "X-Hibiscustray-Model"
+TOKENS = "X-Hibiscustray-Token-Count"
+EXPECTED_OUTPUT = "X-Hibiscustray-Length-Hint"
+URGENCY = "X-Hibiscustray-Urgency-Class"
+VERSIONS = "X-Hibiscustray-Weight-Versions"
+LAST_EVENT_ID = "Last-Event-Id"
+AUTHORIZATION = "Authorization"
+KEY_SCHEME = "Bearer "
+
+READY_PATH = "/v1/ready"
+REPORT_PATH = "/v1/report"
+ORDER_PATH = "/v1/order"
+MANIFEST_PATH = "/v1/manifest/"
+PIECE_PATH = "/v1/piece/"
+STAGE_PUT_PATH = "/v1/stage-put/"
+STAGE_GET_PATH = "/v1/stage-get/"
+ROWS_GET_PATH = "/v1/rows-get"
+ROWS_FEED_PATH = "/v1/rows-feed"
+
+OPERATOR_TABLE = "op"
+REPLICA_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+VERSION_KEY_PREFIX = "version/"
+
+MS_PER_S = 1000.0
+
+
+def find_settings_path() -> Path:
+    """Return the path of this process's settings file; raise `SettingsError`."""
+    text = os.environ.get(SETTINGS_VARIABLE, "")
+    if not text:
+        raise SettingsError((f"{SETTINGS_VARIABLE}: found nothing; allowed: a settings file",))
+    return Path(text)
--- a/hibiscustray/routing/budget.py
+++ b/hibiscustray/routing/budget.py
@@ -34,11 +34,13 @@
 class RetryBudgets:
     """The retry budgets of all services."""
 
-    def __init__(self) -> None:
+    def __init__(self, share: float = RETRY_SHARE, reserve: float = RESERVE) -> None:
+        self._share = share
+        self._reserve = reserve
         self._budgets: dict[str, RetryBudget] = {}
         self._lock = threading.Lock()
 
     def get(self, service: str) -> RetryBudget:
         """Return the budget of a service."""
         with self._lock:
-            return self._budgets.setdefault(service, RetryBudget())
+            return self._budgets.setdefault(service, RetryBudget(self._share, self._reserve))
--- a/hibiscustray/settings/__init__.py
+++ b/hibiscustray/settings/__init__.py
@@ -1,5 +1,15 @@
 """Settings of one process: INI text to checked frozen data classes."""
 
+from hibiscustray.settings.hosted import (
+    HostedBounds,
+    HostedEntry,
+    HostedLinks,
+    HostedProcess,
+    HostedSettings,
+    HostedStore,
+    HostedUpstream,
+    load_hosted_settings,
+)
 from hibiscustray.settings.ini import IniFile, read_ini
 from hibiscustray.settings.model import (
     LimitSettings,
@@ -29,6 +39,14 @@
 __all__ = [
     "CallersSettings",
     "EngineStandInSettings",
+    "HostedBounds",
+    "HostedEntry",
+    "HostedLinks",
+    "HostedProcess",
+    "HostedSettings",
+    "HostedStore",
+    "HostedUpstream",
+    "load_hosted_settings",
     "OperatorSettings",
     "PlatformStandInFile",
     "ServiceStandInSettings",
--- a/hibiscustray/telemetry/__init__.py
+++ b/hibiscustray/telemetry/__init__.py
@@ -1,6 +1,6 @@
 """Logs and metrics."""
 
-from hibiscustray.telemetry.logs import configure_logs
+from hibiscustray.telemetry.logs import configure_hosted_logs, configure_logs
 from hibiscustray.telemetry.metrics import Metrics
 
-__all__ = ["Metrics", "configure_logs"]
+__all__ = ["Metrics", "configure_hosted_logs", "configure_logs"]
--- a/hibiscustray/telemetry/logs.py
+++ b/hibiscustray/telemetry/logs.py
@@ -1,19 +1,70 @@
-"""JSON log lines, written on changes of state only."""
+"""JSON log lines; a process that a platform hosts writes them without ever waiting for output."""
 
 from __future__ import annotations
 
 import logging
 import sys
+import threading
+from collections.abc import Callable
+from logging.handlers import QueueHandler, QueueListener
+from queue import Full, Queue
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+QUEUED_LINES = 2000
+"""Lines kept while the output is slow; more are dropped and counted."""
 
 
 def configure_logs(process_id: str, level: str = "INFO") -> None:
     """Send JSON lines to standard error, each carrying the process id."""
-    handler = logging.StreamHandler(sys.stderr)
+    _install(_make_handler(process_id, sys.stderr), level)
+
+
+def configure_hosted_logs(
+    process_id: str,
+    level: str = "INFO",
+    output: TextIO | None = None,
+    on_dropped: Callable[[], None] = lambda: None,
+) -> QueueListener:
+    """Send JSON lines to standard output from a thread of their own, dropping what is too much.
+
+    Returns the listener, to be stopped at the end so that the last lines are written.
+    """
+    queue: Queue = Queue(QUEUED_LINES)
+    listener = QueueListener(queue, _make_handler(process_id, output or sys.stdout))
+    _install(DroppingHandler(queue, on_dropped), level)
+    listener.start()
+    return listener
+
+
+class DroppingHandler(QueueHandler):
+    """Queues records; one that finds the queue full is dropped and counted."""
+
+    def __init__(self, queue: Queue, on_dropped: Callable[[], None]) -> None:
+        super().__init__(queue)
+        self._on_dropped = on_dropped
+        self._lock_dropped = threading.Lock()
+        self.dropped = 0
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queue a record without waiting."""
+        try:
+            self.queue.put_nowait(record)
+        except Full:
+            with self._lock_dropped:
+                self.dropped += 1
+            self._on_dropped()
+
+
+def _make_handler(process_id: str, output: TextIO) -> logging.Handler:
+    handler = logging.StreamHandler(output)
     handler.setFormatter(JsonFormatter(FIELDS, static_fields={"process": process_id}))
+    return handler
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
--- a/hibiscustray/web/__init__.py
+++ b/hibiscustray/web/__init__.py
@@ -1,6 +1,6 @@
 """HTTP towards callers and from operators' tools, by waitress and http.client."""
 
-from hibiscustray.web.client import HttpClient, HttpReply
+from hibiscustray.web.client import HttpClient, HttpReply, HttpStream
 from hibiscustray.web.server import HttpServer, Request, Response, Router
 from hibiscustray.web.tls import make_client_context, make_server_context
 
@@ -8,6 +8,7 @@
     "HttpClient",
     "HttpReply",
     "HttpServer",
+    "HttpStream",
     "Request",
     "Response",
     "Router",
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -17,6 +17,12 @@
 
 IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
+UNACKNOWLEDGED_MS = 2000
+"""Time after which a connection whose bytes nobody acknowledges is dead."""
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+"""An idle connection that goes silent is noticed within about three seconds."""
 
 
 @dataclass(frozen=True)
@@ -58,6 +64,19 @@
                 return
             yield line
 
+    def read_block(self) -> bytes:
+        """Return the next bytes of the body as they arrive, empty once it is whole.
+
+        Raises `UpstreamConnectionLost` when the body is cut.
+        """
+        try:
+            block = self._response.read1(READ_SIZE_B)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise UpstreamConnectionLost(str(error)) from error
+        if not block and self._response.length:
+            raise UpstreamConnectionLost(f"{self._response.length} bytes of the body are missing")
+        return block
+
     def read_all(self) -> bytes:
         """Return the rest of the body."""
         try:
@@ -92,7 +111,11 @@
     """Keeps idle connections to one server; one request at a time on each."""
 
     def __init__(
-        self, base_url: str, timeout_s: float = 5.0, context: ssl.SSLContext | None = None
+        self,
+        base_url: str,
+        timeout_s: float = 5.0,
+        context: ssl.SSLContext | None = None,
+        idle_connections: int = IDLE_CONNECTIONS,
     ) -> None:
         parts = urlsplit(base_url)
         self.base_url = base_url.rstrip("/")
@@ -102,6 +125,7 @@
         self._timeout_s = timeout_s
         self._is_secure = parts.scheme == "https"
         self._context = context
+        self._idle_connections = idle_connections
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
 
@@ -129,6 +153,7 @@
         timeout_s: float | None = None,
         is_fresh: bool = False,
         on_connect: Callable[[Callable[[], None]], None] | None = None,
+        connect_timeout_s: float | None = None,
     ) -> HttpStream:
         """Send a request and return its answer with the body unread.
 
@@ -137,13 +162,17 @@
         Raises `UpstreamUnreachable` when nothing was sent, `UpstreamConnectionLost` otherwise.
         """
         timeout_s = timeout_s or self._timeout_s
-        connection = self._connect(timeout_s) if is_fresh else self._take(timeout_s)
+        connect_timeout_s = connect_timeout_s or timeout_s
+        if is_fresh:
+            connection = self._connect(timeout_s, connect_timeout_s)
+        else:
+            connection = self._take(timeout_s, connect_timeout_s)
         if on_connect is not None:
             on_connect(partial(_cut_socket, connection.sock))
         # A connection that the server will close gives its socket up to the response.
         sock = connection.sock
         try:
-            connection.request(method, self._prefix + path, body, dict(headers or {}))
+            _send(connection, method, self._prefix + path, body, headers or {})
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
@@ -153,7 +182,7 @@
     def release(self, connection: http.client.HTTPConnection) -> None:
         """Keep an idle connection for the next request."""
         with self._lock:
-            if len(self._idle) < IDLE_CONNECTIONS:
+            if len(self._idle) < self._idle_connections:
                 self._idle.append(connection)
                 return
         connection.close()
@@ -165,24 +194,25 @@
         for connection in idle:
             connection.close()
 
-    def _take(self, timeout_s: float) -> http.client.HTTPConnection:
+    def _take(self, timeout_s: float, connect_timeout_s: float) -> http.client.HTTPConnection:
         while True:
             with self._lock:
                 connection = self._idle.pop() if self._idle else None
             if connection is None:
-                return self._connect(timeout_s)
+                return self._connect(timeout_s, connect_timeout_s)
             if _is_usable(connection):
                 connection.sock.settimeout(timeout_s)
                 return connection
             connection.close()
 
-    def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
-        connection = self._make_connection(timeout_s)
+    def _connect(self, timeout_s: float, connect_timeout_s: float) -> http.client.HTTPConnection:
+        connection = self._make_connection(connect_timeout_s)
         try:
             connection.connect()
         except OSError as error:
             raise UpstreamUnreachable(f"{self.base_url}: {error}") from error
-        connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.sock.settimeout(timeout_s)
+        set_socket_limits(connection.sock)
         return connection
 
     def _make_connection(self, timeout_s: float) -> http.client.HTTPConnection:
@@ -193,6 +223,31 @@
         )
 
 
+def set_socket_limits(sock: socket.socket) -> None:
+    """Send small writes at once, and let the kernel notice a silent peer."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
+
+def _send(
+    connection: http.client.HTTPConnection,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+) -> None:
+    """Send a request; a server may answer and close before it has read a long body."""
+    try:
+        connection.request(method, path, body or None, dict(headers))
+    except (BrokenPipeError, ConnectionResetError):
+        if not body:
+            raise
+
+
 def _cut_socket(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_RDWR)
--- a/hibiscustray/web/problem.py
+++ b/hibiscustray/web/problem.py
@@ -7,11 +7,12 @@
 import msgspec
 
 PROBLEM_JSON = "application/problem+json"
-SERVER_ERROR = 500
+UNKNOWN_OUTCOMES = (500, 502, 504)
+"""Statuses after which the request may have run."""
 
 
 def make_problem(status: int, reason: str) -> bytes:
-    """Return a problem body; a failure of the server itself has an unknown outcome."""
+    """Return a problem body; a failure after the request was taken on has an unknown outcome."""
     kind = reason.lower().replace(" ", "-")
     return msgspec.json.encode(
         {
@@ -19,7 +20,7 @@
             "title": reason,
             "status": status,
             "detail": reason,
-            "outcome": "unknown" if status == SERVER_ERROR else "not_run",
+            "outcome": "unknown" if status in UNKNOWN_OUTCOMES else "not_run",
             "request_id": uuid.uuid4().hex,
         }
     )
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import re
 import socket
 import ssl
@@ -17,7 +18,7 @@
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
-from waitress.task import ErrorTask, ThreadedTaskDispatcher
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from hibiscustray.exceptions import SettingsError
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
@@ -143,10 +144,38 @@
         self.write(body)
 
 
+class ClosingTask(WSGITask):
+    """Announces the end of the connection in its answer while the server is leaving."""
+
+    def start(self) -> None:
+        """Begin an answer."""
+        super().start()
+        if self.channel.server.is_leaving:
+            self.set_close_on_finish()
+
+
 class ProblemChannel(HTTPChannel):
     """A connection whose error pages are problems."""
 
     error_task_class = ProblemTask
+    task_class = ClosingTask
+    partial_since: float | None = None
+
+    def received(self, data: bytes) -> bool:
+        """Take in bytes, noting since when a request has been incomplete."""
+        is_taken = super().received(data)
+        if self.request is None:
+            self.partial_since = None
+        elif self.partial_since is None:
+            self.partial_since = time.monotonic()
+        return is_taken
+
+    def is_slow_head(self, limit_s: float) -> bool:
+        """Tell whether a request's head has been incomplete for longer than allowed."""
+        request, since = self.request, self.partial_since
+        if request is None or since is None or request.headers_finished:
+            return False
+        return time.monotonic() - since > limit_s
 
 
 class Listener(TcpWSGIServer):
@@ -154,6 +183,15 @@
 
     channel_class = ProblemChannel
     terminator: TlsTerminator | None = None
+    is_leaving = False
+    head_timeout_s = float("inf")
+
+    def maintenance(self, now: float) -> None:
+        """Close connections that are idle or whose request's head takes too long."""
+        super().maintenance(now)
+        for channel in self.active_channels.values():
+            if not channel.requests and channel.is_slow_head(self.head_timeout_s):
+                channel.will_close = True
 
     def handle_accept(self) -> None:
         """Accept one connection."""
@@ -202,6 +240,16 @@
         """Begin to serve."""
         self._thread.start()
 
+    def set_limits(self, idle_timeout_s: float, head_timeout_s: float, max_body_b: int) -> None:
+        """Bound idle time, the time that a request's head may take, and bodies."""
+        self._server.adj.channel_timeout = max(1, math.ceil(idle_timeout_s))
+        self._server.adj.max_request_body_size = max_body_b + 1
+        self._server.head_timeout_s = head_timeout_s
+
+    def leave(self) -> None:
+        """Announce with each answer that its connection closes after it."""
+        self._server.is_leaving = True
+
     def close_listener(self) -> None:
         """Accept no new connections; those that are open are served on."""
         self._closing.set()
--- a/hibiscustray/weights/__init__.py
+++ b/hibiscustray/weights/__init__.py
@@ -2,21 +2,30 @@
 
 from hibiscustray.weights.budget import LinkBudget
 from hibiscustray.weights.cache import ChunkCache
+from hibiscustray.weights.lookup import ManifestSource, StoredManifests
 from hibiscustray.weights.manifest import Manifest, build_manifest, decode_manifest
 from hibiscustray.weights.publishing import manifest_key, publish_weights
 from hibiscustray.weights.swarm import Carriers, Swarm, SwarmRegistry
-from hibiscustray.weights.transfer import Transfer, TransferEnvironment, TransferOrder
+from hibiscustray.weights.transfer import (
+    Transfer,
+    TransferEnvironment,
+    TransferOrder,
+    TransferPace,
+)
 
 __all__ = [
     "Carriers",
     "ChunkCache",
     "LinkBudget",
     "Manifest",
+    "ManifestSource",
+    "StoredManifests",
     "Swarm",
     "SwarmRegistry",
     "Transfer",
     "TransferEnvironment",
     "TransferOrder",
+    "TransferPace",
     "build_manifest",
     "decode_manifest",
     "manifest_key",
--- a/hibiscustray/weights/lookup.py
+++ b/hibiscustray/weights/lookup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Protocol
 
 from hibiscustray.exceptions import ObjectMissing, PeerError, StoreUnavailable, WeightsError
 from hibiscustray.peers import PeerPool
@@ -14,12 +15,42 @@
 CALL_TIMEOUT_S = 1.0
 
 
+class ManifestSource(Protocol):
+    """Where manifests come from, and how one that a peer sends is checked."""
+
+    def find(self, digest: str) -> Manifest | None:
+        """Return a manifest, or None if it cannot be had now; raise `ManifestInvalid`."""
+        ...
+
+    def check(self, body: bytes, digest: str) -> Manifest:
+        """Return the manifest that a peer sent for a version; raise `ManifestInvalid`."""
+        ...
+
+
+class StoredManifests:
+    """Manifests in the object store, named by their own digests."""
+
+    def __init__(self, objects: ObjectStore) -> None:
+        self._objects = objects
+
+    def find(self, digest: str) -> Manifest | None:
+        """Return a manifest, or None if the store does not give it now."""
+        try:
+            return decode_manifest(self._objects.get(manifest_key(digest)), digest)
+        except (StoreUnavailable, ObjectMissing):
+            return None
+
+    def check(self, body: bytes, digest: str) -> Manifest:
+        """Return a manifest that matches its digest."""
+        return decode_manifest(body, digest)
+
+
 class ManifestLookup:
     """Looks a manifest up wherever it may be."""
 
-    def __init__(self, cache: ChunkCache, objects: ObjectStore, peers: PeerPool) -> None:
+    def __init__(self, cache: ChunkCache, source: ManifestSource, peers: PeerPool) -> None:
         self._cache = cache
-        self._objects = objects
+        self._source = source
         self._peers = peers
 
     def find(self, digest: str, addresses: Iterable[str]) -> Manifest | None:
@@ -27,17 +58,14 @@
         known = self._cache.manifest(digest)
         if known is not None:
             return known
-        try:
-            return decode_manifest(self._objects.get(manifest_key(digest)), digest)
-        except (StoreUnavailable, ObjectMissing):
-            return self._ask_peers(digest, addresses)
+        return self._source.find(digest) or self._ask_peers(digest, addresses)
 
     def _ask_peers(self, digest: str, addresses: Iterable[str]) -> Manifest | None:
         for address in addresses:
             try:
                 reply = self._peers.get(address).read_manifest(digest, CALL_TIMEOUT_S)
                 if reply.body:
-                    return decode_manifest(reply.body, digest)
+                    return self._source.check(reply.body, digest)
             except (PeerError, WeightsError):
                 continue
         return None
--- a/hibiscustray/weights/manifest.py
+++ b/hibiscustray/weights/manifest.py
@@ -57,6 +57,11 @@
     """Decode a manifest and check it against its digest and its own sizes."""
     if hashlib.sha256(body).hexdigest() != digest:
         raise ManifestInvalid(f"manifest does not match {digest[:12]}")
+    return decode_manifest_body(body)
+
+
+def decode_manifest_body(body: bytes) -> Manifest:
+    """Decode a manifest and check it against its own sizes."""
     try:
         manifest = msgspec.msgpack.decode(body, type=Manifest)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -24,7 +24,7 @@
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights.cache import ChunkCache, decode_bitmap, list_chunks
 from hibiscustray.weights.choice import ChunkChooser, FromOrigin, FromPeer, Job, Objective
-from hibiscustray.weights.lookup import ManifestLookup
+from hibiscustray.weights.lookup import ManifestLookup, ManifestSource, StoredManifests
 from hibiscustray.weights.manifest import Manifest
 from hibiscustray.weights.swarm import Carriers, Swarm, SwarmRegistry
 
@@ -53,18 +53,47 @@
 FALLBACK_CHUNKS = 8
 
 
+@dataclass(frozen=True)
+class TransferPace:
+    """Times of a transfer in seconds: how long to wait for a chunk, and when to look elsewhere."""
+
+    first_timeout_s: float
+    least_timeout_s: float
+    stall_pause_s: float
+    watch_interval_s: float
+    fallback_step_s: float
+    corrupt_pause_s: float
+
+
+def make_default_pace() -> TransferPace:
+    """Return the times for versions that take minutes."""
+    return TransferPace(
+        CHUNK_TIMEOUT_FIRST_S,
+        CHUNK_TIMEOUT_LEAST_S,
+        STALL_PAUSE_S,
+        WATCH_INTERVAL_S,
+        FALLBACK_STEP_S,
+        ORIGIN_CORRUPT_RETRY_S,
+    )
+
+
 @dataclass(frozen=True)
 class TransferEnvironment:
     """What every transfer of one agent shares."""
 
     view: MemberView
     peers: PeerPool
-    objects: ObjectStore
+    objects: ObjectStore | None
     origin: Origin
     cache: ChunkCache
     swarms: SwarmRegistry
     metrics: Metrics
     origin_region: str = ""
+    manifests: ManifestSource | None = None
+    """Where manifests come from, the object store if not given."""
+    pace: TransferPace | None = None
+    find_origin_region: Callable[[], str] | None = None
+    """Where the origin is, for one whose place may change."""
 
 
 @dataclass(frozen=True)
@@ -96,7 +125,7 @@
         self._env.cache.open(self.digest, manifest)
         swarm = self._env.swarms.add(self._make_swarm(manifest))
         chooser = ChunkChooser(
-            swarm, self._env.view, self._order.objective, self._env.origin_region
+            swarm, self._env.view, self._order.objective, self._find_origin_region()
         )
         run = _Run(self, self._env, manifest, swarm, chooser, on_progress)
         if not run.is_done():
@@ -114,8 +143,13 @@
         """Wait, but not longer than until the transfer is cancelled."""
         self._stopping.wait(seconds)
 
+    def _find_origin_region(self) -> str:
+        find = self._env.find_origin_region
+        return find() if find is not None else self._env.origin_region
+
     def _find_manifest(self) -> Manifest:
-        lookup = ManifestLookup(self._env.cache, self._env.objects, self._env.peers)
+        source = self._env.manifests or StoredManifests(self._env.objects)
+        lookup = ManifestLookup(self._env.cache, source, self._env.peers)
         while not self._stopping.is_set():
             found = lookup.find(self.digest, self._sample_carriers())
             if found is not None:
@@ -159,6 +193,7 @@
         self._swarm = swarm
         self._chooser = chooser
         self._on_progress = on_progress
+        self._pace = environment.pace or make_default_pace()
         self._typical_s = {False: 0.0, True: 0.0}
         self._origin_paused_until = 0.0
         self._turn = threading.Lock()
@@ -248,7 +283,9 @@
             reply = self._env.peers.get(address).read_chunk(request, self._timeout(is_import))
         except PeerError:
             self._env.metrics.count("chunk_requests_failed_total")
-            self._swarm.note_failure(address, STALL_PAUSE_S)
+            # A connection may have gone silent for good while a new one would work.
+            self._env.peers.renew(address)
+            self._swarm.note_failure(address, self._pace.stall_pause_s)
             return
         finally:
             if is_import:
@@ -279,15 +316,15 @@
     def _timeout(self, is_import: bool) -> float:
         typical = self._typical_s[is_import]
         if not typical:
-            return CHUNK_TIMEOUT_FIRST_S
+            return self._pace.first_timeout_s
         wanted = CHUNK_TIMEOUT_FACTOR * typical
-        return min(CHUNK_TIMEOUT_MOST_S, max(CHUNK_TIMEOUT_LEAST_S, wanted))
+        return min(CHUNK_TIMEOUT_MOST_S, max(self._pace.least_timeout_s, wanted))
 
     def _blame(self, error: ChunkCorrupt) -> None:
         self._env.metrics.count("chunks_corrupt_total", {"sender": error.sender})
         log.warning("chunk rejected", extra={"chunk": error.index, "sender": error.sender})
         if error.sender == "origin":
-            self._origin_paused_until = time.monotonic() + ORIGIN_CORRUPT_RETRY_S
+            self._origin_paused_until = time.monotonic() + self._pace.corrupt_pause_s
         else:
             self._swarm.distrust(error.sender)
 
@@ -314,7 +351,7 @@
                 self._ask_holdings(address)
             self._replace_drawers()
             is_start = self._held().bit_count() < WATCH_START_SHARE * self._manifest.count
-            interval = WATCH_START_INTERVAL_S if is_start else WATCH_INTERVAL_S
+            interval = WATCH_START_INTERVAL_S if is_start else self._pace.watch_interval_s
             self._transfer.wait(interval * self._random_share())
 
     def _replace_drawers(self) -> None:
@@ -326,9 +363,9 @@
         self._known = known
         quiet_s = time.monotonic() - self._known_at
         lacking = ((1 << self._manifest.count) - 1) & ~known & ~self._chooser.planned
-        if quiet_s < FALLBACK_STEP_S or not lacking:
+        if quiet_s < self._pace.fallback_step_s or not lacking:
             return
-        allowed_rank = int(quiet_s / FALLBACK_STEP_S)
+        allowed_rank = int(quiet_s / self._pace.fallback_step_s)
         own = self._env.view.own.id
         replies: dict[str, HoldingsReply | None] = {}
         for index in list_chunks(lacking):
--- a/tools/check_binary.py
+++ b/tools/check_binary.py
@@ -14,7 +14,6 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-MEMORY = Path("/dev/shm")
 SAMPLE_INTERVAL_S = 0.02
 LIMIT_S = 90.0
 KIB_PER_MIB = 1024
@@ -32,11 +31,14 @@
     samples: int = 0
 
 
-def check_binary(binary: Path) -> int:
-    """Print what was seen; return 1 if any promise was broken."""
+def check_binary(binary: Path, memory: Path) -> int:
+    """Print what was seen; return 1 if any promise was broken.
+
+    `memory` is a folder on a memory file system, for the temporary files of the demo.
+    """
     start_s = [measure_start(binary) for _ in range(3)]
     print("start times in seconds, the first with unpacking: " + ", ".join(map(str, start_s)))
-    with tempfile.TemporaryDirectory(dir=MEMORY) as scratch, tempfile.TemporaryDirectory() as home:
+    with tempfile.TemporaryDirectory(dir=memory) as scratch, tempfile.TemporaryDirectory() as home:
         environment = make_environment() | {"TMPDIR": scratch, "HOME": home}
         demo = subprocess.Popen(
             [binary, "demo", "--json", "--seed", "7"],
@@ -121,4 +123,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(check_binary(Path(sys.argv[1]).resolve()))
+    sys.exit(check_binary(Path(sys.argv[1]).resolve(), Path(sys.argv[2])))
