Moves weights faster: several chunks at once, all regions draw, staged as they come

Cause: a transfer took 9.2 s and the bound is 8 s; draws and requests to peers went one or two at a time, so links idled, and a killed agent lost its chunks.

--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -29,6 +29,7 @@
 )
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights import Carriers, Transfer, TransferEnvironment, TransferOrder
+from hibiscustray.weights.cache import list_chunks
 from hibiscustray.weights.manifest import Manifest, decode_manifest_body
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,11 @@
 FAILURE_PAUSE_S = 0.3
 ORDER_PATIENCE_S = 12.0
 """Time for an order to end: the requests that run, then the load itself."""
+STAGING_INTERVAL_S = 0.1
+"""Interval at which chunks that have come are put into the staging area."""
+FINISH_SHARE = 0.6
+"""Share of a version's chunks from which its transfer is finished though a newer one is named:
+the engine then serves it while the newer one is fetched."""
 VERIFICATION_LIFE_S = 2.0
 """Age at which a check of the staged chunks is repeated before an order; they may rot."""
 
@@ -124,10 +130,18 @@
         transfer = self._transfer
         if transfer is not None:
             model, version = split_label(transfer.digest)
-            if self._stopping.is_set() or self._versions.newest(model) != version:
+            is_old = self._versions.newest(model) != version and not self._is_nearly_whole(
+                transfer.digest
+            )
+            if self._stopping.is_set() or is_old:
                 transfer.cancel()
         self._changed.set()
 
+    def _is_nearly_whole(self, label: str) -> bool:
+        manifest = self._environment.cache.manifest(label)
+        held = self._environment.cache.held(label).bit_count()
+        return manifest is not None and held >= FINISH_SHARE * manifest.count
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             self._changed.wait(INTERVAL_S)
@@ -149,10 +163,11 @@
         for model in catalog.find_models(self._service):
             version = self._versions.newest(model)
             held = report.find_version(model) if report is not None else 0
-            if report is not None and held == version:
+            if report is not None:
                 self._recover_cache(model, version)
+            if report is not None and held == version:
                 continue
-            manifest = self._fetch(model, version)
+            manifest = self._fetch(model, version, report is not None)
             if report is not None and not report.is_loading:
                 self._load(model, version, manifest)
 
@@ -195,8 +210,11 @@
             extra={"version": label, "chunks": cache.held(label).bit_count()},
         )
 
-    def _fetch(self, model: str, version: int) -> Manifest:
-        """Bring a version into the cache; raise `TransferOvertaken` if another is wanted."""
+    def _fetch(self, model: str, version: int, is_staged: bool) -> Manifest:
+        """Bring a version into the cache, and into the staging area as its chunks come.
+
+        Staged chunks outlive this process. Raises `TransferOvertaken` if another is wanted.
+        """
         label = make_label(model, version)
         cache = self._environment.cache
         if cache.is_whole(label):
@@ -210,6 +228,8 @@
         try:
             if self._versions.newest(model) != version or self._stopping.is_set():
                 raise TransferOvertaken(label)
+            if is_staged:
+                self._start_staging(transfer, model, label)
             manifest = transfer.run()
         finally:
             self._transfer = None
@@ -218,14 +238,31 @@
         log.info("transfer whole", extra={"version": label, "took_s": round(taken_s, 3)})
         return manifest
 
+    def _start_staging(self, transfer: Transfer, model: str, label: str) -> None:
+        """Stage chunks in a thread of their own until the transfer has ended."""
+        cache = self._environment.cache
+
+        def stage_arrivals() -> None:
+            staged: set[int] = set()
+            while self._transfer is transfer and not self._stopping.is_set():
+                try:
+                    for index in list_chunks(cache.held(label)):
+                        if index not in staged:
+                            self._engine.stage(model, index, cache.get(label, index))
+                            staged.add(index)
+                except (UpstreamError, ChunkMissing) as error:
+                    log.info("staging ended early", extra={"reason": str(error)[:200]})
+                    return
+                self._stopping.wait(STAGING_INTERVAL_S)
+
+        threading.Thread(target=stage_arrivals, name="staging", daemon=True).start()
+
     def _load(self, model: str, version: int, manifest: Manifest) -> None:
         label = make_label(model, version)
         checked_at = self._stage(model, label, manifest)
         report = self._engine.read_report()
         if report.find_version(model) == version or report.is_loading:
             return
-        if self._versions.newest(model) != version:
-            raise TransferOvertaken(label)
         if time.monotonic() - checked_at > VERIFICATION_LIFE_S:
             return
         outcome = self._engine.order_load(
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -88,7 +88,7 @@
 """Part of the platform's bound on retries that is used, since entries do not count together."""
 RETRY_ENTRIES = 12
 """Entries among which the slack of retries is divided."""
-LINK_MARGIN = 0.95
+LINK_MARGIN = 0.9
 """Part of a VM's link that weights may take upwards."""
 HOSTED_PACE = TransferPace(
     first_timeout_s=1.5,
@@ -97,6 +97,10 @@
     watch_interval_s=0.4,
     fallback_step_s=1.0,
     corrupt_pause_s=0.3,
+    workers=14,
+    requests_per_peer=3,
+    draws_at_once=6,
+    imports_at_once=6,
 )
 """Times of transfers that must end within the platform's bound of eight seconds."""
 KIB = 1024
@@ -373,7 +377,7 @@
         cache=cache,
         swarms=swarms,
         metrics=metrics,
-        find_origin_region=lambda: _find_origin_region(followed.catalogs, settings.regions),
+        find_origin_region=lambda: "",
         manifests=VersionManifests(origin.read_manifest),
         pace=HOSTED_PACE,
     )
--- a/hibiscustray/gateway/relay.py
+++ b/hibiscustray/gateway/relay.py
@@ -36,7 +36,7 @@
     Outcome,
     OutOfTime,
 )
-from hibiscustray.placement import Demand, Placed, Placer, Refusal
+from hibiscustray.placement import Demand, Placed, Placer, Refusal, RefusalReason
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
@@ -55,6 +55,10 @@
 SENDS_BEYOND_ATTEMPTS = 2
 """Further sends after refusals by replicas that did not run the request."""
 UNPLACED_RETRY_S = 0.5
+SWAP_RETRY_S = 1.6
+"""Time in which replicas that are changing their weights are expected back in service."""
+SWAP_SPREAD = 0.3
+"""Spread of that time, so that callers do not come back together."""
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 """A replica's own failures after which an idempotent request is tried at another."""
 URGENCY_LATE = 7
@@ -66,7 +70,7 @@
     """Bounds given by the platform: time for new weights, in seconds."""
 
     version_bound_s: float = 8.0
-    version_margin_s: float = 1.0
+    version_margin_s: float = 0.6
 
     @property
     def version_switch_s(self) -> float:
@@ -475,7 +479,10 @@
     def _refuse(self, job: _Job, refusal: Refusal) -> InboundAnswer:
         if job.may_have_run:
             return self._fail(job, 502, "lost")
-        return self._refuse_not_run(job, refusal.reason.value, refusal.retry_after_s, refusal)
+        retry_after_s = refusal.retry_after_s
+        if refusal.reason is RefusalReason.NO_REPLICA and job.service.engine is not None:
+            retry_after_s = SWAP_RETRY_S * self._random.uniform(1.0, 1.0 + SWAP_SPREAD)
+        return self._refuse_not_run(job, refusal.reason.value, retry_after_s, refusal)
 
     def _refuse_not_run(
         self, job: _Job, reason: str, retry_after_s: float, refusal: Refusal | None = None
--- a/hibiscustray/weights/choice.py
+++ b/hibiscustray/weights/choice.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import Literal
 
@@ -40,12 +41,27 @@
 Job = FromOrigin | FromPeer
 
 
+@dataclass(frozen=True)
+class AskLimits:
+    """How many chunks one agent asks for at once: of one peer, the origin and another region."""
+
+    per_peer: int = 1
+    draws: int = DRAWS_AT_ONCE
+    imports: int = IMPORTS_AT_ONCE
+
+
 class ChunkChooser:
     """Gives out jobs; a chunk is asked for once, and twice when the first is late at the end."""
 
     def __init__(
-        self, swarm: Swarm, view: MemberView, objective: Objective, origin_region: str
+        self,
+        swarm: Swarm,
+        view: MemberView,
+        objective: Objective,
+        origin_region: str,
+        limits: AskLimits = AskLimits(),  # noqa: B008
     ) -> None:
+        self._limits = limits
         self._swarm = swarm
         self._own = view.own
         self._objective = objective
@@ -132,9 +148,9 @@
         wanted = list_chunks(missing & self.planned & ~available)
         for index in wanted:
             source = self._sources[index]
-            if not source and self._count(FromOrigin) < DRAWS_AT_ONCE:
+            if not source and self._count(FromOrigin) < self._limits.draws:
                 return FromOrigin(index)
-            if source and self._count_imports(source) < IMPORTS_AT_ONCE:
+            if source and self._count_imports(source) < self._limits.imports:
                 job = self._choose_import(index, source)
                 if job is not None:
                     return job
@@ -148,9 +164,10 @@
 
     def _choose_peer(self, missing: int) -> Job | None:
         free = self._swarm.find_free(self._own.region)
-        for job in self._jobs:
-            if isinstance(job, FromPeer):
-                free.pop(job.address, None)
+        asked = Counter(job.address for job in self._jobs if isinstance(job, FromPeer))
+        for address, count in asked.items():
+            if count >= self._limits.per_peer:
+                free.pop(address, None)
         offered = 0
         for mask in free.values():
             offered |= mask
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -23,7 +23,16 @@
 from hibiscustray.protocols import ObjectStore, Origin
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights.cache import ChunkCache, decode_bitmap, list_chunks
-from hibiscustray.weights.choice import ChunkChooser, FromOrigin, FromPeer, Job, Objective
+from hibiscustray.weights.choice import (
+    DRAWS_AT_ONCE,
+    IMPORTS_AT_ONCE,
+    AskLimits,
+    ChunkChooser,
+    FromOrigin,
+    FromPeer,
+    Job,
+    Objective,
+)
 from hibiscustray.weights.lookup import ManifestLookup, ManifestSource, StoredManifests
 from hibiscustray.weights.manifest import Manifest
 from hibiscustray.weights.swarm import Carriers, Swarm, SwarmRegistry
@@ -55,7 +64,10 @@
 
 @dataclass(frozen=True)
 class TransferPace:
-    """Times of a transfer in seconds: how long to wait for a chunk, and when to look elsewhere."""
+    """Times of a transfer in seconds, and how many chunks are asked for at once.
+
+    The times say how long to wait for a chunk, and when to look elsewhere.
+    """
 
     first_timeout_s: float
     least_timeout_s: float
@@ -63,6 +75,10 @@
     watch_interval_s: float
     fallback_step_s: float
     corrupt_pause_s: float
+    workers: int = WORKERS
+    requests_per_peer: int = 1
+    draws_at_once: int = DRAWS_AT_ONCE
+    imports_at_once: int = IMPORTS_AT_ONCE
 
 
 def make_default_pace() -> TransferPace:
@@ -124,8 +140,17 @@
         manifest = self._find_manifest()
         self._env.cache.open(self.digest, manifest)
         swarm = self._env.swarms.add(self._make_swarm(manifest))
+        pace = self._env.pace or make_default_pace()
         chooser = ChunkChooser(
-            swarm, self._env.view, self._order.objective, self._find_origin_region()
+            swarm,
+            self._env.view,
+            self._order.objective,
+            self._find_origin_region(),
+            AskLimits(
+                pace.requests_per_peer,
+                pace.draws_at_once,
+                pace.imports_at_once,
+            ),
         )
         run = _Run(self, self._env, manifest, swarm, chooser, on_progress)
         if not run.is_done():
@@ -204,9 +229,10 @@
         """Run all threads until the version is whole or the transfer is cancelled."""
         for address in self._swarm.sample_peers(START_PEERS):
             self._ask_holdings(address)
-        with ThreadPoolExecutor(WORKERS + 1, thread_name_prefix="transfer") as pool:
+        workers = self._pace.workers
+        with ThreadPoolExecutor(workers + 1, thread_name_prefix="transfer") as pool:
             threads = [pool.submit(self._watch)]
-            threads += [pool.submit(self._work) for _ in range(WORKERS)]
+            threads += [pool.submit(self._work) for _ in range(workers)]
             try:
                 for thread in threads:
                     thread.result()
