Tests the path through a hosted entry with scripted stand-ins; refuses two framings

Cause: a request with both a length and chunks was read as chunks, and what followed ran as a request of its own (found by the new test of smuggling); a booking past its time got 502, not 504. Ruled out: leaving it to the HTTP library, which takes the chunks. Conclusion: both fixed in the product, not in the adapter.

--- a/hibiscustray/gateway/relay.py
+++ b/hibiscustray/gateway/relay.py
@@ -432,6 +432,8 @@
     def _explain_loss(self, job: _Job, watch: Watch, error: Exception) -> Outcome:
         if watch.is_cut():
             return self._explain_cut(job, watch)
+        if job.time_left() <= 0:
+            return OutOfTime()
         return MaybeRun(str(error))
 
     def _explain_cut(self, job: _Job, watch: Watch) -> Outcome:
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -17,6 +17,7 @@
 from waitress import wasyncore
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
@@ -154,11 +155,22 @@
             self.set_close_on_finish()
 
 
+class StrictParser(HTTPRequestParser):
+    """Refuses a request that gives both a length and chunks, which two readers may take apart."""
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """Read a request's head."""
+        super().parse_header(header_plus)
+        if self.chunked and "CONTENT_LENGTH" in self.headers:
+            raise ParsingError("a request has either a length or chunks")
+
+
 class ProblemChannel(HTTPChannel):
     """A connection whose error pages are problems."""
 
     error_task_class = ProblemTask
     task_class = ClosingTask
+    parser_class = StrictParser
     partial_since: float | None = None
 
     def received(self, data: bytes) -> bool:
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,323 @@
+"""Stand-ins of the users' platform: its store, and a replica whose answers a test scripts."""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+SEAL = "X-Hibiscustray-Server-Seal"
+ATTEMPT = "X-Hibiscustray-Attempt-Id"
+NOT_RUN = "X-Hibiscustray-Not-Executed"
+HOST = "guide.example"
+KEY = "key-of-hosts"
+
+
+def make_configuration(version: int = 1, **changes) -> dict:
+    """Return a configuration with a stream, a booking and a lookup."""
+    common = {"host": HOST, "timeoutMs": 3000, "targetLatencyMs": 500, "priority": 1}
+    value = {
+        "version": version,
+        "routes": [
+            common
+            | {"name": "draft", "prefix": "/draft/", "kind": "streaming", "service": "guide"}
+            | {"attempts": 2, "streamResume": True, "affinity": True, "gapTargetMs": 400},
+            common
+            | {"name": "book", "prefix": "/book/", "kind": "non_idempotent", "service": "booking"}
+            | {"attempts": 1},
+            common
+            | {"name": "look", "prefix": "/book/look/", "kind": "idempotent", "service": "booking"}
+            | {"attempts": 2},
+        ],
+        "services": [
+            {"name": "guide", "maxConnections": 64, "engine": make_engine()},
+            {"name": "booking", "maxConnections": 64},
+        ],
+        "limits": {
+            "headerBytes": 16384,
+            "bodyBytes": 65536,
+            "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "hosts", "keys": [KEY]}],
+    }
+    return value | changes
+
+
+def make_engine() -> dict:
+    """Return an engine's published figures."""
+    return {
+        "slots": 16,
+        "kvTokens": 1180000,
+        "stride": 5,
+        "models": [{"name": "m"}],
+        "step_ms": 8.87,
+        "per_seq_ms": 0.0388,
+        "context_per_k": 0.0227,
+        "read_per_s": 19100.0,
+        "pairs_per_m": 1.47,
+        "chunk": 2048,
+        "usual": {"prompt": 977, "answer": 94},
+        "layers": 16,
+    }
+
+
+class StoreStandIn:
+    """Rows by table with a change feed; `refusal` is a status that all calls get, 0 for none."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], dict] = {}
+        self._history: list[dict] = []
+        self._revision = 0
+        self._oldest = 0
+        self._changed = threading.Condition()
+        self.refusal = 0
+        self.calls: list[str] = []
+        self._server = _start_http(self)
+
+    @property
+    def address(self) -> str:
+        """Return IP:port."""
+        host, port = self._server.server_address[:2]
+        return f"{host}:{port}"
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Write a row; bytes are written as they are, all else as JSON."""
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._change({"table": table, "key": key, "value": base64.b64encode(body).decode()})
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._change({"table": table, "key": key, "tombstone": True})
+
+    def forget_history(self) -> None:
+        """Answer feeds from earlier revisions with a gap."""
+        with self._changed:
+            self._oldest = self._revision + 1
+            self._revision += 1
+            self._changed.notify_all()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def answer(self, path: str) -> tuple[int, dict]:
+        """Return the status and body of a call."""
+        parts = urlsplit(path)
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        self.calls.append(parts.path)
+        if self.refusal:
+            return self.refusal, {"error": "refused"}
+        if parts.path == "/v1/rows-get":
+            return 200, self._read(query["table"])
+        return self._follow(query["table"], int(query["sinceRev"]), int(query["waitMs"]))
+
+    def _change(self, row: dict) -> None:
+        with self._changed:
+            self._revision += 1
+            row = row | {"part": "", "revision": self._revision}
+            if row.get("tombstone"):
+                self._rows.pop((row["table"], row["key"]), None)
+            else:
+                self._rows[row["table"], row["key"]] = row
+            self._history.append(row)
+            self._changed.notify_all()
+
+    def _read(self, table: str) -> dict:
+        with self._changed:
+            rows = [row for (name, _), row in sorted(self._rows.items()) if name == table]
+            return {"rows": rows, "truncated": False, "revision": self._revision}
+
+    def _follow(self, table: str, since: int, wait_ms: int) -> tuple[int, dict]:
+        deadline = time.monotonic() + wait_ms / 1000
+        with self._changed:
+            while True:
+                if since < self._oldest:
+                    return 410, {}
+                rows = [r for r in self._history if r["table"] == table and r["revision"] > since]
+                left = deadline - time.monotonic()
+                if rows or left <= 0 or self.refusal:
+                    return 200, {"rows": rows, "revision": self._revision}
+                self._changed.wait(min(left, 0.05))
+
+
+@dataclass
+class Received:
+    """A request as a replica read it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    is_cut: bool = False
+
+
+Script = Callable[[Received, socket.socket], None]
+
+
+@dataclass
+class ReplicaStandIn:
+    """A replica; the script of a request writes the raw answer on the connection."""
+
+    id: str
+    service: str
+    script: Script
+    zone: str = "z1"
+    received: list[Received] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def entry(self, **changes) -> dict:
+        """Return the replica's entry of the list."""
+        value = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": self.zone,
+            "slots": 16,
+            "state": "ready",
+            "warmupLeftMs": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        if self.service == "guide":
+            value |= {
+                "models": [{"name": "m", "version": 1, "adapters": []}],
+                "layers": {"rangeStart": 0, "target": 16, "version": 1},
+            }
+        return value | changes
+
+    def close(self) -> None:
+        """Refuse connections."""
+        with contextlib.suppress(OSError):
+            # Closing alone would leave a pending accept to take one more connection.
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError, ValueError), connection:
+            request = _read_request(connection)
+            self.received.append(request)
+            self.script(request, connection)
+
+
+def answer_whole(status: int = 200, body: bytes = b"{}", **headers: str) -> Script:
+    """Return a script that answers with a length, an id and a seal."""
+
+    def script(request: Received, connection: socket.socket) -> None:
+        lines = {
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+            ATTEMPT: request.headers[ATTEMPT.lower()],
+            SEAL: "seal-1",
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.sendall(_head(status, lines) + body)
+
+    return script
+
+
+def refuse(status: int = 503) -> Script:
+    """Return a script that says that the request did not run."""
+    return answer_raw(_head(status, {"Content-Length": "0", NOT_RUN: "1"}))
+
+
+def answer_raw(data: bytes) -> Script:
+    """Return a script that sends bytes and closes."""
+    return lambda request, connection: connection.sendall(data)
+
+
+def lose_answer(request: Received, connection: socket.socket) -> None:
+    """Run the request and close without an answer."""
+
+
+def stream(first: int, last: int, **options) -> Script:
+    """Return a script that streams events of these ids, from behind the caller's last one.
+
+    `cut_at` ends the connection in the middle of that event; `pause_s` waits before each event.
+    """
+    cut_at, pause_s = options.get("cut_at"), options.get("pause_s", 0.0)
+
+    def script(request: Received, connection: socket.socket) -> None:
+        head = {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            ATTEMPT: request.headers[ATTEMPT.lower()],
+            SEAL: "seal-1",
+            "X-Hibiscustray-Weight-Versions": "1",
+        }
+        connection.sendall(_head(200, head))
+        start = int(request.headers.get("last-event-id", first - 1)) + 1
+        for number in range(start, last + 1):
+            time.sleep(pause_s)
+            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            if number == cut_at:
+                connection.sendall(_chunk(event[:9]))
+                return
+            connection.sendall(_chunk(event))
+        connection.sendall(b"0\r\n\r\n")
+
+    return script
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):X}\r\n".encode() + data + b"\r\n"
+
+
+def _head(status: int, headers: dict[str, str]) -> bytes:
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode()
+
+
+def _read_request(connection: socket.socket) -> Received:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        block = connection.recv(65536)
+        if not block:
+            raise ValueError("no request")
+        data += block
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    method, path, _ = first.split(" ")
+    headers = {n.lower(): v for n, _, v in (line.partition(": ") for line in lines)}
+    while len(body) < int(headers.get("content-length", 0)):
+        body += connection.recv(65536)
+    return Received(method, path, headers, body)
+
+
+def _start_http(store: StoreStandIn) -> ThreadingHTTPServer:
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self) -> None:  # noqa: N802
+            status, value = store.answer(self.path)
+            body = json.dumps(value).encode()
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *_: object) -> None:
+            return
+
+    server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
