--- a/hibiscustray/commands/hosting.py
+++ b/hibiscustray/commands/hosting.py
@@ -13,7 +13,7 @@
 from hibiscustray.exceptions import SettingsError
 from hibiscustray.platform import find_settings_path
 from hibiscustray.settings import HostedSettings, load_hosted_settings
-from hibiscustray.telemetry import configure_hosted_logs
+from hibiscustray.telemetry import Metrics, configure_hosted_logs
 
 log = logging.getLogger(__name__)
 
@@ -36,9 +36,15 @@
 def _run(path: Path | None, role: Role, build) -> None:
     path = path or find_settings_path()
     settings = load_hosted_settings(path, role)
-    lines = configure_hosted_logs(settings.process.id, settings.process.log_level)
+    identity = settings.process
+    metrics = Metrics(identity.id)
+    lines = configure_hosted_logs(
+        identity.id,
+        identity.log_level,
+        on_dropped=lambda: metrics.count("log_lines_dropped_total"),
+    )
     try:
-        process = build(settings)
+        process = build(settings, metrics)
         process.start()
         _follow_settings(path, role, settings, process)
         is_drained = process.drain(settings.bounds.grace_s)
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -298,13 +298,12 @@
     followers: tuple[FeedFollower, ...]
 
 
-def build_hosted_entry(settings: HostedSettings) -> GatewayProcess:
+def build_hosted_entry(settings: HostedSettings, metrics: Metrics) -> GatewayProcess:
     """Wire an entry that a platform hosts."""
     assert settings.entry is not None
-    metrics = Metrics(settings.process.id)
     followed = _build_followed(settings, metrics)
     zone = settings.process.availability_zone
-    placer = Placer(followed.directory, zone, settings.regions)
+    placer = Placer(followed.directory, zone, settings.regions, settings.process.id)
     bounds = settings.bounds
     budgets = RetryBudgets(
         bounds.retry_share * RETRY_MARGIN, bounds.retry_slack * RETRY_MARGIN / RETRY_ENTRIES
@@ -336,11 +335,10 @@
     return process
 
 
-def build_hosted_agent(settings: HostedSettings) -> HostedAgentProcess:
+def build_hosted_agent(settings: HostedSettings, metrics: Metrics) -> HostedAgentProcess:
     """Wire an agent that a platform hosts beside an upstream."""
     assert settings.upstream is not None
     process, service = settings.process, settings.upstream.service
-    metrics = Metrics(process.id)
     stager_slot: list[WeightsStager] = []
     followed = _build_followed(
         settings, metrics, lambda: [stager.note_version() for stager in stager_slot]
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -30,11 +30,13 @@
 OWN_READ_FACTOR = 1.5
 """A long prompt is let in by its queueing time; its own reading counts up to this many times a
 typical prompt, so that large requests are not shut out."""
-JITTER = 0.08
+JITTER = 0.04
 """Spread of predictions, so that entries with equal knowledge do not choose alike."""
 OTHER_ZONE_S = 0.002
 OTHER_REGION_S = 0.004
 """Cost in time of leaving the availability zone or the region, about two network round trips."""
+FILL_COST_S = 0.1
+"""Time by which a full replica counts as worse than an empty one, so that slots fill evenly."""
 FAILURE_COST_S = 1.0
 """Time that a failed attempt costs a caller; weighs a replica's share of failures."""
 DEFAULT_SLOTS = 8
@@ -97,12 +99,16 @@
     """Places the requests of one entry; all methods may be called by any thread."""
 
     def __init__(
-        self, directory: ReplicaDirectory, availability_zone: str, regions: dict[str, str]
+        self,
+        directory: ReplicaDirectory,
+        availability_zone: str,
+        regions: dict[str, str],
+        seed: str,
     ) -> None:
         self._directory = directory
         self._zone = availability_zone
         self._regions = regions
-        self._random = random.Random()
+        self._random = random.Random(seed)
         self._loads: dict[tuple[str, int], ReplicaLoad] = {}
         self._plain_work_s: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -230,7 +236,7 @@
             queue_s = judged.first_event_s
         cost_s = first_s * self._random.uniform(1 - JITTER, 1 + JITTER)
         cost_s += load.failure_share(now) * FAILURE_COST_S + replica.warmup_left_s
-        cost_s += self._distance(replica)
+        cost_s += self._distance(replica) + FILL_COST_S * outstanding / slots
         return _Option(replica, load, first_s, queue_s, cost_s, outstanding, slots)
 
     def _plain_wait(self, service: ServiceEntry, outstanding: float, slots: int) -> float:
--- a/hibiscustray/telemetry/logs.py
+++ b/hibiscustray/telemetry/logs.py
@@ -17,6 +17,10 @@
 """Lines kept while the output is slow; more are dropped and counted."""
 
 
+FLUSH_S = 1.0
+"""Time for the last lines at the end of a process."""
+
+
 def configure_logs(process_id: str, level: str = "INFO") -> None:
     """Send JSON lines to standard error, each carrying the process id."""
     _install(_make_handler(process_id, sys.stderr), level)
@@ -27,18 +31,34 @@
     level: str = "INFO",
     output: TextIO | None = None,
     on_dropped: Callable[[], None] = lambda: None,
-) -> QueueListener:
+) -> HostedListener:
     """Send JSON lines to standard output from a thread of their own, dropping what is too much.
 
     Returns the listener, to be stopped at the end so that the last lines are written.
     """
     queue: Queue = Queue(QUEUED_LINES)
-    listener = QueueListener(queue, _make_handler(process_id, output or sys.stdout))
+    listener = HostedListener(queue, _make_handler(process_id, output or sys.stdout))
     _install(DroppingHandler(queue, on_dropped), level)
     listener.start()
     return listener
 
 
+class HostedListener(QueueListener):
+    """Writes queued lines; its stop does not wait for an output that takes nothing."""
+
+    def stop(self) -> None:
+        """Write what is queued, within a time limit, and end the thread."""
+        thread = self._thread
+        if thread is None:
+            return
+        try:
+            self.queue.put(self._sentinel, timeout=FLUSH_S)
+        except Full:
+            return
+        thread.join(FLUSH_S)
+        self._thread = None
+
+
 class DroppingHandler(QueueHandler):
     """Queues records; one that finds the queue full is dropped and counted."""
 
--- /dev/null
+++ b/tests/agent/test_stager.py
@@ -0,0 +1,269 @@
+"""The stager over a scripted engine: verified staging, orders under a precondition, restarts."""
+
+from __future__ import annotations
+
+import hashlib
+import threading
+import time
+
+import pytest
+
+from hibiscustray.agent import stager as stager_module
+from hibiscustray.agent.interface import (
+    EngineReport,
+    OrderAccepted,
+    OrderConflict,
+    OrderInForce,
+)
+from hibiscustray.agent.stager import VersionManifests, WeightsStager, make_label
+from hibiscustray.catalog import (
+    Catalog,
+    CatalogHolder,
+    ServiceEntry,
+    VersionBook,
+    WeightsVersion,
+)
+from hibiscustray.exceptions import ChunkMissing, OriginUnavailable, UpstreamUnreachable
+from hibiscustray.membership import MemberView
+from hibiscustray.peers import MemberRecord, PeerPool
+from hibiscustray.replicas import LayerSpan, ServedModel
+from hibiscustray.telemetry import Metrics
+from hibiscustray.weights import ChunkCache, Manifest, SwarmRegistry, TransferEnvironment
+from tests.placement.engines import PROFILE
+
+CHUNKS = 12
+CHUNK_B = 64
+
+
+def make_chunk(version: int, index: int) -> bytes:
+    return hashlib.shake_128(f"{version}/{index}".encode()).digest(CHUNK_B)
+
+
+class Origin:
+    """Serves all versions; counts what it sends."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.is_down = False
+        self.spoils: set[int] = set()
+
+    def read_manifest(self, model: str, version: int) -> Manifest:
+        if self.is_down:
+            raise OriginUnavailable("down")
+        digests = (hashlib.sha256(make_chunk(version, i)).digest() for i in range(CHUNKS))
+        return Manifest(f"{model}?{version}", CHUNKS * CHUNK_B, CHUNK_B, tuple(digests))
+
+    def read_range(self, path: str, start: int, length: int) -> bytes:
+        if self.is_down:
+            raise OriginUnavailable("down")
+        self.sent += 1
+        index = start // length
+        if index in self.spoils:
+            self.spoils.discard(index)
+            return b"spoilt" * 11
+        return make_chunk(int(path.partition("?")[2]), index)
+
+
+class Engine:
+    """Holds one version; loads what is staged at the moment of an order."""
+
+    def __init__(self, version: int = 0) -> None:
+        self.version = version
+        self.staged: dict[int, bytes] = {}
+        self.order_count = 0
+        self.is_absent = False
+        self.rotting: set[int] = set()
+        self.loads: list[dict[int, bytes]] = []
+        self.fencing: list[int] = []
+        self.conflicts = 0
+
+    def read_report(self) -> EngineReport:
+        if self.is_absent:
+            raise UpstreamUnreachable("refused")
+        models = (ServedModel("m", self.version),) if self.version else ()
+        span = LayerSpan(0, 16 if self.version else 0, self.version)
+        return EngineReport(models, span, False, self.order_count, 0, 0, 1)
+
+    def list_staged(self, model: str) -> frozenset[int]:
+        return frozenset(self.staged)
+
+    def read_staged(self, model: str, index: int) -> bytes:
+        if index not in self.staged:
+            raise ChunkMissing(str(index))
+        if index in self.rotting:
+            self.rotting.discard(index)
+            self.staged[index] = b"rot"
+        return self.staged[index]
+
+    def stage(self, model: str, index: int, data: bytes) -> None:
+        self.staged[index] = data
+
+    def order_load(self, model, version, mode, order_count, fencing):
+        if order_count != self.order_count:
+            return OrderConflict("count")
+        if self.conflicts:
+            self.conflicts -= 1
+            return OrderConflict("busy")
+        if version == self.version:
+            return OrderInForce()
+        self.order_count += 1
+        self.version = version
+        self.loads.append(dict(self.staged))
+        self.fencing.append(fencing)
+        return OrderAccepted()
+
+
+class Bench:
+    """A stager with its engine, origin and versions."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine, self.origin, self.versions = engine, Origin(), VersionBook()
+        catalogs = CatalogHolder()
+        services = {"guide": ServiceEntry("guide", engine=PROFILE)}
+        catalogs.offer(Catalog(1, services=services))
+        own = MemberRecord("a", "agent", "r", "z", "127.0.0.1:1", "", 1, service="guide")
+        self.cache = ChunkCache(1 << 20)
+        metrics = Metrics("test")
+        environment = TransferEnvironment(
+            view=MemberView(own),
+            peers=PeerPool(),
+            objects=None,
+            origin=self.origin,
+            cache=self.cache,
+            swarms=SwarmRegistry(),
+            metrics=metrics,
+            manifests=VersionManifests(self.origin.read_manifest),
+        )
+        self.stager = WeightsStager("guide", catalogs, self.versions, engine, environment, metrics)
+
+    def name(self, version: int) -> None:
+        self.versions.note(WeightsVersion("m", version))
+        self.stager.note_version()
+
+    def wait_for(self, version: int) -> None:
+        deadline = time.monotonic() + 10.0
+        while self.engine.version != version and time.monotonic() < deadline:
+            time.sleep(0.01)
+        assert self.engine.version == version
+
+
+@pytest.fixture
+def benches(monkeypatch):
+    monkeypatch.setattr(stager_module, "INTERVAL_S", 0.02)
+    monkeypatch.setattr(stager_module, "FAILURE_PAUSE_S", 0.02)
+    running: list[Bench] = []
+
+    def start(engine: Engine) -> Bench:
+        bench = Bench(engine)
+        running.append(bench)
+        bench.stager.start()
+        return bench
+
+    yield start
+    for bench in running:
+        bench.stager.stop()
+
+
+def whole(version: int) -> dict[int, bytes]:
+    return {index: make_chunk(version, index) for index in range(CHUNKS)}
+
+
+def test_an_empty_engine_is_brought_to_the_named_version(benches):
+    bench = benches(Engine())
+    bench.wait_for(1)
+    bench.name(2)
+    bench.wait_for(2)
+    assert bench.engine.loads == [whole(1), whole(2)]
+    assert bench.engine.fencing == [1, 2]
+    assert bench.origin.sent == 2 * CHUNKS
+
+
+def test_an_engine_at_the_version_is_not_ordered_and_its_chunks_are_offered_to_peers(benches):
+    engine = Engine(version=1)
+    engine.staged = whole(1)
+    bench = benches(engine)
+    deadline = time.monotonic() + 5.0
+    while not bench.cache.is_whole(make_label("m", 1)) and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert bench.cache.is_whole(make_label("m", 1))
+    assert engine.loads == []
+    assert bench.origin.sent == 0
+
+
+def test_staged_chunks_of_an_earlier_process_are_not_fetched_again(benches):
+    engine = Engine()
+    engine.staged = whole(1) | {3: b"foreign"}
+    del engine.staged[5]
+    bench = benches(engine)
+    bench.wait_for(1)
+    assert bench.origin.sent == 2
+    assert engine.loads == [whole(1)]
+
+
+def test_a_chunk_that_rots_in_the_staging_area_is_never_loaded(benches):
+    engine = Engine()
+    engine.rotting = {0, 4, 7}
+    benches(engine).wait_for(1)
+    assert engine.loads == [whole(1)]
+
+
+def test_a_chunk_that_the_origin_spoils_is_fetched_again(benches, monkeypatch):
+    monkeypatch.setattr("hibiscustray.weights.transfer.ORIGIN_CORRUPT_RETRY_S", 0.05)
+    engine = Engine()
+    engine.is_absent = True
+    bench = benches(engine)
+    bench.origin.spoils = {2, 9}
+    engine.is_absent = False
+    bench.wait_for(1)
+    assert engine.loads == [whole(1)]
+
+
+def test_an_order_that_conflicts_is_given_again_with_a_fresh_count(benches):
+    engine = Engine()
+    engine.conflicts = 2
+    benches(engine).wait_for(1)
+    assert engine.loads == [whole(1)]
+
+
+def test_an_engine_that_restarts_empty_is_loaded_again_without_the_origin(benches):
+    engine = Engine()
+    bench = benches(engine)
+    bench.wait_for(1)
+    sent = bench.origin.sent
+    engine.is_absent = True
+    time.sleep(0.1)
+    engine.version, engine.order_count, engine.staged = 0, 0, {}
+    engine.is_absent = False
+    bench.wait_for(1)
+    assert bench.origin.sent == sent
+    assert engine.loads == [whole(1), whole(1)]
+
+
+def test_an_origin_that_is_away_is_waited_for(benches):
+    engine = Engine()
+    bench = benches(engine)
+    bench.origin.is_down = True
+    bench.wait_for(1) if engine.version else time.sleep(0.2)
+    bench.origin.is_down = False
+    bench.wait_for(1)
+
+
+def test_a_newer_version_overtakes_a_transfer_that_has_hardly_begun(benches):
+    engine = Engine(version=1)
+    engine.staged = whole(1)
+    bench = benches(engine)
+    gate = threading.Event()
+    read = bench.origin.read_range
+
+    def read_slowly(path: str, start: int, length: int) -> bytes:
+        if path.endswith("?2"):
+            gate.wait(2.0)
+        return read(path, start, length)
+
+    bench.origin.read_range = read_slowly
+    bench.name(2)
+    time.sleep(0.1)
+    bench.name(3)
+    gate.set()
+    bench.wait_for(3)
+    assert engine.loads == [whole(3)]
--- /dev/null
+++ b/tests/catalog/test_catalog.py
@@ -0,0 +1,70 @@
+"""Routes by host and longest prefix, revisions that never go back, versions and their bounds."""
+
+from __future__ import annotations
+
+import time
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscustray.catalog import (
+    Catalog,
+    CatalogHolder,
+    Route,
+    RouteKind,
+    ServiceShare,
+    VersionBook,
+    WeightsVersion,
+)
+
+PARTS = st.lists(st.sampled_from(["a", "b", "ab"]), max_size=4)
+
+
+def make_route(prefix: str, host: str = "h") -> Route:
+    return Route(prefix, host, prefix, RouteKind.IDEMPOTENT, (ServiceShare("s"),), 1.0, 0.1)
+
+
+def join(parts: list[str]) -> str:
+    return "/" + "".join(f"{part}/" for part in parts)
+
+
+@given(st.lists(PARTS, max_size=8), PARTS, st.sampled_from(["", "x"]))
+def test_the_route_found_is_the_longest_that_begins_the_path(prefixes, parts, rest):
+    routes = tuple(make_route(join(prefix)) for prefix in prefixes)
+    path = join(parts) + rest
+    fitting = [route.prefix for route in routes if path.startswith(route.prefix)]
+    found = Catalog(1, routes).find_route("h", path)
+    assert (found.prefix if found else None) == max(fitting, key=len, default=None)
+
+
+def test_a_route_of_another_host_is_not_found():
+    assert Catalog(1, (make_route("/", "other"),)).find_route("h", "/a") is None
+
+
+@given(st.lists(st.integers(1, 9), min_size=1, max_size=9))
+def test_revisions_offered_in_any_order_never_go_back(revisions):
+    holder, seen = CatalogHolder(), []
+    holder.add_listener(lambda catalog: seen.append(catalog.revision))
+    for revision in revisions:
+        holder.offer(Catalog(revision))
+    assert seen == sorted(set(seen))
+    assert holder.current.revision == max(revisions)
+
+
+def test_a_version_is_required_once_its_bound_has_passed():
+    book = VersionBook()
+    assert book.newest("m") == 1
+    assert book.find_required("m", 0.1) == 0
+    book.note(WeightsVersion("m", 3))
+    assert book.newest("m") == 3
+    assert book.find_required("m", 0.1) == 0
+    time.sleep(0.12)
+    book.note(WeightsVersion("m", 4))
+    assert book.find_required("m", 0.1) == 3
+    assert not book.note(WeightsVersion("m", 2))
+
+
+def test_a_version_found_at_the_start_counts_as_named_long_ago():
+    book = VersionBook()
+    book.note(WeightsVersion("m", 2), is_initial=True)
+    assert book.find_required("m", 1e6) == 2
--- /dev/null
+++ b/tests/feeds/test_follower.py
@@ -0,0 +1,103 @@
+"""Following of a table through gaps, outages and entries that cannot be read."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import pytest
+
+from hibiscustray.catalog import Catalog, CatalogHolder, VersionBook, WeightsVersion
+from hibiscustray.exceptions import HistoryLost, StoreUnavailable
+from hibiscustray.feeds import (
+    CatalogPublished,
+    EntryRejected,
+    FeedFollower,
+    FeedPage,
+    OperatorListener,
+    ReplicaListed,
+    ReplicaListener,
+    ReplicaUnlisted,
+    VersionNamed,
+)
+from hibiscustray.replicas import ReplicaDirectory, ReplicaRecord, ReplicaState
+from hibiscustray.telemetry import Metrics
+
+RECORD = ReplicaRecord("i-1", "s", "10.0.0.1:80", "z", 8, ReplicaState.READY)
+
+
+class ScriptedSource:
+    """Answers calls from a script of pages and errors, then waits."""
+
+    name = "table"
+
+    def __init__(self, *script) -> None:
+        self.script = list(script)
+        self.calls: list[tuple[str, int]] = []
+        self.is_done = threading.Event()
+
+    def read(self) -> FeedPage:
+        return self._next("read", -1)
+
+    def follow(self, revision: int, wait_s: float) -> FeedPage:
+        return self._next("follow", revision)
+
+    def _next(self, kind: str, revision: int) -> FeedPage:
+        if not self.script:
+            self.is_done.set()
+            time.sleep(0.05)
+            return FeedPage((), max(0, revision))
+        self.calls.append((kind, revision))
+        step = self.script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+def follow(source: ScriptedSource, listener) -> None:
+    follower = FeedFollower(source, listener, 0.1, Metrics("test"))
+    follower.start()
+    assert source.is_done.wait(5.0)
+    follower.stop()
+
+
+def test_a_gap_in_the_history_leads_to_a_whole_read():
+    directory = ReplicaDirectory()
+    source = ScriptedSource(
+        FeedPage((ReplicaListed(RECORD),), 4), HistoryLost("gone"), FeedPage((), 9)
+    )
+    follow(source, ReplicaListener(directory))
+    assert source.calls == [("read", -1), ("follow", 4), ("read", -1)]
+    assert directory.list_ready("s") == ()
+
+
+def test_an_outage_keeps_the_place_in_the_feed():
+    directory = ReplicaDirectory()
+    source = ScriptedSource(
+        FeedPage((ReplicaListed(RECORD),), 4),
+        StoreUnavailable("down"),
+        StoreUnavailable("down"),
+        FeedPage((ReplicaUnlisted("i-1"),), 6),
+    )
+    follow(source, ReplicaListener(directory))
+    assert source.calls[1:] == [("follow", 4)] * 3
+    assert [r.id for r in directory.list_ready("s")] == ["i-1"], "kept for the grace time"
+
+
+@pytest.mark.parametrize("change", [ReplicaUnlisted("i-1"), EntryRejected("i-1", "garbage")])
+def test_an_entry_that_is_gone_or_unreadable_names_no_replica(change):
+    directory = ReplicaDirectory()
+    source = ScriptedSource(FeedPage((ReplicaListed(RECORD),), 4), FeedPage((change,), 5))
+    follow(source, ReplicaListener(directory))
+    assert directory.list_ready("s") == ()
+
+
+def test_versions_of_the_first_read_are_old_and_later_ones_new():
+    catalogs, versions, noticed = CatalogHolder(), VersionBook(), []
+    first = FeedPage((CatalogPublished(Catalog(3)), VersionNamed(WeightsVersion("m", 2))), 4)
+    later = FeedPage((VersionNamed(WeightsVersion("m", 5)),), 6)
+    listener = OperatorListener(catalogs, versions, lambda: noticed.append(versions.newest("m")))
+    follow(ScriptedSource(first, later), listener)
+    assert catalogs.current.revision == 3
+    assert noticed == [2, 5]
+    assert versions.find_required("m", 1e6) == 2
--- /dev/null
+++ b/tests/gateway/test_events.py
@@ -0,0 +1,41 @@
+"""Splitting of event streams at any boundaries of blocks."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscustray.gateway.events import LARGEST_EVENT_B, EventSplitter, read_event_id
+
+EVENTS = st.lists(st.integers(1, 999), max_size=6).map(
+    lambda ids: [f"id: {n}\ndata: {'x' * (n % 7)}\n\n".encode() for n in ids]
+)
+
+
+@given(EVENTS, st.binary(max_size=5).filter(lambda b: b"\n" not in b), st.data())
+def test_whole_events_come_out_however_the_bytes_are_cut(events, rest, data):
+    text, splitter, seen = b"".join(events) + rest, EventSplitter(), []
+    while text:
+        size = data.draw(st.integers(1, len(text)))
+        seen.extend(splitter.add(text[:size]))
+        text = text[size:]
+    assert seen == events
+    assert splitter.has_rest is bool(rest.strip())
+
+
+@pytest.mark.parametrize(
+    ("event", "event_id"),
+    [
+        (b"id: 7\ndata: a\n\n", "7"),
+        (b"x-version: 2\nid:8\ndata: a\n\n", "8"),
+        (b"data: id: 9\n\n", ""),
+    ],
+)
+def test_the_id_of_an_event_is_read(event, event_id):
+    assert read_event_id(event) == event_id
+
+
+def test_an_endless_event_is_given_up():
+    with pytest.raises(ValueError, match="an event is over"):
+        list(EventSplitter().add(b"x" * (LARGEST_EVENT_B + 1)))
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -19,6 +19,7 @@
     HostedSettings,
     HostedStore,
 )
+from hibiscustray.telemetry import Metrics
 from tests.platform.standins import (
     ATTEMPT,
     HOST,
@@ -120,7 +121,7 @@
         entry=HostedEntry(f"127.0.0.1:{_free_port()}", f"127.0.0.1:{_free_port()}", threads=16),
         bounds=HostedBounds(version_ms=1000.0, grace_s=3.0),
     )
-    process = build_hosted_entry(settings)
+    process = build_hosted_entry(settings, Metrics("edge-1"))
     process.start()
     site = HostedSite(store, settings, process)
     try:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -175,7 +175,7 @@
 
     def __post_init__(self) -> None:
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
     def entry(self, **changes) -> dict:
--- /dev/null
+++ b/tests/replicas/test_directory.py
@@ -0,0 +1,74 @@
+"""The list of replicas through changes, outages and gaps."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from hibiscustray.replicas import LayerSpan, ReplicaDirectory, ReplicaRecord, ReplicaState
+from hibiscustray.replicas import directory as directory_module
+
+READY = ReplicaRecord("i-1", "s", "10.0.0.1:80", "z", 8, ReplicaState.READY, born_ms=1)
+
+
+@pytest.fixture
+def directory(monkeypatch):
+    monkeypatch.setattr(directory_module.time, "monotonic", lambda: CLOCK["now"])
+    CLOCK["now"] = 100.0
+    built = ReplicaDirectory()
+    built.replace([READY])
+    return built
+
+
+CLOCK = {"now": 100.0}
+
+
+def list_ids(directory: ReplicaDirectory) -> list[str]:
+    return [record.id for record in directory.list_ready("s")]
+
+
+def test_a_draining_replica_takes_no_new_requests_but_is_still_known(directory):
+    directory.update(dataclasses.replace(READY, state=ReplicaState.DRAINING))
+    assert list_ids(directory) == []
+    assert directory.get("i-1") is not None
+
+
+def test_a_removal_in_quiet_times_holds_at_once(directory):
+    directory.remove("i-1")
+    assert list_ids(directory) == []
+
+
+def test_a_removal_during_an_outage_is_believed_two_seconds_after_it(directory):
+    directory.note_lost()
+    directory.replace([])
+    assert list_ids(directory) == ["i-1"]
+    directory.note_regained()
+    CLOCK["now"] += 1.9
+    assert list_ids(directory) == ["i-1"]
+    CLOCK["now"] += 0.2
+    assert list_ids(directory) == []
+
+
+def test_a_replica_that_is_back_after_an_outage_stays(directory):
+    directory.note_lost()
+    directory.note_regained()
+    directory.remove("i-1")
+    directory.update(READY)
+    CLOCK["now"] += 5.0
+    assert list_ids(directory) == ["i-1"]
+
+
+def test_a_replica_that_drains_during_an_outage_is_left_at_once(directory):
+    directory.note_lost()
+    directory.update(dataclasses.replace(READY, state=ReplicaState.DRAINING))
+    assert list_ids(directory) == []
+
+
+@pytest.mark.parametrize(
+    ("span", "is_whole"),
+    [((0, 16), True), ((0, 8), False), ((8, 16), False), ((0, 0), False), ((0, 20), True)],
+)
+def test_layers_must_all_be_there(span, is_whole):
+    record = dataclasses.replace(READY, layers=LayerSpan(*span, version=1))
+    assert record.holds_layers(16) is is_whole
