Takes out serving from two halves; gives up requests that a version's bound would overtake

Halves: an engine was given half its layers first and two served together until whole. A pair has the slots of one engine, and the whole version follows a second later, so nothing is gained: reverted. The switch is now 0.8 s before the bound, and a request without a first byte 0.15 s before it is given up and tried elsewhere. Ruled out: a wider switch alone, since slow replicas queue longer.

--- a/hibiscustray/agent/interface.py
+++ b/hibiscustray/agent/interface.py
@@ -28,12 +28,13 @@
     waiting: int
     born_ms: int
 
-    def find_span(self, model: str, layers: int) -> LayerSpan | None:
-        """Return the layers of a model that the engine holds, None for none."""
+    def find_version(self, model: str) -> int:
+        """Return the version of a model that the engine holds, 0 for none."""
         version = next((m.version for m in self.models if m.name == model), 0)
         if self.layers is None:
-            return LayerSpan(0, layers, version) if version else None
-        return self.layers if self.layers.end > self.layers.first else None
+            return version
+        is_empty = self.layers.end <= self.layers.first
+        return 0 if is_empty or self.layers.version != version else version
 
 
 @dataclass(frozen=True)
@@ -84,7 +85,7 @@
         ...
 
     def order_load(
-        self, model: str, span: LayerSpan, mode: LoadMode, order_count: int, fencing: int
+        self, model: str, version: int, mode: LoadMode, order_count: int, fencing: int
     ) -> OrderOutcome:
-        """Order the engine to load some layers of what is staged."""
+        """Order the engine to load what is staged."""
         ...
--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -6,8 +6,6 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor, wait
-from functools import partial
 
 from hibiscustray.agent.interface import (
     EngineReport,
@@ -18,12 +16,6 @@
     OrderRejected,
     StagingEngine,
 )
-from hibiscustray.agent.spans import (
-    choose_first_span,
-    choose_wave,
-    find_chunks,
-    is_partner,
-)
 from hibiscustray.catalog import CatalogHolder, VersionBook
 from hibiscustray.exceptions import (
     ChunkCorrupt,
@@ -35,7 +27,6 @@
     TransferOvertaken,
     UpstreamError,
 )
-from hibiscustray.replicas import LayerSpan
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights import Carriers, Transfer, TransferEnvironment, TransferOrder
 from hibiscustray.weights.cache import list_chunks
@@ -48,11 +39,6 @@
 FAILURE_PAUSE_S = 0.3
 ORDER_PATIENCE_S = 12.0
 """Time for an order to end: the requests that run, then the load itself."""
-PART_INTERVAL_S = 0.05
-"""Interval at which a transfer is checked for a half that can be loaded."""
-WAVE_LEADS_S = (2.6, 1.7)
-"""Time before the bound at which each wave of engines changes its weights: the requests that run
-take up to two seconds to end, and the other wave serves meanwhile."""
 STAGING_INTERVAL_S = 0.1
 """Interval at which chunks that have come are put into the staging area."""
 FINISH_SHARE = 0.6
@@ -113,7 +99,6 @@
         engine: StagingEngine,
         environment: TransferEnvironment,
         metrics: Metrics,
-        bound_s: float,
     ) -> None:
         self._service = service
         self._catalogs = catalogs
@@ -121,8 +106,6 @@
         self._engine = engine
         self._environment = environment
         self._metrics = metrics
-        self._bound_s = bound_s
-        self._own_host = environment.view.own.id
         self._transfer: Transfer | None = None
         self._is_present: bool | None = None
         self._failure = ""
@@ -174,71 +157,19 @@
 
     def _follow(self) -> None:
         catalog = self._catalogs.current
-        service = catalog.services.get(self._service) if catalog is not None else None
-        if service is None or service.engine is None:
+        if catalog is None:
             return
         report = self._read_report()
-        layers = service.engine.layers
-        for model in service.engine.models:
+        for model in catalog.find_models(self._service):
             version = self._versions.newest(model)
+            held = report.find_version(model) if report is not None else 0
             if report is not None:
                 self._recover_cache(model, version)
-            span = report.find_span(model, layers) if report is not None else None
-            if span == LayerSpan(0, layers, version):
+            if report is not None and held == version:
                 continue
-            self._bring(model, version, layers, report is not None)
-
-    def _bring(self, model: str, version: int, layers: int, is_present: bool) -> None:
-        """Fetch a version and have its layers loaded: one half as soon as it is here, then all."""
-        label = make_label(model, version)
-        cache = self._environment.cache
-        with ThreadPoolExecutor(1, thread_name_prefix="fetch") as pool:
-            fetched = pool.submit(self._fetch, model, version, layers, is_present)
-            try:
-                while is_present and not fetched.done():
-                    wait([fetched], timeout=PART_INTERVAL_S)
-                    manifest = cache.manifest(label)
-                    if manifest is not None and not cache.is_whole(label):
-                        self._load_first_half(model, version, layers, manifest)
-            except UpstreamError as error:
-                log.info("engine not ordered", extra={"reason": str(error)[:200]})
-            manifest = fetched.result()
-        if is_present:
-            self._load_whole(model, version, layers, manifest)
-
-    def _load_first_half(self, model: str, version: int, layers: int, manifest: Manifest) -> None:
-        """Order the first half once its chunks are here, if a partner can serve the other."""
-        span = choose_first_span(self._own_host, layers, version)
-        chunks = find_chunks(span, layers, manifest.count)
-        if chunks & ~self._environment.cache.held(make_label(model, version)):
-            return
-        if not self._has_partner():
-            return
-        report = self._engine.read_report()
-        held = report.find_span(model, layers)
-        if report.is_loading or (held is not None and held.version == version):
-            return
-        if held is not None and self._must_wait(model, held, layers):
-            return
-        self._load(model, span, layers, manifest)
-
-    def _must_wait(self, model: str, held: LayerSpan, layers: int) -> bool:
-        """Tell whether the engine still serves an older version and its wave has not come."""
-        is_whole = held.first == 0 and held.end >= layers
-        is_usable = held.version >= self._versions.find_required(model, self._bound_s)
-        lead_s = WAVE_LEADS_S[choose_wave(self._own_host)]
-        return is_whole and is_usable and self._versions.age_s(model) < self._bound_s - lead_s
-
-    def _has_partner(self) -> bool:
-        others = self._environment.view.replicas(self._service)
-        return any(is_partner(self._own_host, member.id) for member in others)
-
-    def _load_whole(self, model: str, version: int, layers: int, manifest: Manifest) -> None:
-        """Order all layers; an engine that holds some of the version goes on serving them."""
-        report = self._engine.read_report()
-        wanted = LayerSpan(0, layers, version)
-        if report.find_span(model, layers) != wanted and not report.is_loading:
-            self._load(model, wanted, layers, manifest)
+            manifest = self._fetch(model, version, report is not None)
+            if report is not None and not report.is_loading:
+                self._load(model, version, manifest)
 
     def _read_report(self) -> EngineReport | None:
         """Return the engine's report, None while there is no engine."""
@@ -279,7 +210,7 @@
             extra={"version": label, "chunks": cache.held(label).bit_count()},
         )
 
-    def _fetch(self, model: str, version: int, layers: int, is_staged: bool) -> Manifest:
+    def _fetch(self, model: str, version: int, is_staged: bool) -> Manifest:
         """Bring a version into the cache, and into the staging area as its chunks come.
 
         Staged chunks outlive this process. Raises `TransferOvertaken` if another is wanted.
@@ -291,8 +222,7 @@
             assert manifest is not None
             return manifest
         started = time.monotonic()
-        find_first = partial(self._find_first_chunks, model, version, layers)
-        order = TransferOrder(label, Carriers(self._service), find_first=find_first)
+        order = TransferOrder(label, Carriers(self._service))
         self._transfer = transfer = Transfer(self._environment, order)
         log.info("transfer started", extra={"version": label})
         try:
@@ -327,29 +257,23 @@
 
         threading.Thread(target=stage_arrivals, name="staging", daemon=True).start()
 
-    def _find_first_chunks(self, model: str, version: int, layers: int, host: str) -> int:
-        """Return the mask of the chunks that the agent at an address fetches first."""
-        manifest = self._environment.cache.manifest(make_label(model, version))
-        if manifest is None:
-            return 0
-        return find_chunks(choose_first_span(host, layers, version), layers, manifest.count)
-
-    def _load(self, model: str, span: LayerSpan, layers: int, manifest: Manifest) -> None:
-        label = make_label(model, span.version)
-        chunks = list_chunks(find_chunks(span, layers, manifest.count))
-        checked_at = self._stage(model, label, manifest, chunks)
+    def _load(self, model: str, version: int, manifest: Manifest) -> None:
+        label = make_label(model, version)
+        checked_at = self._stage(model, label, manifest)
         report = self._engine.read_report()
-        if report.is_loading or time.monotonic() - checked_at > VERIFICATION_LIFE_S:
+        if report.find_version(model) == version or report.is_loading:
+            return
+        if time.monotonic() - checked_at > VERIFICATION_LIFE_S:
             return
         outcome = self._engine.order_load(
-            model, span, LoadMode.FINISH_RUNNING, report.order_count, span.version
+            model, version, LoadMode.FINISH_RUNNING, report.order_count, version
         )
         self._metrics.count("orders_total", {"outcome": type(outcome).__name__})
         log.info(
             "load ordered",
             extra={
                 "version": label,
-                "layers": f"{span.first}-{span.end}",
+                "held": report.find_version(model),
                 "order_count": report.order_count,
                 "running": report.running,
                 "outcome": type(outcome).__name__,
@@ -358,19 +282,19 @@
         )
         match outcome:
             case OrderAccepted() | OrderInForce():
-                self._await_load(model, span, layers)
+                self._await_load(model, version)
             case OrderConflict() | OrderRejected():
                 self._stopping.wait(FAILURE_PAUSE_S)
 
-    def _stage(self, model: str, label: str, manifest: Manifest, chunks: list[int]) -> float:
-        """Put chunks into the staging area, read them back, and return when that began."""
+    def _stage(self, model: str, label: str, manifest: Manifest) -> float:
+        """Put all chunks into the staging area, read them back, and return when that began."""
         cache = self._environment.cache
         staged = self._engine.list_staged(model)
-        for index in chunks:
+        for index in range(manifest.count):
             if index not in staged or not self._is_staged_whole(model, index, manifest):
                 self._engine.stage(model, index, cache.get(label, index))
         checked_at = time.monotonic()
-        for index in chunks:
+        for index in range(manifest.count):
             if not self._is_staged_whole(model, index, manifest):
                 self._metrics.count("staged_chunks_rejected_total")
                 self._engine.stage(model, index, cache.get(label, index))
@@ -384,17 +308,15 @@
             return False
         return True
 
-    def _await_load(self, model: str, span: LayerSpan, layers: int) -> None:
+    def _await_load(self, model: str, version: int) -> None:
         deadline = time.monotonic() + ORDER_PATIENCE_S
         while not self._stopping.is_set() and time.monotonic() < deadline:
             report = self._engine.read_report()
-            held = report.find_span(model, layers)
-            if held is not None and held.version == span.version and _covers(held, span):
+            if report.find_version(model) == version:
                 log.info(
                     "weights in service",
                     extra={
-                        "version": make_label(model, span.version),
-                        "layers": f"{held.first}-{held.end}",
+                        "version": make_label(model, version),
                         "named_s_ago": round(min(self._versions.age_s(model), 9999.0), 3),
                     },
                 )
@@ -409,7 +331,3 @@
         if kind != self._failure:
             log.warning("weights not loaded", extra={"kind": kind, "reason": str(error)[:200]})
         self._failure = kind
-
-
-def _covers(held: LayerSpan, span: LayerSpan) -> bool:
-    return held.first <= span.first and held.end >= span.end
--- a/hibiscustray/catalog/versions.py
+++ b/hibiscustray/catalog/versions.py
@@ -56,6 +56,13 @@
         known = self._named.get(model)
         return time.monotonic() - known[-1][1] if known else float("inf")
 
+    def find_time_left(self, model: str, held: int, bound_s: float) -> float:
+        """Return the seconds until a version newer than the one held is required, else infinite."""
+        now = time.monotonic()
+        with self._lock:
+            ages = [now - at for version, at in self._named.get(model, ()) if version > held]
+        return bound_s - max(ages) if ages else float("inf")
+
     def find_required(self, model: str, bound_s: float) -> int:
         """Return the oldest version that requests may still begin on, 0 if any will do."""
         limit = time.monotonic() - bound_s
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -386,7 +386,6 @@
         PlatformEngine(settings.upstream.address),
         environment,
         metrics,
-        settings.bounds.version_ms / MS_PER_S,
     )
     stager_slot.append(stager)
     return HostedAgentProcess(
--- a/hibiscustray/entry/watchdog.py
+++ b/hibiscustray/entry/watchdog.py
@@ -50,6 +50,10 @@
         """Tell whether the call was cancelled, for whatever reason."""
         return self._is_cut
 
+    def allow_silence(self, seconds: float) -> None:
+        """Cancel after this much silence from now on."""
+        self._silence_limit_s = seconds
+
     def set_cancel(self, cancel: Callable[[], None]) -> None:
         """Cancel by another function from now on, as once a connection is open."""
         self._cancel = cancel
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -66,7 +66,7 @@
     """One attempt of a request at one replica.
 
     `required_version` is the version that the replica must answer with, 0 for any; `urgency` runs
-    from 0, the most urgent, to 9. `partner` runs the layers that the replica lacks.
+    from 0, the most urgent, to 9.
     """
 
     inbound: InboundRequest
@@ -76,7 +76,6 @@
     required_version: int = 0
     urgency: int | None = None
     resume_after: str = ""
-    partner: ReplicaRecord | None = None
 
 
 class ReplicaAnswer(Protocol):
--- a/hibiscustray/gateway/relay.py
+++ b/hibiscustray/gateway/relay.py
@@ -49,6 +49,9 @@
 """Silence before an answer's first byte after which a repeatable request is tried elsewhere."""
 STREAM_SILENCE_S = 1.2
 """Gap in a stream after which it is resumed elsewhere; callers give up after two seconds."""
+BOUND_MARGIN_S = 0.15
+"""Time before a version's bound at which a request that has not begun is given up."""
+LEAST_SILENCE_S = 0.1
 NEVER_SILENT_S = 3600.0
 DEADLINE_MARGIN_S = 0.02
 """Time kept for the way back to the caller."""
@@ -72,7 +75,7 @@
     """Bounds given by the platform: time for new weights, in seconds."""
 
     version_bound_s: float = 8.0
-    version_margin_s: float = 0.6
+    version_margin_s: float = 0.8
 
     @property
     def version_switch_s(self) -> float:
@@ -345,7 +348,7 @@
                 self._log_end(job, "cut", events=broken.count, detail=placed.reason.value)
                 raise UpstreamConnectionLost("stream cut: no replica to resume at")
             run = _StreamRun(self, job, placed, broken.last_id)
-            run.count, run.last_id = broken.count, broken.last_id
+            run.continue_from(broken)
             outcome_or_none = run.open()
             if outcome_or_none is None and run.reply is not None and run.reply.status != 200:
                 outcome_or_none = MaybeRun(f"status {run.reply.status} to a resumption")
@@ -393,7 +396,6 @@
             self._find_required(model),
             URGENCY_LATE if is_late else None,
             resume_after or job.inbound.resume_after,
-            placed.partner,
         )
         job.sends += 1
         job.excluded.add(placed.replica.id)
@@ -430,6 +432,19 @@
         job.trail.append(f"{placed.replica.id}:refused-{reply.status}")
         self._metrics.count("attempts_refused_total", {"service": job.service.name})
 
+    def _find_first_silence(self, job: _Job, placed: Placed) -> float:
+        """Return how long to wait for the first byte of an answer.
+
+        A request that has not begun when the bound of a newer version passes must not begin on the
+        older one, so it is given up just before.
+        """
+        if job.inbound.generation is None:
+            return FIRST_BYTE_SILENCE_S
+        model = job.inbound.generation.model
+        held = placed.replica.find_version(model)
+        left_s = self._versions.find_time_left(model, held, self.limits.version_bound_s)
+        return max(LEAST_SILENCE_S, min(FIRST_BYTE_SILENCE_S, left_s - BOUND_MARGIN_S))
+
     def _watch(self, job: _Job, silence_s: float) -> Watch:
         return self._watchdog.watch(lambda: None, job.deadline, silence_s, job.inbound.is_abandoned)
 
@@ -582,7 +597,7 @@
         self._placed = placed
         self._resume_after = resume_after
         self._splitter = EventSplitter()
-        self._watch = relay._watch(job, FIRST_BYTE_SILENCE_S)
+        self._watch = relay._watch(job, relay._find_first_silence(job, placed))
         self._is_settled = False
 
     def open(self) -> Outcome | None:
@@ -645,8 +660,13 @@
         self._relay._placer.finish(self._placed, self.job.service)
         return events, None
 
+    def continue_from(self, broken: _StreamRun) -> None:
+        """Go on behind the events that a broken run gave."""
+        self.count, self.last_id = broken.count, broken.last_id
+
     def note_event(self, event: bytes) -> None:
         """Note an event that is passed on."""
+        self._watch.allow_silence(STREAM_SILENCE_S)
         self.count += 1
         self.last_id = read_event_id(event) or self.last_id
 
--- a/hibiscustray/placement/flight.py
+++ b/hibiscustray/placement/flight.py
@@ -4,8 +4,6 @@
 
 from dataclasses import dataclass
 
-from hibiscustray.replicas import ReplicaRecord
-
 
 @dataclass(frozen=True)
 class Demand:
@@ -32,14 +30,10 @@
 
 @dataclass(eq=False)
 class Flight:
-    """A request of this entry at a replica; `first_at` is when its answer began.
-
-    `partner` runs the layers that the replica lacks, None where it holds all.
-    """
+    """A request of this entry at a replica; `first_at` is when its answer began."""
 
     replica_id: str
     demand: Demand
     started_at: float
     predicted_s: float
     first_at: float | None = None
-    partner: ReplicaRecord | None = None
--- a/hibiscustray/placement/load.py
+++ b/hibiscustray/placement/load.py
@@ -25,8 +25,6 @@
 
     def __init__(self) -> None:
         self.flights: list[Flight] = []
-        self.supported = 0
-        """Own requests of other replicas that pass through this one's layers."""
         self._others = 0.0
         self._others_waiting = 0.0
         self._read_at = float("-inf")
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -39,8 +39,6 @@
 """Time by which a full replica counts as worse than an empty one, so that slots fill evenly."""
 FAILURE_COST_S = 1.0
 """Time that a failed attempt costs a caller; weighs a replica's share of failures."""
-FAR_PARTNER_REQUESTS = 4
-"""Requests by which a partner in another region counts as more loaded: each token crosses over."""
 DEFAULT_SLOTS = 8
 PLAIN_WORK_S = 0.05
 """Time of a plain call until the first is measured."""
@@ -78,11 +76,6 @@
     reading_age_s: float
     candidates: int
 
-    @property
-    def partner(self) -> ReplicaRecord | None:
-        """Return the replica that runs the layers that the chosen one lacks."""
-        return self.flight.partner
-
 
 @dataclass(frozen=True)
 class _Option:
@@ -95,7 +88,6 @@
     cost_s: float
     outstanding: float
     slots: int
-    partner: ReplicaRecord | None = None
 
     @property
     def fill(self) -> float:
@@ -139,10 +131,8 @@
             reason = _find_reason(best, demand, service.engine)
             if reason is not None:
                 return self._refuse(reason, best, demand, options)
-            flight = Flight(best.replica.id, demand, now, best.first_s, partner=best.partner)
+            flight = Flight(best.replica.id, demand, now, best.first_s)
             best.load.flights.append(flight)
-            if best.partner is not None:
-                self._load(best.partner).supported += 1
         return Placed(
             best.replica, flight, best.outstanding, best.load.reading_age(now), len(options)
         )
@@ -207,52 +197,23 @@
         replicas = [
             replica
             for replica in self._directory.list_ready(service.name)
-            if replica.id not in excluded and not self._load(replica).is_paused(now)
+            if replica.id not in excluded and self._can_serve(replica, service, model)
         ]
+        current = [r for r in replicas if self._find_version(r, model) >= required_version]
+        rested = [r for r in current if not self._load(r).is_paused(now)]
+        return [self._rate(replica, service, demand, now) for replica in rested]
+
+    def _can_serve(self, replica: ReplicaRecord, service: ServiceEntry, model: str) -> bool:
         if service.engine is None or not model:
-            return [self._rate(replica, service, demand, now) for replica in replicas]
-        layers = service.engine.layers
-        current = [r for r in replicas if self._find_version(r, model) >= max(1, required_version)]
-        options = []
-        for replica in current:
-            if replica.holds_layers(layers):
-                options.append(self._rate(replica, service, demand, now))
-            elif replica.layers is not None and replica.layers.first == 0 < replica.layers.end:
-                partner = self._find_partner(replica, current, layers)
-                if partner is not None:
-                    options.append(self._rate(replica, service, demand, now, partner))
-        return options
-
-    def _find_partner(
-        self, first: ReplicaRecord, replicas: list[ReplicaRecord], layers: int
-    ) -> ReplicaRecord | None:
-        """Return the replica that runs the layers that another lacks, the least used nearby."""
-        fitting = [replica for replica in replicas if replica.continues(first, layers)]
-        if not fitting:
-            return None
-
-        def rank(replica: ReplicaRecord) -> tuple[float, float]:
-            load = self._load(replica)
-            is_far = self._region(replica) != self._region(first)
-            return load.supported + len(load.flights) + FAR_PARTNER_REQUESTS * is_far, load.pace
-
-        return min(fitting, key=rank)
-
-    def _region(self, replica: ReplicaRecord) -> str:
-        return self._regions.get(replica.availability_zone, "")
+            return True
+        holds = replica.find_version(model) > 0 or self._load(replica).version > 0
+        return holds and replica.holds_layers(service.engine.layers)
 
     def _find_version(self, replica: ReplicaRecord, model: str) -> int:
-        if replica.layers is not None and not replica.layers.end:
-            return 0
         return max(replica.find_version(model), self._load(replica).version)
 
     def _rate(
-        self,
-        replica: ReplicaRecord,
-        service: ServiceEntry,
-        demand: Demand,
-        now: float,
-        partner: ReplicaRecord | None = None,
+        self, replica: ReplicaRecord, service: ServiceEntry, demand: Demand, now: float
     ) -> _Option:
         load = self._load(replica)
         outstanding = load.count(now)
@@ -276,7 +237,7 @@
         cost_s = first_s * self._random.uniform(1 - JITTER, 1 + JITTER)
         cost_s += load.failure_share(now) * FAILURE_COST_S + replica.warmup_left_s
         cost_s += self._distance(replica) + FILL_COST_S * outstanding / slots
-        return _Option(replica, load, first_s, queue_s, cost_s, outstanding, slots, partner)
+        return _Option(replica, load, first_s, queue_s, cost_s, outstanding, slots)
 
     def _plain_wait(self, service: ServiceEntry, outstanding: float, slots: int) -> float:
         work_s = self._plain_work_s.get(service.name, PLAIN_WORK_S)
@@ -309,13 +270,10 @@
             load = self._loads[key] = ReplicaLoad()
         return load
 
-    def _end(self, load: ReplicaLoad, flight: Flight) -> None:
-        if flight not in load.flights:
-            return
-        load.flights.remove(flight)
-        if flight.partner is not None:
-            partner = self._load(flight.partner)
-            partner.supported = max(0, partner.supported - 1)
+    @staticmethod
+    def _end(load: ReplicaLoad, flight: Flight) -> None:
+        if flight in load.flights:
+            load.flights.remove(flight)
 
 
 def _find_reason(
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -21,7 +21,7 @@
     STAGE_GET_PATH,
     STAGE_PUT_PATH,
 )
-from hibiscustray.replicas import LayerSpan, ServedModel
+from hibiscustray.replicas import ServedModel
 from hibiscustray.web import HttpClient, HttpReply
 
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -81,15 +81,13 @@
         _check(self._call("PUT", f"{STAGE_PUT_PATH}{model}?num={index}", data))
 
     def order_load(
-        self, model: str, span: LayerSpan, mode: LoadMode, order_count: int, fencing: int
+        self, model: str, version: int, mode: LoadMode, order_count: int, fencing: int
     ) -> OrderOutcome:
-        """Order the engine to load staged layers, if its count of orders is as expected."""
+        """Order the engine to load what is staged, if its count of orders is as expected."""
         body = {
             "operation": "start",
             "model": model,
-            "version": span.version,
-            "rangeStart": span.first,
-            "target": span.end,
+            "version": version,
             "mode": MODES[mode],
             "precondition": order_count,
             "fence": fencing,
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -13,7 +13,6 @@
     LAST_EVENT_ID,
     MS_PER_S,
     NOT_RUN,
-    PIPELINE,
     PROOF,
     REPLICA_LOAD,
     TEAM,
@@ -21,7 +20,6 @@
     URGENCY,
     VERSIONS,
 )
-from hibiscustray.replicas import ReplicaRecord
 from hibiscustray.web import HttpClient, HttpStream
 
 MISPLACED = 421
@@ -113,20 +111,11 @@
         headers[EXPECTED_VERSION] = str(outbound.required_version)
     if outbound.urgency is not None:
         headers[URGENCY] = str(outbound.urgency)
-    if outbound.partner is not None:
-        headers[PIPELINE] = _describe_pipeline(outbound.replica, outbound.partner)
     if outbound.resume_after:
         headers[LAST_EVENT_ID] = outbound.resume_after
     return headers
 
 
-def _describe_pipeline(first: ReplicaRecord, partner: ReplicaRecord) -> str:
-    """Return the replicas of a pipeline with the layers that each runs, the end excluded."""
-    assert first.layers is not None and partner.layers is not None
-    middle, end = first.layers.end, partner.layers.end
-    return f"{first.address}=0-{middle},{partner.address}={middle}-{end}"
-
-
 def _read_load(text: str) -> LoadReading | None:
     """Read running, waiting and slots; None if absent or of another form."""
     parts = text.split(",")
--- a/hibiscustray/replicas/record.py
+++ b/hibiscustray/replicas/record.py
@@ -54,14 +54,6 @@
         """Return the version of a model's weights that the replica holds, 0 for none."""
         return next((m.version for m in self.models if m.name == model), 0)
 
-    def continues(self, other: ReplicaRecord, count: int) -> bool:
-        """Tell whether this replica holds the layers that another one, from layer 0 on, lacks."""
-        own, first = self.layers, other.layers
-        if own is None or first is None or self.id == other.id:
-            return False
-        is_next = own.first <= first.end and own.end >= count
-        return is_next and own.version == first.version
-
     def holds_layers(self, count: int) -> bool:
         """Tell whether the replica holds all layers of one version."""
         if self.layers is None:
--- a/hibiscustray/weights/choice.py
+++ b/hibiscustray/weights/choice.py
@@ -5,7 +5,6 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Literal
 
@@ -61,10 +60,8 @@
         objective: Objective,
         origin_region: str,
         limits: AskLimits = AskLimits(),  # noqa: B008
-        find_first: Callable[[str], int] | None = None,
     ) -> None:
         self._limits = limits
-        self._find_first = find_first or (lambda member_id: 0)
         self._swarm = swarm
         self._own = view.own
         self._objective = objective
@@ -100,10 +97,6 @@
             self._plan()
             in_flight = self._in_flight()
             missing = self._all & ~held & ~in_flight
-            first = self._find_first(self._own.id)
-            if first & ~held:
-                # Other chunks would take bandwidth from those that are needed first.
-                missing &= first
             job = (
                 self._choose_draw(missing)
                 or self._choose_peer(missing)
@@ -135,10 +128,6 @@
         if members is self._planned_for:
             return
         ids, regions = self._region_ids(), {m.region for m in members.by_address.values()}
-        firsts = {m.id: self._find_first(m.id) for m in members.by_address.values()}
-        firsts[self._own.id] = self._find_first(self._own.id)
-        regions_of = {m.id: m.region for m in members.by_address.values()}
-        regions_of[self._own.id] = self._own.region
         is_same = self._planned_for is not None and self._plan_key == (ids, regions)
         self._planned_for = members
         if is_same:
@@ -146,23 +135,14 @@
         self._plan_key = (ids, regions)
         self._assigned = self._second = 0
         for index in range(self._swarm.count):
-            wanting = {member for member, mask in firsts.items() if mask >> index & 1}
-            drawers = [member for member in ids if member in wanting] or ids
-            if self._own.id in drawers:
-                rank = rank_drawer(self._swarm.digest, index, drawers, self._own.id)
-                self._assigned |= (rank == 0) << index
-                self._second |= (rank == 1) << index
-            early = {regions_of[member] for member in wanting}
-            self._sources[index] = self._choose_source(index, regions, early)
+            rank = rank_drawer(self._swarm.digest, index, ids, self._own.id)
+            self._assigned |= (rank == 0) << index
+            self._second |= (rank == 1) << index
+            self._sources[index] = choose_source(
+                index, regions, self._origin_region, self._own.region
+            )
         self._swarm.planned = self.planned
 
-    def _choose_source(self, index: int, regions: set[str], early: set[str]) -> str:
-        """Return the region to import a chunk from; regions that want it early come first."""
-        own = self._own.region
-        if not early or own in early:
-            return choose_source(index, early or regions, self._origin_region, own)
-        return sorted(early)[index % len(early)]
-
     def _choose_draw(self, missing: int) -> Job | None:
         available = self._swarm.find_available(self._own.region)
         wanted = list_chunks(missing & self.planned & ~available)
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -114,15 +114,11 @@
 
 @dataclass(frozen=True)
 class TransferOrder:
-    """Which version to fetch, with whom, and what to spare.
-
-    `find_first` returns the mask of the chunks that a member, by its id, fetches before all others.
-    """
+    """Which version to fetch, with whom, and what to spare."""
 
     digest: str
     carriers: Carriers
     objective: Objective = "time"
-    find_first: Callable[[str], int] | None = None
 
 
 class Transfer:
@@ -151,7 +147,6 @@
             self._order.objective,
             self._find_origin_region(),
             AskLimits(pace.requests_per_peer, pace.draws_at_once, pace.imports_at_once),
-            self._order.find_first,
         )
         run = _Run(self, self._env, manifest, swarm, chooser, on_progress)
         if not run.is_done():
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -68,3 +68,14 @@
     book = VersionBook()
     book.note(WeightsVersion("m", 2), is_initial=True)
     assert book.find_required("m", 1e6) == 2
+
+
+def test_the_time_left_for_a_held_version_ends_with_the_oldest_newer_one():
+    book = VersionBook()
+    assert book.find_time_left("m", 1, 8.0) == float("inf")
+    book.note(WeightsVersion("m", 2))
+    time.sleep(0.05)
+    book.note(WeightsVersion("m", 3))
+    assert 7.5 < book.find_time_left("m", 1, 8.0) < 7.96
+    assert 7.9 < book.find_time_left("m", 2, 8.0) <= 8.0
+    assert book.find_time_left("m", 3, 8.0) == float("inf")
--- a/tests/weights/network.py
+++ b/tests/weights/network.py
@@ -128,6 +128,9 @@
     def get(self, address: str) -> Client:
         return Client(self._network, self._own, address)
 
+    def renew(self, address: str) -> None:
+        """Open a new connection with the next call, as each call here does anyway."""
+
 
 class Client:
     """Acts as the client of one peer."""
