--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -299,6 +299,33 @@
     assert replica.received[-1].headers["x-hibiscustray-expect-version"] == "2"
 
 
+def test_a_request_that_has_not_begun_when_a_bound_passes_is_tried_on_the_new_version(site):
+    cut_at: list[float] = []
+
+    def queue_without_end(request, connection):
+        connection.settimeout(4)
+        connection.recv(1)
+        cut_at.append(time.monotonic())
+
+    site.add_replica("guide", queue_without_end)
+    answers: list[bytes] = []
+    named_at = time.monotonic()
+    site.store.put("op", "version/m", {"model": "m", "version": 2})
+    wait_until(lambda: site.process._relay._versions.newest("m") == 2)
+    caller = run_in_background(lambda: answers.append(site.draft()[1]))
+    wait_until(lambda: bool(site.replicas[0].received))
+    site.add_replica(
+        "guide",
+        stream(1, 5),
+        models=[{"name": "m", "version": 2, "adapters": []}],
+        layers={"rangeStart": 0, "target": 16, "version": 2},
+    )
+    caller.join()
+    assert answers == [EVENTS]
+    wait_until(lambda: bool(cut_at))
+    assert cut_at[0] - named_at < 1.0
+
+
 def test_a_replica_without_all_layers_gets_no_requests(site):
     site.add_replica("guide", stream(1, 5), layers={"rangeStart": 0, "target": 8, "version": 1})
     assert site.draft()[0].status == 503
