--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -28,7 +28,7 @@
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.feeds import FeedFollower, OperatorListener, ReplicaListener
-from hibiscustray.gateway import GatewayProcess, Relay, RelayLimits
+from hibiscustray.gateway import Attempts, Endings, GatewayProcess, Relay, RelayLimits
 from hibiscustray.membership import Exchange, MemberView, spread_revision
 from hibiscustray.operator import Operator, SiteStatus, read_status
 from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
@@ -309,16 +309,18 @@
         bounds.retry_share * RETRY_MARGIN, bounds.retry_slack * RETRY_MARGIN / RETRY_ENTRIES
     )
     watchdog = Watchdog(HOSTED_WATCH_TICK_S)
-    relay = Relay(
-        followed.catalogs,
+    endings = Endings(metrics)
+    attempts = Attempts(
         followed.versions,
         placer,
         PlatformReplicaCaller(),
         budgets,
         watchdog,
+        endings,
         metrics,
         RelayLimits(bounds.version_ms / MS_PER_S),
     )
+    relay = Relay(followed.catalogs, attempts, endings, budgets)
     readiness = _LateRouter()
     entry = settings.entry
     process = GatewayProcess(
--- a/hibiscustray/gateway/__init__.py
+++ b/hibiscustray/gateway/__init__.py
@@ -1,5 +1,7 @@
 """Forwarding of callers' requests to replicas, whole answers and streams."""
 
+from hibiscustray.gateway.attempts import Attempts, RelayLimits
+from hibiscustray.gateway.endings import Endings
 from hibiscustray.gateway.interface import (
     Generation,
     InboundAnswer,
@@ -9,9 +11,11 @@
     ReplicaCaller,
 )
 from hibiscustray.gateway.process import GatewayProcess
-from hibiscustray.gateway.relay import Relay, RelayLimits
+from hibiscustray.gateway.relay import Relay
 
 __all__ = [
+    "Attempts",
+    "Endings",
     "GatewayProcess",
     "Generation",
     "InboundAnswer",
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -8,7 +8,8 @@
 from hibiscustray.catalog import Catalog, CatalogHolder
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.feeds import FeedFollower
-from hibiscustray.gateway.relay import Relay, RelayLimits
+from hibiscustray.gateway.attempts import RelayLimits
+from hibiscustray.gateway.relay import Relay
 from hibiscustray.replicas import ReplicaDirectory
 from hibiscustray.settings import HostedSettings
 from hibiscustray.web import HttpServer
@@ -79,7 +80,7 @@
 
     def reload(self, settings: HostedSettings) -> None:
         """Take on changed bounds; addresses stay as they were at the start."""
-        self._relay.limits = RelayLimits(settings.bounds.version_ms / MS_PER_S)
+        self._relay.set_limits(RelayLimits(settings.bounds.version_ms / MS_PER_S))
 
     def stop(self) -> None:
         """End all servers and threads; a second call does nothing."""
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -311,7 +311,7 @@
     answers: list[bytes] = []
     named_at = time.monotonic()
     site.store.put("op", "version/m", {"model": "m", "version": 2})
-    wait_until(lambda: site.process._relay._versions.newest("m") == 2)
+    wait_until(lambda: site.process._relay._attempts._versions.newest("m") == 2)
     caller = run_in_background(lambda: answers.append(site.draft()[1]))
     wait_until(lambda: bool(site.replicas[0].received))
     site.add_replica(
