--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -108,6 +108,7 @@
         self._metrics = metrics
         self._transfer: Transfer | None = None
         self._is_present: bool | None = None
+        self._was_present = False
         self._failure = ""
         self._recovered: set[tuple[str, int]] = set()
         self._stopping = threading.Event()
@@ -160,6 +161,9 @@
         if catalog is None:
             return
         report = self._read_report()
+        if self._is_present is False and not self._was_present:
+            # A replica that starts with this VM may hold weights already.
+            return
         for model in catalog.find_models(self._service):
             version = self._versions.newest(model)
             held = report.find_version(model) if report is not None else 0
@@ -185,7 +189,7 @@
                 "engine present",
                 extra={"versions": [m.version for m in report.models], "born_ms": report.born_ms},
             )
-        self._is_present = True
+        self._is_present = self._was_present = True
         return report
 
     def _recover_cache(self, model: str, version: int) -> None:
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -402,9 +402,10 @@
     listeners = (OperatorListener(catalogs, versions, on_version), ReplicaListener(directory))
     store = PlatformStore(settings.store.address)
     feeds = (OperatorFeed(store), ReplicaFeed(store))
+    pauses = (0.0, settings.store.list_pause_s)
     followers = tuple(
-        FeedFollower(feed, listener, settings.store.wait_s, metrics)
-        for feed, listener in zip(feeds, listeners, strict=True)
+        FeedFollower(feed, listener, settings.store.wait_s, metrics, pause_s)
+        for feed, listener, pause_s in zip(feeds, listeners, pauses, strict=True)
     )
     return _Followed(catalogs, versions, directory, followers)
 
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -43,15 +43,24 @@
 
 
 class FeedFollower:
-    """Reads a table once, then its changes; after an outage or a gap it reads it again."""
+    """Reads a table once, then its changes; after an outage or a gap it reads it again.
+
+    A pause between calls lets one answer carry the changes of that time, where they may wait.
+    """
 
     def __init__(
-        self, source: FeedSource, listener: FeedListener, wait_s: float, metrics: Metrics
+        self,
+        source: FeedSource,
+        listener: FeedListener,
+        wait_s: float,
+        metrics: Metrics,
+        pause_s: float = 0.0,
     ) -> None:
         self._source = source
         self._listener = listener
         self._wait_s = wait_s
         self._metrics = metrics
+        self._pause_s = pause_s
         self._revision: int | None = None
         self._lost_at: float | None = None
         self._rejected = 0
@@ -81,6 +90,7 @@
                 pause_s = min(BACKOFF_MOST_S, pause_s * BACKOFF_FACTOR)
             else:
                 pause_s = BACKOFF_LEAST_S
+                self._stopping.wait(self._pause_s)
 
     def _advance(self) -> None:
         if self._revision is None:
--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -24,7 +24,7 @@
     Outcome,
     OutOfTime,
 )
-from hibiscustray.placement import Placed, Placer, Refusal, RefusalReason
+from hibiscustray.placement import Placed, Placer, Refusal, RefusalReason, WeightsRule
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.telemetry import Metrics
 
@@ -90,8 +90,9 @@
 
     def place(self, job: Job) -> Placed | Refusal:
         """Choose a replica for the next attempt."""
-        required = self._find_required(job)
-        placed = self.placer.place(job.service, job.demand_now(), job.model, required, job.excluded)
+        placed = self.placer.place(
+            job.service, job.demand_now(), self._find_rule(job), job.excluded
+        )
         if isinstance(placed, Placed):
             job.last_placed = placed
         return placed
@@ -195,6 +196,13 @@
             retry_after_s = SWAP_RETRY_S * self._random.uniform(1.0, 1.0 + SWAP_SPREAD)
         return self.endings.refuse(job, refusal.reason.value, retry_after_s, refusal)
 
+    def _find_rule(self, job: Job) -> WeightsRule:
+        if not job.model:
+            return WeightsRule()
+        newest = self._versions.newest(job.model)
+        left_s = self._versions.find_time_left(job.model, newest - 1, self.limits.version_bound_s)
+        return WeightsRule(job.model, self._find_required(job), newest, left_s)
+
     def _find_required(self, job: Job) -> int:
         if not job.model:
             return 0
--- a/hibiscustray/placement/__init__.py
+++ b/hibiscustray/placement/__init__.py
@@ -2,7 +2,7 @@
 
 from hibiscustray.placement.flight import Demand, Flight, LoadReading
 from hibiscustray.placement.load import ReplicaLoad
-from hibiscustray.placement.placer import Placed, Placer, Refusal, RefusalReason
+from hibiscustray.placement.placer import Placed, Placer, Refusal, RefusalReason, WeightsRule
 from hibiscustray.placement.prediction import EngineEstimate, predict_engine
 
 __all__ = [
@@ -15,5 +15,6 @@
     "Refusal",
     "RefusalReason",
     "ReplicaLoad",
+    "WeightsRule",
     "predict_engine",
 ]
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -39,6 +39,9 @@
 """Time by which a full replica counts as worse than an empty one, so that slots fill evenly."""
 FAILURE_COST_S = 1.0
 """Time that a failed attempt costs a caller; weighs a replica's share of failures."""
+REST_LEAD_S = 2.2
+"""Time before the bound of new weights from which the first wave of replicas gets no requests: the
+ones that run there take up to two seconds to end, and a load begins when they have."""
 DEFAULT_SLOTS = 8
 PLAIN_WORK_S = 0.05
 """Time of a plain call until the first is measured."""
@@ -56,6 +59,23 @@
     HOPELESS = "hopeless"
 
 
+@dataclass(frozen=True)
+class WeightsRule:
+    """Which weights a request may run on.
+
+    Replicas that hold less than `required` are not chosen. Those that hold less than `newest` may
+    be for `time_left_s` more seconds.
+    """
+
+    model: str = ""
+    required: int = 0
+    newest: int = 0
+    time_left_s: float = float("inf")
+
+
+ANY_WEIGHTS = WeightsRule()
+
+
 @dataclass(frozen=True)
 class Refusal:
     """No replica can begin a request in time; room is expected after `retry_after_s`."""
@@ -117,14 +137,13 @@
         self,
         service: ServiceEntry,
         demand: Demand,
-        model: str = "",
-        required_version: int = 0,
+        weights: WeightsRule = ANY_WEIGHTS,
         excluded: Collection[str] = (),
     ) -> Placed | Refusal:
         """Choose the replica that begins a request soonest, or refuse the request."""
         now = time.monotonic()
         with self._lock:
-            options = self._list_options(service, demand, model, required_version, excluded, now)
+            options = self._list_options(service, demand, weights, excluded, now)
             if not options:
                 return Refusal(RefusalReason.NO_REPLICA, NO_REPLICA_RETRY_S)
             best = min(options, key=lambda option: option.cost_s)
@@ -189,19 +208,30 @@
         self,
         service: ServiceEntry,
         demand: Demand,
-        model: str,
-        required_version: int,
+        weights: WeightsRule,
         excluded: Collection[str],
         now: float,
     ) -> list[_Option]:
         replicas = [
             replica
             for replica in self._directory.list_ready(service.name)
-            if replica.id not in excluded and self._can_serve(replica, service, model)
+            if replica.id not in excluded and self._can_serve(replica, service, weights.model)
         ]
-        current = [r for r in replicas if self._find_version(r, model) >= required_version]
-        rested = [r for r in current if not self._load(r).is_paused(now)]
-        return [self._rate(replica, service, demand, now) for replica in rested]
+        model = weights.model
+        current = [r for r in replicas if self._find_version(r, model) >= weights.required]
+        usable = [r for r in current if not self._load(r).is_paused(now)]
+        if weights.time_left_s < REST_LEAD_S:
+            usable = [r for r in usable if not self._is_resting(r, weights)] or usable
+        return [self._rate(replica, service, demand, now) for replica in usable]
+
+    def _is_resting(self, replica: ReplicaRecord, weights: WeightsRule) -> bool:
+        """Tell whether a replica of the first wave lets its requests end before a swap.
+
+        The wave depends on addresses alone, so that all entries leave the same replicas alone.
+        """
+        is_old = self._find_version(replica, weights.model) < weights.newest
+        number = replica.host.rpartition(".")[2]
+        return is_old and number.isdigit() and int(number) % 2 == 0
 
     def _can_serve(self, replica: ReplicaRecord, service: ServiceEntry, model: str) -> bool:
         if service.engine is None or not model:
--- a/hibiscustray/settings/hosted.py
+++ b/hibiscustray/settings/hosted.py
@@ -43,10 +43,14 @@
 
 @dataclass(frozen=True)
 class HostedStore:
-    """Address of the platform's store, and how long a wait for changes lasts."""
+    """Address of the platform's store, how long a wait for changes lasts, in seconds.
+
+    `list_pause_s` is the pause between two calls for the list of replicas.
+    """
 
     address: str
     wait_s: Positive = 2.5
+    list_pause_s: NotNegative = 0.0
 
 
 @dataclass(frozen=True)
--- a/tests/agent/test_stager.py
+++ b/tests/agent/test_stager.py
@@ -200,6 +200,18 @@
     assert engine.loads == [whole(1)]
 
 
+def test_nothing_is_fetched_for_a_replica_that_has_not_appeared(benches):
+    engine = Engine(version=1)
+    engine.staged = whole(1)
+    engine.is_absent = True
+    bench = benches(engine)
+    time.sleep(0.3)
+    engine.is_absent = False
+    time.sleep(0.3)
+    assert bench.origin.sent == 0
+    assert engine.loads == []
+
+
 def test_a_chunk_that_rots_in_the_staging_area_is_never_loaded(benches):
     engine = Engine()
     engine.rotting = {0, 4, 7}
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -15,6 +15,7 @@
     Placer,
     Refusal,
     RefusalReason,
+    WeightsRule,
 )
 from hibiscustray.placement import placer as placer_module
 from hibiscustray.replicas import (
@@ -59,7 +60,7 @@
 
 
 def place(placer: Placer, **changes):
-    return placer.place(SERVICE, Demand(977, 94, OBJECTIVE_S, **changes), "m")
+    return placer.place(SERVICE, Demand(977, 94, OBJECTIVE_S, **changes), WeightsRule("m"))
 
 
 def place_and_begin(placer: Placer) -> Placed:
@@ -134,10 +135,30 @@
     new = make_record(2, models=(ServedModel("m", 2),), layers=LayerSpan(0, 16, 2))
     placer = make_placer(old, new)
     for _ in range(6):
-        placed = placer.place(SERVICE, Demand(977, 94, OBJECTIVE_S), "m", required_version=2)
+        placed = placer.place(SERVICE, Demand(977, 94, OBJECTIVE_S), WeightsRule("m", 2))
         assert placed.replica.id == "i-2"
 
 
+def place_before_swap(placer: Placer, left_s: float) -> str:
+    rule = WeightsRule("m", required=0, newest=2, time_left_s=left_s)
+    placed = placer.place(SERVICE, Demand(977, 94, OBJECTIVE_S), rule)
+    assert isinstance(placed, Placed)
+    placer.give_back(placed)
+    return placed.replica.id
+
+
+def test_half_of_the_replicas_end_their_requests_before_a_swap_and_the_others_serve():
+    placer = make_placer(*(make_record(n) for n in range(4)))
+    assert {place_before_swap(placer, 3.0) for _ in range(40)} == {"i-0", "i-1", "i-2", "i-3"}
+    assert {place_before_swap(placer, 2.0) for _ in range(40)} == {"i-1", "i-3"}
+
+
+def test_a_replica_with_the_new_weights_or_without_others_does_not_rest():
+    new = make_record(2, models=(ServedModel("m", 2),), layers=LayerSpan(0, 16, 2))
+    assert place_before_swap(make_placer(new), 2.0) == "i-2"
+    assert place_before_swap(make_placer(make_record(2)), 2.0) == "i-2"
+
+
 def test_plain_calls_take_the_least_loaded_replica_and_then_the_nearest():
     near, far = make_record(1, "booking", slots=6), make_record(2, "booking", "x", slots=6)
     placer = make_placer(near, far)
@@ -209,7 +230,7 @@
 
     def __call__(self, prompt, output, engines, sent):
         self._learn(sent, engines)
-        placed = self.placer.place(SERVICE, Demand(prompt, output, OBJECTIVE_S), "m")
+        placed = self.placer.place(SERVICE, Demand(prompt, output, OBJECTIVE_S), WeightsRule("m"))
         if isinstance(placed, Refusal):
             return None
         self.open.append((placed, None))
