--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -158,6 +158,8 @@
                 return self.endings.note_left(job)
             case OutOfTime():
                 job.may_have_run += 1
+                if job.last_placed is not None:
+                    job.note_tried(job.last_placed, "out-of-time")
                 return self.endings.fail(job, 504, "deadline")
             case MaybeRun(detail=detail):
                 job.may_have_run += 1
--- a/hibiscustray/gateway/endings.py
+++ b/hibiscustray/gateway/endings.py
@@ -76,6 +76,11 @@
         self._log(job, "cut", events=events, reason=reason)
         self._count(job, "cut")
 
+    def note_resumed(self, job: Job) -> None:
+        """Note that a broken stream goes on at another replica."""
+        log.info("stream resumed", extra={"request": job.inbound.id, "trail": list(job.trail)})
+        self._metrics.count("streams_resumed_total", {"service": job.service.name})
+
     def note_left(self, job: Job, events: int = 0) -> InboundAnswer:
         """Note that the caller has left."""
         self._log(job, "caller-left", events=events)
--- a/hibiscustray/gateway/streams.py
+++ b/hibiscustray/gateway/streams.py
@@ -78,14 +78,15 @@
         job = broken.job
         while True:
             if self._is_final(job, broken, outcome) or not self._attempts.may_send_again(job):
-                self._cut(broken, type(outcome).__name__)
+                self._cut(broken, outcome)
             placed = self._attempts.place(job)
             if isinstance(placed, Refusal):
-                self._cut(broken, placed.reason.value)
+                self._cut(broken, placed)
             run = StreamRun(self._attempts, job, placed, broken.last_id)
             run.continue_from(broken)
             result = run.open_resumption()
             if not isinstance(result, Outcome):
+                self._attempts.endings.note_resumed(job)
                 return run, result
             outcome = result
 
@@ -99,9 +100,17 @@
                 self._attempts.endings.note_lost(job, detail)
         return not (job.route.is_resumable and broken.last_id)
 
-    def _cut(self, broken: StreamRun, reason: str) -> None:
-        self._attempts.endings.note_cut(broken.job, broken.count, reason)
-        raise UpstreamConnectionLost(f"stream cut: {reason}")
+    def _cut(self, broken: StreamRun, cause: Outcome | Refusal) -> None:
+        """End a stream that cannot go on; raise `UpstreamConnectionLost`."""
+        endings = self._attempts.endings
+        match cause:
+            case Abandoned():
+                endings.note_left(broken.job, broken.count)
+            case Refusal(reason=reason):
+                endings.note_cut(broken.job, broken.count, reason.value)
+            case _:
+                endings.note_cut(broken.job, broken.count, str(cause))
+        raise UpstreamConnectionLost(f"stream cut: {cause}")
 
 
 class StreamRun:
