Outlives unexpected failures in feeds and the stager; serves routes of an unknown kind

Cause, found on reading: an error that is no failure of the platform ended the thread of a feed or of the stager for good, and one route of a kind that we do not know made the whole configuration unreadable. Ruled out: more types in the handlers, since the unexpected is what ends the thread. Before: both new tests fail; after: pass.

--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -155,6 +155,11 @@
             except HibiscustrayError as error:
                 self._note_failure(error)
                 self._stopping.wait(FAILURE_PAUSE_S)
+            except Exception:
+                # The thread outlives every failure, else the engine would never follow again.
+                log.exception("weights not loaded")
+                self._metrics.count("stager_failures_total", {"kind": "unexpected"})
+                self._stopping.wait(FAILURE_PAUSE_S)
 
     def _follow(self) -> None:
         catalog = self._catalogs.current
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -88,6 +88,13 @@
                 self._note_lost(error)
                 self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(BACKOFF_MOST_S, pause_s * BACKOFF_FACTOR)
+            except Exception:
+                # The thread outlives every failure; a whole read brings back what was missed.
+                log.exception("feed failed", extra={"feed": self._source.name})
+                self._metrics.count("feed_failures_total", {"feed": self._source.name})
+                self._revision = None
+                self._stopping.wait(pause_s)
+                pause_s = min(BACKOFF_MOST_S, pause_s * BACKOFF_FACTOR)
             else:
                 pause_s = BACKOFF_LEAST_S
                 self._stopping.wait(self._pause_s)
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -14,7 +14,7 @@
     OrderRejected,
 )
 from hibiscustray.exceptions import ChunkMissing, RecordInvalid, UpstreamRejected
-from hibiscustray.platform.records import _Layers, _Model, decode, read_layers
+from hibiscustray.platform.records import WireLayers, WireModel, decode, read_layers
 from hibiscustray.platform.wire import (
     ORDER_PATH,
     REPORT_PATH,
@@ -31,8 +31,8 @@
 
 
 class _Report(msgspec.Struct, frozen=True):
-    models: tuple[_Model, ...] = ()
-    layers: _Layers | None = None
+    models: tuple[WireModel, ...] = ()
+    layers: WireLayers | None = None
     # Whether an order is in progress, not whether requests run.
     busy: bool = False
     sequence: int = 0
--- a/hibiscustray/platform/records.py
+++ b/hibiscustray/platform/records.py
@@ -47,7 +47,7 @@
     name: str
     host: str
     prefix: str
-    kind: Literal["idempotent", "non_idempotent", "streaming"]
+    kind: str
     timeout_ms: float
     # The time for a full benefit, not a target for the service.
     target_latency_ms: float = 1000.0
@@ -124,12 +124,12 @@
     version: int
 
 
-class _Model(_Wire, frozen=True):
+class WireModel(_Wire, frozen=True):
     name: str
     version: int = 0
 
 
-class _Layers(_Wire, frozen=True):
+class WireLayers(_Wire, frozen=True):
     range_start: int
     # The end of the range, which it does not hold.
     target: int
@@ -143,8 +143,8 @@
     zone: str = ""
     slots: int = 0
     warmup_left_ms: float = 0.0
-    models: tuple[_Model, ...] = ()
-    layers: _Layers | None = None
+    models: tuple[WireModel, ...] = ()
+    layers: WireLayers | None = None
     born: int = 0
 
 
@@ -195,7 +195,7 @@
     )
 
 
-def read_layers(wire: _Layers | None) -> LayerSpan | None:
+def read_layers(wire: WireLayers | None) -> LayerSpan | None:
     """Return the layers that a replica holds, None if it does not say."""
     return None if wire is None else LayerSpan(wire.range_start, wire.target, wire.version)
 
@@ -214,7 +214,8 @@
         name=wire.name,
         host=wire.host,
         prefix=wire.prefix,
-        kind=KINDS[wire.kind],
+        # A kind of a later format is repeated never.
+        kind=KINDS.get(wire.kind, RouteKind.NON_IDEMPOTENT),
         shares=shares or (ServiceShare(wire.service),),
         timeout_s=wire.timeout_ms / MS_PER_S,
         objective_s=wire.target_latency_ms / MS_PER_S,
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -92,6 +92,16 @@
     assert directory.list_ready("s") == ()
 
 
+def test_an_unexpected_failure_does_not_end_the_following():
+    directory = ReplicaDirectory()
+    source = ScriptedSource(
+        FeedPage((), 4), RuntimeError("a fault of ours"), FeedPage((ReplicaListed(RECORD),), 6)
+    )
+    follow(source, ReplicaListener(directory))
+    assert source.calls[-1] == ("read", -1)
+    assert [r.id for r in directory.list_ready("s")] == ["i-1"]
+
+
 def test_versions_of_the_first_read_are_old_and_later_ones_new():
     catalogs, versions, noticed = CatalogHolder(), VersionBook(), []
     first = FeedPage((CatalogPublished(Catalog(3)), VersionNamed(WeightsVersion("m", 2))), 4)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -82,6 +82,20 @@
     assert site.call("POST", "/book/1", b"x", Authorization=f"Bearer {KEY}")[0].status == 401
 
 
+def test_a_route_of_an_unknown_kind_is_served_and_never_repeated(site):
+    site.configure(
+        4,
+        routes=[
+            {"name": "job", "host": HOST, "prefix": "/job/", "kind": "keyed"}
+            | {"service": "booking", "timeoutMs": 3000, "attempts": 2}
+        ],
+    )
+    for _ in range(2):
+        site.add_replica("booking", lose_answer)
+    assert site.call("POST", "/job/1", b"x")[0].status == 502
+    assert count_received(site) == 1
+
+
 def test_an_older_configuration_never_comes_back(site):
     site.configure(9)
     site.store.put("op", "config", {"version": 4, "routes": [], "services": []})
