Asks a replica that goes on refusing less and less; keeps cut streams' tracebacks out of the log

Ruled out: more replicas a request, which the retry budget pays. Each cut stream also left a traceback of the server beside its own line.

--- a/hibiscustray/placement/load.py
+++ b/hibiscustray/placement/load.py
@@ -14,8 +14,10 @@
 PAUSE_FIRST_S = 0.25
 PAUSE_MOST_S = 2.0
 """Pauses after refused connections and silence, doubled while they go on."""
-BUSY_PAUSE_S = 0.06
-"""Pause after a replica refused for lack of room: about one of an engine's passes."""
+BUSY_PAUSE_FIRST_S = 0.06
+BUSY_PAUSE_MOST_S = 0.5
+"""Pauses after refusals by a replica, doubled while they go on: from one pass of an engine that is
+full to the time that a load of weights takes."""
 READING_KEPT_S = 1.0
 """Age at which half of what a replica said of others' requests is still believed."""
 
@@ -34,6 +36,7 @@
         self.pace = 1.0
         self._paused_until = float("-inf")
         self._pause_s = PAUSE_FIRST_S
+        self._busy_pause_s = BUSY_PAUSE_FIRST_S
         self.version = 0
 
     def count(self, now: float) -> float:
@@ -66,6 +69,7 @@
         """Note that an answer has begun, and how long it took against the prediction."""
         if flight.first_at is not None:
             return
+        self._busy_pause_s = BUSY_PAUSE_FIRST_S
         flight.first_at = now
         ratio = (now - flight.started_at) / max(flight.predicted_s, 1e-3)
         blended = self.pace * (1 + PACE_SMOOTHING * (min(ratio, PACE_MOST) - 1))
@@ -89,9 +93,10 @@
         self._paused_until = now + self._pause_s
         self._pause_s = min(PAUSE_MOST_S, 2 * self._pause_s)
 
-    def note_busy(self, now: float, seconds: float = BUSY_PAUSE_S) -> None:
-        """Note that the replica refused for lack of room."""
-        self._paused_until = max(self._paused_until, now + seconds)
+    def note_busy(self, now: float) -> None:
+        """Note that the replica refused a request; leave it alone for a while."""
+        self._paused_until = max(self._paused_until, now + self._busy_pause_s)
+        self._busy_pause_s = min(BUSY_PAUSE_MOST_S, 2 * self._busy_pause_s)
 
     def is_paused(self, now: float) -> bool:
         """Tell whether the replica is left alone now."""
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -196,12 +196,12 @@
         with self._lock:
             self._end(self._load(placed.replica), placed.flight)
 
-    def refused_by(self, placed: Placed, pause_s: float | None = None) -> None:
-        """Note that a replica refused a request for lack of room."""
+    def refused_by(self, placed: Placed) -> None:
+        """Note that a replica refused a request."""
         now = time.monotonic()
         with self._lock:
             load = self._load(placed.replica)
-            load.note_busy(now) if pause_s is None else load.note_busy(now, pause_s)
+            load.note_busy(now)
             self._end(load, placed.flight)
 
     def _list_options(
--- a/hibiscustray/platform/records.py
+++ b/hibiscustray/platform/records.py
@@ -214,7 +214,7 @@
         name=wire.name,
         host=wire.host,
         prefix=wire.prefix,
-        # A kind of a later format is repeated never.
+        # Requests of a kind from a later format are never repeated.
         kind=KINDS.get(wire.kind, RouteKind.NON_IDEMPOTENT),
         shares=shares or (ServiceShare(wire.service),),
         timeout_s=wire.timeout_ms / MS_PER_S,
--- a/hibiscustray/telemetry/logs.py
+++ b/hibiscustray/telemetry/logs.py
@@ -12,6 +12,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from hibiscustray.exceptions import UpstreamError
+
 FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 QUEUED_LINES = 2000
 """Lines kept while the output is slow; more are dropped and counted."""
@@ -78,6 +80,15 @@
             self._on_dropped()
 
 
+class EndedRequestFilter(logging.Filter):
+    """Drops the server's traceback of a stream that was cut, which its own line tells already."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tell whether a record is kept."""
+        error = record.exc_info[1] if record.exc_info else None
+        return not isinstance(error, UpstreamError)
+
+
 def _make_handler(process_id: str, output: TextIO) -> logging.Handler:
     handler = logging.StreamHandler(output)
     handler.setFormatter(JsonFormatter(FIELDS, static_fields={"process": process_id}))
@@ -88,4 +99,6 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
-    logging.getLogger("waitress").setLevel(logging.ERROR)
+    server = logging.getLogger("waitress")
+    server.setLevel(logging.ERROR)
+    server.filters = [EndedRequestFilter()]
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -102,6 +102,22 @@
     assert isinstance(place(placer), Placed)
 
 
+def test_a_replica_that_goes_on_refusing_is_asked_less_and_less():
+    placer = make_placer(make_record(1))
+    waits = []
+    for _ in range(6):
+        placer.refused_by(place(placer))
+        started = CLOCK["now"]
+        while isinstance(place(placer), Refusal):
+            CLOCK["now"] += 0.01
+        waits.append(round(CLOCK["now"] - started, 2))
+        for flight in list(placer._load(make_record(1)).flights):
+            placer._load(make_record(1)).flights.remove(flight)
+    assert waits[0] < 0.1
+    assert waits == sorted(waits)
+    assert waits[-1] == pytest.approx(0.5, abs=0.02)
+
+
 def test_a_replica_that_fails_requests_is_avoided_without_a_health_check():
     placer = make_placer(make_record(1), make_record(2))
     for _ in range(30):
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from hibiscustray.exceptions import UpstreamConnectionLost
 from hibiscustray.telemetry import configure_hosted_logs
 from hibiscustray.telemetry.logs import QUEUED_LINES
 
@@ -57,3 +58,15 @@
     line = json.loads(output.getvalue())
     assert (line["process"], line["message"]) == ("edge-1", "request ended")
     assert (line["request"], line["outcome"]) == ("r-1", "answered")
+
+
+@pytest.mark.parametrize(("error", "lines"), [(UpstreamConnectionLost("cut"), 0), (KeyError(), 1)])
+def test_only_unexpected_failures_leave_a_traceback_of_the_server(root, error, lines):
+    output = io.StringIO()
+    listener = configure_hosted_logs("edge-1", output=output)
+    try:
+        raise error
+    except Exception:
+        logging.getLogger("waitress").exception("Exception while serving /x")
+    listener.stop()
+    assert len(output.getvalue().splitlines()) == lines
