--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -377,7 +377,8 @@
         cache=cache,
         swarms=swarms,
         metrics=metrics,
-        find_origin_region=lambda: "",
+        # Without a region of the origin all regions draw from it in turn, which fills more links.
+        origin_region="",
         manifests=VersionManifests(origin.read_manifest),
         pace=HOSTED_PACE,
     )
@@ -415,11 +416,6 @@
     return origin.address if origin is not None else None
 
 
-def _find_origin_region(catalogs: CatalogHolder, regions: dict[str, str]) -> str:
-    origin = catalogs.current.find_origin() if catalogs.current is not None else None
-    return regions.get(origin.availability_zone, "") if origin is not None else ""
-
-
 def _build_hosted_http(address: str, app, threads: int) -> HttpServer:
     host, _, port = address.rpartition(":")
     return HttpServer(app, host, int(port), threads)
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -108,8 +108,6 @@
     manifests: ManifestSource | None = None
     """Where manifests come from, the object store if not given."""
     pace: TransferPace | None = None
-    find_origin_region: Callable[[], str] | None = None
-    """Where the origin is, for one whose place may change."""
 
 
 @dataclass(frozen=True)
@@ -145,7 +143,7 @@
             swarm,
             self._env.view,
             self._order.objective,
-            self._find_origin_region(),
+            self._env.origin_region,
             AskLimits(pace.requests_per_peer, pace.draws_at_once, pace.imports_at_once),
         )
         run = _Run(self, self._env, manifest, swarm, chooser, on_progress)
@@ -164,10 +162,6 @@
         """Wait, but not longer than until the transfer is cancelled."""
         self._stopping.wait(seconds)
 
-    def _find_origin_region(self) -> str:
-        find = self._env.find_origin_region
-        return find() if find is not None else self._env.origin_region
-
     def _find_manifest(self) -> Manifest:
         source = self._env.manifests or StoredManifests(self._env.objects)
         lookup = ManifestLookup(self._env.cache, source, self._env.peers)
