Asks a replica for the version it holds and leaves an outdated entry alone

Cause: (1) a request carried the oldest version that may still be used, and a replica compares for equality, so while two releases overlap a replica that is ahead refused every request with 421. (3) A refusal was taken as this request's before its echoed id was compared. Ruled out: reading the other replica's id from the refusal; only health answers carry it. Change: the version asked for is the chosen replica's own; an entry that got a 421 is left alone for 3 s or until its address, models or layers change, with a log line; the id is compared first. Tests: two in tests/platform/test_path.py failed before, two in tests/placement/test_placer.py.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -123,7 +123,8 @@
             placed.replica,
             job.time_left(),
             job.team,
-            self._find_required(job),
+            # A replica compares for equality, and may already hold more than is required.
+            placed.version if self._find_required(job) else 0,
             URGENCY_LATE if job.is_late else None,
             resume_after or job.inbound.resume_after,
         )
@@ -218,14 +219,17 @@
             raise UpstreamConnectionLost("given up")
         if reply.load is not None:
             self.placer.note_reading(placed.replica, reply.load)
+        if reply.request_id and reply.request_id != job.inbound.id:
+            raise UpstreamConnectionLost("the answer is for another request")
         if reply.is_not_run or reply.is_misplaced:
             reply.close()
-            self.placer.refused_by(placed)
+            if reply.is_misplaced:
+                self.placer.note_outdated(placed)
+            else:
+                self.placer.refused_by(placed)
             job.note_tried(placed, f"refused-{reply.status}")
             self._metrics.count("attempts_refused_total", {"service": job.service.name})
             return NotRun(reply.status, reply.is_misplaced)
-        if reply.request_id and reply.request_id != job.inbound.id:
-            raise UpstreamConnectionLost("the answer is for another request")
         if 200 <= reply.status < 300 and not reply.is_authentic:
             raise UpstreamConnectionLost("the answer carries no proof of its replica")
         if reply.version:
--- a/hibiscustray/placement/load.py
+++ b/hibiscustray/placement/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hibiscustray.placement.flight import Flight, LoadReading
+from hibiscustray.replicas import ReplicaRecord
 
 FAILURE_SMOOTHING = 0.15
 FAILURE_HALF_LIFE_S = 4.0
@@ -18,6 +19,8 @@
 BUSY_PAUSE_MOST_S = 0.5
 """Pauses after refusals by a replica, doubled while they go on: from one pass of an engine that is
 full to the time that a load of weights takes."""
+OUTDATED_S = 3.0
+"""Time in which the platform drops the entry of a replica that has ended: three heartbeats."""
 READING_KEPT_S = 1.0
 """Age at which half of what a replica said of others' requests is still believed."""
 
@@ -38,6 +41,8 @@
         self._pause_s = PAUSE_FIRST_S
         self._busy_pause_s = BUSY_PAUSE_FIRST_S
         self.version = 0
+        self._outdated: ReplicaRecord | None = None
+        self._outdated_until = float("-inf")
 
     def count(self, now: float) -> float:
         """Return the requests estimated to be at the replica."""
@@ -102,6 +107,23 @@
         """Tell whether the replica is left alone now."""
         return now < self._paused_until
 
+    def note_outdated(self, record: ReplicaRecord, now: float) -> bool:
+        """Note that an entry does not describe what is at its address; tell if it is news."""
+        is_news = not self.is_outdated(record, now)
+        self._outdated = record
+        self._outdated_until = now + OUTDATED_S
+        return is_news
+
+    def is_outdated(self, record: ReplicaRecord, now: float) -> bool:
+        """Tell whether an entry was found untrue of late and has not changed since."""
+        known = self._outdated
+        return (
+            known is not None
+            and now < self._outdated_until
+            and (known.address, known.models, known.layers)
+            == (record.address, record.models, record.layers)
+        )
+
     def failure_share(self, now: float) -> float:
         """Return the share of attempts that failed of late, from 0 to 1."""
         age = max(0.0, now - self._failure_at)
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import threading
 import time
@@ -17,10 +18,12 @@
 
 from hibiscustray.catalog import EngineProfile, ServiceEntry
 from hibiscustray.placement.flight import Demand, Flight, LoadReading
-from hibiscustray.placement.load import ReplicaLoad
+from hibiscustray.placement.load import OUTDATED_S, ReplicaLoad
 from hibiscustray.placement.prediction import predict_engine
 from hibiscustray.replicas import ReplicaDirectory, ReplicaRecord
 
+log = logging.getLogger(__name__)
+
 ALWAYS_SHARE = 0.5
 """Share of the slots below which every request is let in."""
 LATE_SHARE = 0.75
@@ -88,13 +91,17 @@
 
 @dataclass(frozen=True)
 class Placed:
-    """The replica chosen for a request, with what decided it."""
+    """The replica chosen for a request, with what decided it.
+
+    `version` is the one of its weights for the request's model, 0 if none is known.
+    """
 
     replica: ReplicaRecord
     flight: Flight
     outstanding: float
     reading_age_s: float
     candidates: int
+    version: int = 0
 
 
 @dataclass(frozen=True)
@@ -152,8 +159,14 @@
                 return self._refuse(reason, best, demand, options)
             flight = Flight(best.replica.id, demand, now, best.first_s)
             best.load.flights.append(flight)
+            version = self._find_version(best.replica, weights.model)
         return Placed(
-            best.replica, flight, best.outstanding, best.load.reading_age(now), len(options)
+            best.replica,
+            flight,
+            best.outstanding,
+            best.load.reading_age(now),
+            len(options),
+            version,
         )
 
     def note_reading(self, replica: ReplicaRecord, reading: LoadReading) -> None:
@@ -204,6 +217,24 @@
             load.note_busy(now)
             self._end(load, placed.flight)
 
+    def note_outdated(self, placed: Placed) -> None:
+        """Note that another replica, or other weights, are at the address of the one chosen."""
+        now = time.monotonic()
+        with self._lock:
+            load = self._load(placed.replica)
+            is_news = load.note_outdated(placed.replica, now)
+            self._end(load, placed.flight)
+        if is_news:
+            log.info(
+                "replica not as listed",
+                extra={
+                    "replica": placed.replica.id,
+                    "address": placed.replica.address,
+                    "versions": [model.version for model in placed.replica.models],
+                    "left_alone_s": OUTDATED_S,
+                },
+            )
+
     def _list_options(
         self,
         service: ServiceEntry,
@@ -219,11 +250,15 @@
         ]
         model = weights.model
         current = [r for r in replicas if self._find_version(r, model) >= weights.required]
-        usable = [r for r in current if not self._load(r).is_paused(now)]
+        usable = [r for r in current if self._is_usable(r, now)]
         if weights.time_left_s < REST_LEAD_S:
             usable = [r for r in usable if not self._is_resting(r, weights)] or usable
         return [self._rate(replica, service, demand, now) for replica in usable]
 
+    def _is_usable(self, replica: ReplicaRecord, now: float) -> bool:
+        load = self._load(replica)
+        return not load.is_paused(now) and not load.is_outdated(replica, now)
+
     def _is_resting(self, replica: ReplicaRecord, weights: WeightsRule) -> bool:
         """Tell whether a replica of the first wave lets its requests end before a swap.
 
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -118,6 +118,27 @@
     assert waits[-1] == pytest.approx(0.5, abs=0.02)
 
 
+def test_a_replica_that_is_not_as_listed_is_left_alone_until_its_entry_changes():
+    directory = ReplicaDirectory()
+    directory.replace([make_record(1)])
+    placer = Placer(directory, "z", {"z": "r"}, seed="test")
+    placer.note_outdated(place(placer))
+    CLOCK["now"] += 2.0
+    directory.update(make_record(1, warmup_left_s=0.5))
+    assert isinstance(place(placer), Refusal)
+    directory.update(make_record(1, models=(ServedModel("m", 2),), layers=LayerSpan(0, 16, 2)))
+    placed = place(placer)
+    assert isinstance(placed, Placed)
+    assert placed.version == 2
+
+
+def test_an_entry_that_stays_as_it_was_is_tried_again():
+    placer = make_placer(make_record(1))
+    placer.note_outdated(place(placer))
+    CLOCK["now"] += 3.1
+    assert isinstance(place(placer), Placed)
+
+
 def test_a_replica_that_fails_requests_is_avoided_without_a_health_check():
     placer = make_placer(make_record(1), make_record(2))
     for _ in range(30):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -313,6 +313,34 @@
     assert replica.received[-1].headers["x-hibiscustray-expect-version"] == "2"
 
 
+def test_a_replica_that_is_ahead_of_the_required_version_serves_in_the_next_release(site):
+    def answer_own_version_only(request, connection):
+        expected = request.headers.get("x-hibiscustray-expect-version", "3")
+        script = stream(1, 5) if expected == "3" else refuse(421)
+        script(request, connection)
+
+    site.add_replica(
+        "guide",
+        answer_own_version_only,
+        models=[{"name": "m", "version": 3, "adapters": []}],
+        layers={"rangeStart": 0, "target": 16, "version": 3},
+    )
+    site.store.put("op", "version/m", {"model": "m", "version": 2})
+    time.sleep(1.2)
+    site.store.put("op", "version/m", {"model": "m", "version": 3})
+    wait_until(lambda: site.process._relay._attempts._versions.newest("m") == 3)
+    assert site.draft()[0].status == 200
+
+
+def test_an_address_that_another_replica_has_now_is_asked_once(site):
+    site.add_replica("booking", refuse(421))
+    site.add_replica("booking", answer_whole(body=b"seat"))
+    assert [site.call("POST", "/book/1", b"x")[1] for _ in range(6)] == [b"seat"] * 6
+    time.sleep(0.8)
+    assert [site.call("POST", "/book/1", b"x")[1] for _ in range(6)] == [b"seat"] * 6
+    assert len(site.replicas[0].received) <= 1
+
+
 def test_a_request_that_has_not_begun_when_a_bound_passes_is_tried_on_the_new_version(site):
     cut_at: list[float] = []
 
