Relays the operator's table: far entries take copies, agents follow a small table

Cause: on the grown Trust site a configuration of 1,890 routes is 0.5 MB as the store sends it, and 15 processes in each far region asked for it at once over one link of 11.5 Mbit/s that also carries weights. Feeds timed out after 1 s to 3.5 s of silence and asked again, which added to the load. Change: entries announce versions and configurations in a table of this system; agents follow that table, check the versions in the operator's table every 6 s and read a new configuration 4 s to 10 s later. An entry that the store's own clock shows to be far takes large configurations as a compressed copy that others put in the object store, and asks the table itself every 1.8 s at most, so that nothing depends on any one process. A version counts as named from the earliest time that the answers allow. Not shown: a site whose configuration grows at once from small to large.

--- a/hibiscustray/catalog/versions.py
+++ b/hibiscustray/catalog/versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 import time
 from dataclasses import dataclass
@@ -22,27 +23,33 @@
 
 
 class VersionBook:
-    """The versions named for each model, oldest first, with the time each was learnt."""
+    """The versions named for each model, oldest first, with the earliest time of naming."""
 
     def __init__(self) -> None:
         self._named: dict[str, list[tuple[int, float]]] = {}
         self._lock = threading.Lock()
 
-    def note(self, named: WeightsVersion, is_initial: bool = False) -> bool:
+    def note(self, named: WeightsVersion, named_at: float | None = None) -> bool:
         """Take in a named version; tell whether it is news.
 
-        A version found at the start of this process may have been named long ago, so it counts
-        as named before any bound.
+        `named_at` is the earliest monotonic time at which it may have been named, in seconds, now
+        if absent; minus infinity for a version found at the start of this process.
         """
-        learnt_at = float("-inf") if is_initial else time.monotonic()
+        named_at = time.monotonic() if named_at is None else named_at
         with self._lock:
             known = self._named.setdefault(named.model, [])
             if known and named.version <= known[-1][0]:
                 return False
-            known.append((named.version, learnt_at))
+            known.append((named.version, named_at))
+        age_s = time.monotonic() - named_at
         log.info(
             "weights version named",
-            extra={"model": named.model, "version": named.version, "initial": is_initial},
+            extra={
+                "model": named.model,
+                "version": named.version,
+                # None for a version that was there when this process started.
+                "age_s": round(age_s, 3) if math.isfinite(age_s) else None,
+            },
         )
         return True
 
@@ -52,7 +59,7 @@
         return known[-1][0] if known else FIRST_VERSION
 
     def age_s(self, model: str) -> float:
-        """Return the seconds since the newest version was learnt, infinite if never."""
+        """Return the seconds since the newest version was named, infinite if never."""
         known = self._named.get(model)
         return time.monotonic() - known[-1][1] if known else float("inf")
 
--- a/hibiscustray/composition.py
+++ b/hibiscustray/composition.py
@@ -27,7 +27,15 @@
 from hibiscustray.entry.application import ProcessIdentity
 from hibiscustray.entry.teams import load_teams
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.feeds import FeedFollower, OperatorListener, ReplicaListener
+from hibiscustray.feeds import (
+    FeedFollower,
+    OperatorListener,
+    RelayedFollower,
+    RelayedRule,
+    RelayingFollower,
+    RelayRule,
+    ReplicaListener,
+)
 from hibiscustray.gateway import Attempts, Endings, GatewayProcess, Relay, RelayLimits
 from hibiscustray.membership import Exchange, MemberView, spread_revision
 from hibiscustray.operator import Operator, SiteStatus, read_status
@@ -56,6 +64,7 @@
     PlatformReplicaCaller,
     PlatformStore,
     ReadinessApplication,
+    RelayedOperatorFeed,
     ReplicaFeed,
 )
 from hibiscustray.protocols import EngineClient, MachineList, ObjectStore, Origin, Table
@@ -90,6 +99,12 @@
 """Entries among which the slack of retries is divided."""
 LINK_MARGIN = 0.9
 """Part of a VM's link that weights may take upwards."""
+ENTRY_RELAY = RelayRule(large_b=48 * 1024, near_mbit_s=16.0, check_s=1.8)
+"""A configuration of 1,900 routes takes 0.36 s of a link of 11.5 Mbit/s between regions for each
+entry, of some hundred 30 ms. The checks leave a second of the bound of three."""
+AGENT_RELAY = RelayedRule(check_s=6.0, least_delay_s=4.0, most_delay_s=10.0)
+"""The named versions are checked within the bound of eight seconds; the delays spread the reads of
+a region's agents over a link that the entries need first."""
 HOSTED_PACE = TransferPace(
     first_timeout_s=1.5,
     least_timeout_s=1.0,
@@ -301,7 +316,7 @@
 def build_hosted_entry(settings: HostedSettings, metrics: Metrics) -> GatewayProcess:
     """Wire an entry that a platform hosts."""
     assert settings.entry is not None
-    followed = _build_followed(settings, metrics)
+    followed = _follow(settings, metrics, _build_relaying)
     zone = settings.process.availability_zone
     placer = Placer(followed.directory, zone, settings.regions, settings.process.id)
     bounds = settings.bounds
@@ -342,8 +357,11 @@
     assert settings.upstream is not None
     process, service = settings.process, settings.upstream.service
     stager_slot: list[WeightsStager] = []
-    followed = _build_followed(
-        settings, metrics, lambda: [stager.note_version() for stager in stager_slot]
+    followed = _follow(
+        settings,
+        metrics,
+        _build_relayed,
+        lambda: [stager.note_version() for stager in stager_slot],
     )
     cache = ChunkCache(settings.links.cache_mib * MIB)
     swarms = SwarmRegistry()
@@ -396,19 +414,36 @@
     )
 
 
-def _build_followed(
-    settings: HostedSettings, metrics: Metrics, on_version: Callable[[], object] = lambda: None
+def _follow(
+    settings: HostedSettings,
+    metrics: Metrics,
+    build_operator: Callable[..., FeedFollower],
+    on_version: Callable[[], object] = lambda: None,
 ) -> _Followed:
     catalogs, versions, directory = CatalogHolder(), VersionBook(), ReplicaDirectory()
-    listeners = (OperatorListener(catalogs, versions, on_version), ReplicaListener(directory))
     store = PlatformStore(settings.store.address)
-    feeds = (OperatorFeed(store), ReplicaFeed(store))
-    pauses = (0.0, settings.store.list_pause_s)
-    followers = tuple(
-        FeedFollower(feed, listener, settings.store.wait_s, metrics, pause_s)
-        for feed, listener, pause_s in zip(feeds, listeners, pauses, strict=True)
+    wait_s, pause_s = settings.store.wait_s, settings.store.list_pause_s
+    operator = build_operator(
+        store, OperatorListener(catalogs, versions, on_version), wait_s, metrics
     )
-    return _Followed(catalogs, versions, directory, followers)
+    replicas = FeedFollower(
+        ReplicaFeed(store), ReplicaListener(directory), wait_s, metrics, pause_s
+    )
+    return _Followed(catalogs, versions, directory, (operator, replicas))
+
+
+def _build_relaying(
+    store: PlatformStore, listener: OperatorListener, wait_s: float, metrics: Metrics
+) -> FeedFollower:
+    source = OperatorFeed(store)
+    relayed = RelayedOperatorFeed(store)
+    return RelayingFollower(source, listener, wait_s, metrics, source, relayed, ENTRY_RELAY)
+
+
+def _build_relayed(
+    store: PlatformStore, listener: OperatorListener, wait_s: float, metrics: Metrics
+) -> FeedFollower:
+    return RelayedFollower(RelayedOperatorFeed(store), listener, wait_s, metrics, AGENT_RELAY)
 
 
 def _find_origin_address(catalogs: CatalogHolder) -> str | None:
--- a/hibiscustray/feeds/changes.py
+++ b/hibiscustray/feeds/changes.py
@@ -16,6 +16,13 @@
     catalog: Catalog
 
 
+@dataclass(frozen=True)
+class CatalogAnnounced:
+    """A relay has learnt of a configuration, which is to be read from the table itself."""
+
+    revision: int
+
+
 @dataclass(frozen=True)
 class VersionNamed:
     """The operator named a version of a model's weights."""
@@ -45,15 +52,29 @@
     reason: str
 
 
-Change = CatalogPublished | VersionNamed | ReplicaListed | ReplicaUnlisted | EntryRejected
+Change = (
+    CatalogPublished
+    | CatalogAnnounced
+    | VersionNamed
+    | ReplicaListed
+    | ReplicaUnlisted
+    | EntryRejected
+)
 
 
 @dataclass(frozen=True)
 class FeedPage:
-    """Changes in order, and the store's revision that they lead to."""
+    """Changes in order, and the store's revision that they lead to.
+
+    `answered_at` is the monotonic time in seconds at which the answer began to arrive, `size_b`
+    its length in bytes and `store_time_s` the time on the store's own steady clock.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    answered_at: float = 0.0
+    size_b: int = 0
+    store_time_s: float = 0.0
 
 
 class FeedSource(Protocol):
@@ -72,3 +93,56 @@
     def follow(self, revision: int, wait_s: float) -> FeedPage:
         """Return what changed since a revision, waiting up to a time for a first change."""
         ...
+
+
+class RelayedSource(FeedSource, Protocol):
+    """A table whose changes others relay; its small rows can also be read directly."""
+
+    def read_small(self) -> FeedPage:
+        """Return the small rows as they are in the table itself."""
+        ...
+
+    def read_copy(self, revision: int) -> FeedPage | None:
+        """Return a copy of the table with a configuration of a revision or newer, None if none.
+
+        The page's revision is the one at which the table was copied.
+        """
+        ...
+
+
+@dataclass(frozen=True)
+class Announcement:
+    """A relayed number: the version of a model's weights, or of the configuration for model ""."""
+
+    model: str
+    number: int
+    row_revision: int = 0
+
+
+@dataclass(frozen=True)
+class RelayState:
+    """What has been announced, as of a time on the store's own steady clock in seconds."""
+
+    announcements: tuple[Announcement, ...]
+    store_time_s: float
+
+
+class ChangeRelay(Protocol):
+    """Passes on what was read; all methods raise `StoreUnavailable`."""
+
+    def read_state(self) -> RelayState:
+        """Return what has been announced."""
+        ...
+
+    def write_copy(self) -> None:
+        """Store a compressed copy of the table as it was last read."""
+        ...
+
+    def write_announcements(
+        self, announcements: tuple[Announcement, ...]
+    ) -> tuple[Announcement, ...]:
+        """Write them all if each is still of its row revision, 0 for none, and return nothing.
+
+        Otherwise return the announcements as others wrote them.
+        """
+        ...
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -18,18 +18,27 @@
 BACKOFF_MOST_S = 0.8
 """Longest pause between failed calls; a change must be in force within seconds of an outage."""
 BACKOFF_FACTOR = 2.0
+GAP_S = 0.1
+"""Longest time between two calls that leaves no doubt when a change was made: the store answers in
+a few milliseconds."""
+OUTAGE_DOUBT_S = 3.0
+"""Longest time before the end of an outage at which a change counts as made: while the store is
+down nothing changes, while a link is congested answers come late."""
 REJECTED_LOGGED = 20
 """Rejected entries that are logged, so that a bad writer cannot flood the log."""
 
 
 class FeedListener(Protocol):
-    """Takes in what a follower learns, on the follower's thread."""
+    """Takes in what a follower learns, on the follower's thread.
 
-    def replace(self, changes: tuple[Change, ...]) -> None:
+    `after` is the monotonic time in seconds since which the changes may have been made.
+    """
+
+    def replace(self, changes: tuple[Change, ...], after: float) -> None:
         """Take in the whole table."""
         ...
 
-    def apply(self, change: Change) -> None:
+    def apply(self, change: Change, after: float) -> None:
         """Take in one change."""
         ...
 
@@ -62,6 +71,7 @@
         self._metrics = metrics
         self._pause_s = pause_s
         self._revision: int | None = None
+        self._known_at = float("-inf")
         self._lost_at: float | None = None
         self._rejected = 0
         self._stopping = threading.Event()
@@ -100,20 +110,48 @@
                 self._stopping.wait(self._pause_s)
 
     def _advance(self) -> None:
+        called_at = time.monotonic()
         if self._revision is None:
-            page = self._source.read()
-            self._note_regained()
-            self._listener.replace(self._accept(page))
+            self._take_whole(self._source.read(), called_at)
         else:
-            # The first call after an outage returns at once, so that its end is noticed.
-            wait_s = self._wait_s if self._lost_at is None else 0.0
-            page = self._source.follow(self._revision, wait_s)
-            self._note_regained()
-            for change in self._accept(page):
-                self._listener.apply(change)
+            page = self._source.follow(self._revision, self._find_wait(called_at))
+            self._take_changes(page, called_at)
+
+    def _find_wait(self, now: float) -> float:
+        """Return how long the store may wait for a change, in seconds."""
+        # The first call after an outage returns at once, so that its end is noticed.
+        return self._wait_s if self._lost_at is None else 0.0
+
+    def _take_whole(self, page: FeedPage, called_at: float) -> None:
+        after = self._find_earliest(called_at, page)
+        self._note_regained()
+        self._listener.replace(self._accept(page), after)
+        self._note_page(page)
+
+    def _take_changes(self, page: FeedPage, called_at: float) -> None:
+        after = self._find_earliest(called_at, page)
+        self._note_regained()
+        for change in self._accept(page):
+            self._listener.apply(change, after)
+        self._note_page(page)
+
+    def _note_page(self, page: FeedPage) -> None:
         self._revision = page.revision
+        self._known_at = page.answered_at
         self._metrics.count("feed_calls_total", {"feed": self._source.name})
 
+    def _find_earliest(self, called_at: float, page: FeedPage) -> float:
+        """Return the earliest time at which a page's changes may have been made.
+
+        The store ends a waiting call with the first change, so its answer tells the time. Between
+        calls a change may be as old as the state that the answer before described.
+        """
+        if self._lost_at is not None:
+            return max(self._known_at, page.answered_at - OUTAGE_DOUBT_S)
+        if called_at - self._known_at > GAP_S:
+            return self._known_at
+        return page.answered_at
+
     def _accept(self, page: FeedPage) -> tuple[Change, ...]:
         for change in page.changes:
             if isinstance(change, EntryRejected):
--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -34,16 +34,16 @@
         self._on_version = on_version
         self._has_read = False
 
-    def replace(self, changes: tuple[Change, ...]) -> None:
+    def replace(self, changes: tuple[Change, ...], after: float) -> None:
         """Take in all of it; at the first time versions count as named long ago."""
-        is_initial = not self._has_read
+        named_at = after if self._has_read else float("-inf")
         self._has_read = True
         for change in changes:
-            self._take(change, is_initial)
+            self._take(change, named_at)
 
-    def apply(self, change: Change) -> None:
+    def apply(self, change: Change, after: float) -> None:
         """Take in one change."""
-        self._take(change, is_initial=False)
+        self._take(change, after)
 
     def note_lost(self) -> None:
         """Go on with what is in force."""
@@ -51,12 +51,12 @@
     def note_regained(self) -> None:
         """Go on with what is in force until a change comes."""
 
-    def _take(self, change: Change, is_initial: bool) -> None:
+    def _take(self, change: Change, named_at: float) -> None:
         match change:
             case CatalogPublished(catalog=catalog):
                 self._catalogs.offer(catalog)
             case VersionNamed(named=named):
-                if self._versions.note(named, is_initial):
+                if self._versions.note(named, named_at):
                     self._on_version()
 
 
@@ -66,11 +66,11 @@
     def __init__(self, directory: ReplicaDirectory) -> None:
         self._directory = directory
 
-    def replace(self, changes: tuple[Change, ...]) -> None:
+    def replace(self, changes: tuple[Change, ...], after: float) -> None:
         """Take in the whole list."""
         self._directory.replace(c.record for c in changes if isinstance(c, ReplicaListed))
 
-    def apply(self, change: Change) -> None:
+    def apply(self, change: Change, after: float) -> None:
         """Take in one entry."""
         match change:
             case ReplicaListed(record=record):
--- a/hibiscustray/platform/__init__.py
+++ b/hibiscustray/platform/__init__.py
@@ -4,7 +4,12 @@
 from hibiscustray.platform.front import FrontApplication, ReadinessApplication
 from hibiscustray.platform.origin import PlatformOrigin
 from hibiscustray.platform.replica import PlatformReplicaCaller
-from hibiscustray.platform.store import OperatorFeed, PlatformStore, ReplicaFeed
+from hibiscustray.platform.store import (
+    OperatorFeed,
+    PlatformStore,
+    RelayedOperatorFeed,
+    ReplicaFeed,
+)
 from hibiscustray.platform.wire import find_settings_path
 
 __all__ = [
@@ -15,6 +20,7 @@
     "PlatformReplicaCaller",
     "PlatformStore",
     "ReadinessApplication",
+    "RelayedOperatorFeed",
     "ReplicaFeed",
     "find_settings_path",
 ]
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -66,7 +66,7 @@
 
 def test_a_version_found_at_the_start_counts_as_named_long_ago():
     book = VersionBook()
-    book.note(WeightsVersion("m", 2), is_initial=True)
+    book.note(WeightsVersion("m", 2), float("-inf"))
     assert book.find_required("m", 1e6) == 2
 
 
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -46,11 +46,13 @@
         if not self.script:
             self.is_done.set()
             time.sleep(0.05)
-            return FeedPage((), max(0, revision))
+            return FeedPage((), max(0, revision), time.monotonic())
         self.calls.append((kind, revision))
         step = self.script.pop(0)
         if isinstance(step, Exception):
             raise step
+        if callable(step):
+            return step()
         return step
 
 
@@ -111,3 +113,43 @@
     assert catalogs.current.revision == 3
     assert noticed == [2, 5]
     assert versions.find_required("m", 1e6) == 2
+
+
+def name_version(version: int, answered_at: float) -> FeedPage:
+    named = WeightsVersion("m", version)
+    return FeedPage((VersionNamed(named),), version, answered_at)
+
+
+def find_age_s(*script) -> float:
+    versions = VersionBook()
+    source = ScriptedSource(*script)
+    follow(source, OperatorListener(CatalogHolder(), versions))
+    return versions.age_s("m")
+
+
+def test_a_version_that_ends_a_wait_was_named_just_then():
+    def answer_after_a_wait() -> FeedPage:
+        time.sleep(0.5)
+        return name_version(2, time.monotonic())
+
+    started_at = time.monotonic()
+    assert find_age_s(FeedPage((), 1, started_at), answer_after_a_wait) < 0.4
+
+
+def test_a_version_that_was_there_at_once_may_be_as_old_as_the_answer_before():
+    def answer_over_a_slow_link() -> FeedPage:
+        answered_at = time.monotonic()
+        time.sleep(0.5)
+        return FeedPage((), 1, answered_at)
+
+    assert find_age_s(answer_over_a_slow_link, lambda: name_version(2, time.monotonic())) >= 0.5
+
+
+def test_a_version_found_after_an_outage_may_be_as_old_as_the_outage():
+    def answer_after_an_outage() -> FeedPage:
+        time.sleep(0.4)
+        return name_version(2, time.monotonic())
+
+    started_at = time.monotonic()
+    script = (FeedPage((), 1, started_at), StoreUnavailable("down"), answer_after_an_outage)
+    assert find_age_s(*script) >= 0.4
--- /dev/null
+++ b/tests/feeds/test_relay.py
@@ -0,0 +1,297 @@
+"""Followers that relay a table's changes, and those that follow the relay."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass
+
+import pytest
+
+from hibiscustray.catalog import Catalog, CatalogHolder, VersionBook, WeightsVersion
+from hibiscustray.exceptions import HistoryLost, StoreUnavailable
+from hibiscustray.feeds import (
+    Announcement,
+    CatalogAnnounced,
+    CatalogPublished,
+    FeedPage,
+    OperatorListener,
+    RelayedFollower,
+    RelayedRule,
+    RelayingFollower,
+    RelayRule,
+    RelayState,
+    VersionNamed,
+)
+from hibiscustray.telemetry import Metrics
+
+RULE = RelayRule(large_b=1000, near_mbit_s=1.0, check_s=0.8)
+STORE_TIME_S = 100.0
+NEAR = {"size_b": 5000, "store_time_s": STORE_TIME_S - 0.01}
+FAR = {"size_b": 5000, "store_time_s": STORE_TIME_S - 0.5}
+VERSION_2 = VersionNamed(WeightsVersion("m", 2))
+
+
+class TableStandIn:
+    """A table in memory whose pages are set by the test."""
+
+    name = "table"
+
+    def __init__(self, whole: FeedPage) -> None:
+        self.whole = whole
+        self.small = FeedPage((), 0)
+        self.copy: FeedPage | None = None
+        self.failure: Exception | None = None
+        self.pages: list[FeedPage] = []
+        self.calls: list[tuple[str, float]] = []
+        self._changed = threading.Condition()
+
+    def push(self, page: FeedPage) -> None:
+        with self._changed:
+            self.pages.append(page)
+            self._changed.notify_all()
+
+    def read(self) -> FeedPage:
+        self.calls.append(("read", time.monotonic()))
+        return self.whole
+
+    def read_small(self) -> FeedPage:
+        self.calls.append(("read small", time.monotonic()))
+        return self.small
+
+    def follow(self, revision: int, wait_s: float) -> FeedPage:
+        self.calls.append(("follow", time.monotonic()))
+        if self.failure is not None:
+            raise self.failure
+        with self._changed:
+            self._changed.wait_for(lambda: bool(self.pages), wait_s)
+            return self.pages.pop(0) if self.pages else FeedPage((), revision, time.monotonic())
+
+    def read_copy(self, revision: int) -> FeedPage | None:
+        self.calls.append(("read copy", time.monotonic()))
+        return self.copy
+
+    def times_of(self, kind: str) -> list[float]:
+        return [at for called, at in self.calls if called == kind]
+
+
+class RelayStandIn:
+    """Rows of a relay, which others may have written."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Announcement] = {}
+        self.copies = 0
+        self.writes = 0
+        self.failure: Exception | None = None
+
+    def read_state(self) -> RelayState:
+        if self.failure is not None:
+            raise self.failure
+        return RelayState(tuple(self.rows.values()), STORE_TIME_S)
+
+    def write_copy(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+        self.copies += 1
+
+    def write_announcements(self, announcements) -> tuple[Announcement, ...]:
+        self.writes += 1
+        if self.failure is not None:
+            raise self.failure
+        current = [self.rows.get(a.model, Announcement(a.model, 0)) for a in announcements]
+        pairs = zip(current, announcements, strict=True)
+        if any(row.row_revision != wanted.row_revision for row, wanted in pairs):
+            return tuple(row for row in current if row.row_revision)
+        for a in announcements:
+            self.rows[a.model] = Announcement(a.model, a.number, a.row_revision + 7)
+        return ()
+
+    def numbers(self) -> dict[str, int]:
+        return {model: row.number for model, row in self.rows.items()}
+
+
+def wait_until(condition, limit_s: float = 5.0) -> None:
+    deadline = time.monotonic() + limit_s
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert condition()
+
+
+@dataclass
+class Relaying:
+    """A follower that relays, with its table, the relay and what it has learnt."""
+
+    table: TableStandIn
+    relayed: TableStandIn
+    relay: RelayStandIn
+    catalogs: CatalogHolder
+    versions: VersionBook
+    follower: RelayingFollower
+
+    def publish(self, revision: int, **options) -> None:
+        self.table.push(FeedPage((CatalogPublished(Catalog(revision)),), revision, **options))
+
+    def has(self, revision: int) -> bool:
+        return self.catalogs.current is not None and self.catalogs.current.revision == revision
+
+
+@pytest.fixture
+def relaying():
+    table = TableStandIn(FeedPage((CatalogPublished(Catalog(1)),), 1))
+    relayed, relay = TableStandIn(FeedPage((), 0)), RelayStandIn()
+    catalogs, versions = CatalogHolder(), VersionBook()
+    listener = OperatorListener(catalogs, versions)
+    follower = RelayingFollower(table, listener, 0.1, Metrics("test"), relay, relayed, RULE)
+    yield Relaying(table, relayed, relay, catalogs, versions, follower)
+    follower.stop()
+
+
+# Those that relay
+
+
+def test_what_is_read_and_what_changes_is_announced(relaying):
+    relaying.follower.start()
+    wait_until(lambda: relaying.relay.numbers() == {"": 1})
+    relaying.table.push(FeedPage((VERSION_2, CatalogPublished(Catalog(4))), 2))
+    wait_until(lambda: relaying.relay.numbers() == {"": 4, "m": 2})
+
+
+def test_a_newer_announcement_of_others_stays(relaying):
+    relaying.relay.rows[""] = Announcement("", 9, 3)
+    relaying.publish(8)
+    relaying.publish(10)
+    relaying.follower.start()
+    wait_until(lambda: relaying.relay.numbers() == {"": 10})
+    assert relaying.relay.writes == 2, "one call learns of the others' row, the next replaces it"
+
+
+def test_a_large_configuration_is_copied_and_a_small_one_is_not(relaying):
+    relaying.publish(2, **NEAR)
+    relaying.publish(3)
+    relaying.follower.start()
+    wait_until(lambda: relaying.has(3))
+    wait_until(lambda: relaying.relay.numbers() == {"": 3})
+    assert relaying.relay.copies == 1
+
+
+def test_a_configuration_that_others_have_announced_is_not_copied_again(relaying):
+    relaying.relay.rows[""] = Announcement("", 2, 3)
+    relaying.publish(2, **NEAR)
+    relaying.publish(3)
+    relaying.follower.start()
+    wait_until(lambda: relaying.relay.numbers() == {"": 3})
+    assert relaying.relay.copies == 0
+
+
+def test_a_relay_that_fails_does_not_hold_back_a_change(relaying):
+    relaying.relay.failure = StoreUnavailable("down")
+    relaying.publish(2, **NEAR)
+    relaying.publish(3)
+    relaying.follower.start()
+    wait_until(lambda: relaying.has(3))
+
+
+def test_near_the_store_the_table_itself_is_followed(relaying):
+    relaying.publish(2, **NEAR)
+    relaying.follower.start()
+    wait_until(lambda: len(relaying.table.times_of("follow")) >= 4)
+    assert not relaying.relayed.calls
+
+
+def test_far_from_the_store_a_large_configuration_comes_as_a_copy(relaying):
+    relaying.publish(2, **FAR)
+    relaying.follower.start()
+    wait_until(lambda: bool(relaying.relayed.times_of("follow")))
+    asked = len(relaying.table.times_of("follow"))
+    relaying.relayed.copy = FeedPage((CatalogPublished(Catalog(5)),), 5)
+    relaying.relayed.push(FeedPage((CatalogAnnounced(5), VERSION_2), 6))
+    wait_until(lambda: relaying.has(5), 0.4)
+    assert relaying.versions.newest("m") == 2
+    assert len(relaying.table.times_of("follow")) == asked
+
+
+def test_far_from_the_store_the_table_is_checked_in_case_no_one_relays(relaying):
+    relaying.publish(2, **FAR)
+    relaying.follower.start()
+    wait_until(lambda: relaying.has(2))
+    relaying.publish(7, **FAR)
+    wait_until(lambda: relaying.has(7), 1.5)
+    assert relaying.relay.numbers() == {"": 7}
+
+
+@pytest.mark.parametrize("loss", ["no copy", "history"])
+def test_far_from_the_store_a_relay_that_does_not_help_leads_to_the_table(relaying, loss):
+    relaying.publish(2, **FAR)
+    relaying.follower.start()
+    wait_until(lambda: bool(relaying.relayed.times_of("follow")))
+    relaying.publish(5, **FAR)
+    if loss == "history":
+        relaying.relayed.failure = HistoryLost("gone")
+    else:
+        relaying.relayed.push(FeedPage((CatalogAnnounced(5),), 6))
+    wait_until(lambda: relaying.has(5), 0.4)
+
+
+def test_a_small_configuration_ends_the_distance(relaying):
+    relaying.publish(2, **FAR)
+    relaying.publish(3)
+    relaying.follower.start()
+    wait_until(lambda: relaying.has(3))
+    asked = len(relaying.relayed.times_of("follow"))
+    time.sleep(0.4)
+    assert len(relaying.relayed.times_of("follow")) == asked
+
+
+# Those that follow the relay
+
+
+@pytest.fixture
+def relayed():
+    table = TableStandIn(FeedPage((CatalogPublished(Catalog(1)),), 1))
+    catalogs, versions = CatalogHolder(), VersionBook()
+    rule = RelayedRule(check_s=0.6, least_delay_s=0.3, most_delay_s=0.3)
+    listener = OperatorListener(catalogs, versions)
+    follower = RelayedFollower(table, listener, 5.0, Metrics("test"), rule)
+    follower.start()
+    wait_until(lambda: bool(table.times_of("follow")))
+    yield table, catalogs, versions
+    follower.stop()
+
+
+def test_a_relayed_version_is_taken_at_once(relayed):
+    table, _, versions = relayed
+    table.push(FeedPage((VERSION_2,), 2))
+    wait_until(lambda: versions.newest("m") == 2, 0.25)
+
+
+def test_a_version_that_no_one_relays_is_found_by_the_check(relayed):
+    table, _, versions = relayed
+    table.small = FeedPage((VERSION_2,), 2)
+    wait_until(lambda: versions.newest("m") == 2, 1.5)
+
+
+def test_an_announced_configuration_is_read_later_and_once(relayed):
+    table, catalogs, _ = relayed
+    table.whole = FeedPage((CatalogPublished(Catalog(5)),), 5)
+    announced_at = time.monotonic()
+    table.push(FeedPage((CatalogAnnounced(4),), 2))
+    table.push(FeedPage((CatalogAnnounced(5),), 3))
+    wait_until(lambda: catalogs.current.revision == 5)
+    time.sleep(0.5)
+    assert len(table.times_of("read")) == 2
+    assert table.times_of("read")[1] - announced_at >= 0.3
+
+
+def test_a_whole_read_that_fails_is_made_again(relayed):
+    table, catalogs, _ = relayed
+    answer, failures = table.read, [StoreUnavailable("down")]
+
+    def read() -> FeedPage:
+        if failures:
+            raise failures.pop()
+        return answer()
+
+    table.read = read
+    table.whole = FeedPage((CatalogPublished(Catalog(5)),), 5)
+    table.push(FeedPage((CatalogAnnounced(5),), 2))
+    wait_until(lambda: catalogs.current.revision == 5)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -70,7 +70,11 @@
 
 
 class StoreStandIn:
-    """Rows by table with a change feed; `refusal` is a status that all calls get, 0 for none."""
+    """Rows by table with a change feed, and objects.
+
+    `refusal` is a status that all calls get, 0 for none; `body_pause_s` is a pause in the middle of
+    each answer.
+    """
 
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str], dict] = {}
@@ -80,6 +84,8 @@
         self._changed = threading.Condition()
         self.refusal = 0
         self.calls: list[str] = []
+        self.objects: dict[str, bytes] = {}
+        self.body_pause_s = 0.0
         self._server = _start_http(self)
 
     @property
@@ -117,9 +123,20 @@
         if self.refusal:
             return self.refusal, {"error": "refused"}
         if parts.path == "/v1/rows-get":
-            return 200, self._read(query["table"])
+            return 200, self._read(query)
         return self._follow(query["table"], int(query["sinceRev"]), int(query["waitMs"]))
 
+    def transact(self, entries: dict) -> tuple[int, dict]:
+        """Apply a transaction; return the status and body of its call."""
+        with self._changed:
+            named = [self._rows.get((r["table"], r["key"])) for r in entries["precondition"]]
+            wanted = [row["revision"] for row in entries["precondition"]]
+            if [row["revision"] if row else 0 for row in named] != wanted:
+                return 412, {"rows": [row for row in named if row], "revision": self._revision}
+        for row in entries["puts"]:
+            self._change(row)
+        return 200, {"revision": self._revision}
+
     def _change(self, row: dict) -> None:
         with self._changed:
             self._revision += 1
@@ -131,9 +148,14 @@
             self._history.append(row)
             self._changed.notify_all()
 
-    def _read(self, table: str) -> dict:
+    def _read(self, query: dict[str, str]) -> dict:
+        first, end = query.get("rangeStart", ""), query.get("target", "\U0010ffff")
         with self._changed:
-            rows = [row for (name, _), row in sorted(self._rows.items()) if name == table]
+            rows = [
+                row
+                for (table, key), row in sorted(self._rows.items())
+                if table == query["table"] and first <= key < end
+            ]
             return {"rows": rows, "truncated": False, "revision": self._revision}
 
     def _follow(self, table: str, since: int, wait_ms: int) -> tuple[int, dict]:
@@ -307,12 +329,34 @@
         protocol_version = "HTTP/1.1"
 
         def do_GET(self) -> None:  # noqa: N802
+            if self.path.startswith("/v1/blob-get/"):
+                body = store.objects.get(self.path.rpartition("/")[2])
+                self._answer(404 if body is None else 200, body or b"")
+                return
             status, value = store.answer(self.path)
-            body = json.dumps(value).encode()
+            value["serverTimeMs"] = int(time.monotonic() * 1000)
+            self._answer(status, json.dumps(value).encode())
+
+        def do_PUT(self) -> None:  # noqa: N802
+            body = self.rfile.read(int(self.headers["Content-Length"]))
+            store.objects[self.path.rpartition("/")[2]] = body
+            self._answer(200, b"")
+
+        def do_POST(self) -> None:  # noqa: N802
+            body = self.rfile.read(int(self.headers["Content-Length"]))
+            if store.refusal:
+                self._answer(store.refusal, b"{}")
+                return
+            status, value = store.transact(json.loads(body))
+            self._answer(status, json.dumps(value).encode())
+
+        def _answer(self, status: int, body: bytes) -> None:
             self.send_response(status)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
-            self.wfile.write(body)
+            self.wfile.write(body[: len(body) // 2])
+            time.sleep(store.body_pause_s)
+            self.wfile.write(body[len(body) // 2 :])
 
         def log_message(self, *_: object) -> None:
             return
