Adds a soak: entries as processes, faults from outside, promises checked while it runs

Cause: faults that nobody thought of are not in hand-written tests. A seed draws series of faults that overlap: entries stopped, killed and paused by signals, links to the store and to replicas delayed, reset, cut one way or silenced by a proxy, a store that is slow, refuses, loses answers, forgets its history or whose clock jumps, replicas that misbehave, restart and leave, and an operator. Callers keep connections open; TWICE, REFUSED, MIXED, UNASKED, CONFIG, DRAIN, ENDED, RECOVER, EXIT and STOP are checked as things happen. The stand-ins of the platform moved into the adapter's folder.

--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -41,6 +41,22 @@
     run_agent(settings)
 
 
+@cli.command()
+@click.option("--seed", type=int, help="Seed of the first soak; drawn if not given.")
+@click.option("--minutes", type=click.FloatRange(0.1), default=2.0, show_default=True)
+@click.option("--processes", type=click.IntRange(1, 200), default=3, show_default=True)
+@click.option("--callers", type=click.IntRange(1, 400), default=12, show_default=True)
+@click.option("--replay", type=int, help="Run the soak of this seed alone.")
+@click.option("--known", is_flag=True, help="Run the seeds that failed once.")
+def soak(
+    seed: int | None, minutes: float, processes: int, callers: int, replay: int | None, known: bool
+) -> None:
+    """Run entries under random faults and check what callers and replicas see."""
+    from hibiscustray.commands.soaking import run_soaks
+
+    sys.exit(1 if run_soaks(seed, minutes, processes, callers, replay, known) else 0)
+
+
 @cli.group()
 def host() -> None:
     """Run a process on a platform that hosts it and writes its settings file."""
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -313,6 +313,10 @@
     """A benchmark's output that a page is made from is absent or unreadable."""
 
 
+class ProgramEnded(HibiscustrayError):
+    """A program ended that was not asked to."""
+
+
 class ProcessMissing(HibiscustrayError):
     """There is no process of that id on this machine."""
 
--- /dev/null
+++ b/hibiscustray/soak/programs.py
@@ -0,0 +1,131 @@
+"""Entries as processes of their own, started, signalled and ended by their ids."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from hibiscustray.exceptions import ProgramEnded
+
+log = logging.getLogger(__name__)
+
+STOP_LIMIT_S = 12.0
+"""Time for an entry to end after a stop: its own grace of 8 s and some for a busy machine."""
+
+SETTINGS = """\
+[process]
+id = {id}
+availability_zone = z1
+region = r1
+address = 127.0.0.1
+peer_port = {peer_port}
+metrics_port = {metrics_port}
+
+[entry]
+callers = 127.0.0.1:{callers_port}
+readiness = 127.0.0.1:{readiness_port}
+threads = 32
+
+[store]
+address = {store}
+
+[regions]
+z1 = r1
+
+[bounds]
+version_ms = 60000
+grace_s = 8
+"""
+
+
+class EntryProgram:
+    """One entry; its logs are kept in a file."""
+
+    def __init__(self, number: int, store: str, folder: Path) -> None:
+        ports = [_find_port() for _ in range(4)]
+        self.id = f"entry-{number}"
+        self.callers = f"127.0.0.1:{ports[0]}"
+        self.readiness = f"127.0.0.1:{ports[1]}"
+        self._settings = folder / f"{self.id}.ini"
+        self._log_path = folder / f"{self.id}.log"
+        self._settings.write_text(
+            SETTINGS.format(
+                id=self.id,
+                store=store,
+                callers_port=ports[0],
+                readiness_port=ports[1],
+                peer_port=ports[2],
+                metrics_port=ports[3],
+            )
+        )
+        self._process: subprocess.Popen | None = None
+        self._is_ending = False
+        self._lock = threading.RLock()
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        with self._lock, self._log_path.open("ab") as output:
+            if self._process is not None and self._process.poll() is None:
+                return
+            self._is_ending = False
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "hibiscustray", "host", "entry"]
+                + ["--settings", str(self._settings)],
+                stdout=output,
+                stderr=output,
+                env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
+            )
+
+    def check(self) -> None:
+        """Raise `ProgramEnded` if the process has ended by itself."""
+        with self._lock:
+            if self._process is None or self._is_ending or self._process.poll() is None:
+                return
+            code, self._process = self._process.returncode, None
+        raise ProgramEnded(f"{self.id} ended with {code}")
+
+    def stop(self) -> bool:
+        """Stop the process with SIGTERM; tell whether it ended in time."""
+        with self._lock:
+            process, self._is_ending = self._process, True
+        if process is None:
+            return True
+        process.send_signal(signal.SIGTERM)
+        try:
+            process.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return False
+        return True
+
+    def kill(self) -> None:
+        """End the process with SIGKILL."""
+        with self._lock:
+            process, self._is_ending = self._process, True
+        if process is not None:
+            process.kill()
+            process.wait()
+
+    def pause(self, for_s: float) -> None:
+        """Suspend the process for a time."""
+        process = self._process
+        if process is None:
+            return
+        # A process that ends while it is suspended has nothing to continue.
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGSTOP)
+            time.sleep(for_s)
+            process.send_signal(signal.SIGCONT)
+
+
+def _find_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -12,30 +12,26 @@
 from dataclasses import dataclass, field
 
 from hibiscustray.composition import build_hosted_entry
-from hibiscustray.settings import (
-    HostedBounds,
-    HostedEntry,
-    HostedProcess,
-    HostedSettings,
-    HostedStore,
-)
-from hibiscustray.telemetry import Metrics
-from tests.platform.standins import (
+from hibiscustray.platform.standins import (
     ATTEMPT,
     HOST,
     KEY,
+    MODEL_HEADERS,
     ReplicaStandIn,
     Script,
     StoreStandIn,
     make_configuration,
 )
+from hibiscustray.settings import (
+    HostedBounds,
+    HostedEntry,
+    HostedProcess,
+    HostedSettings,
+    HostedStore,
+)
+from hibiscustray.telemetry import Metrics
 
 WAIT_S = 5.0
-MODEL_HEADERS = {
-    "X-Hibiscustray-Model": "m",
-    "X-Hibiscustray-Token-Count": "100,50",
-    "X-Hibiscustray-Prompt-Prefix": "aa:40,bb:60",
-}
 
 
 @dataclass
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,14 +7,7 @@
 
 import pytest
 
-from tests.platform.site import (
-    MODEL_HEADERS,
-    HostedSite,
-    run_hosted_site,
-    run_in_background,
-    wait_until,
-)
-from tests.platform.standins import (
+from hibiscustray.platform.standins import (
     ATTEMPT,
     HOST,
     KEY,
@@ -25,6 +18,13 @@
     refuse,
     stream,
 )
+from tests.platform.site import (
+    MODEL_HEADERS,
+    HostedSite,
+    run_hosted_site,
+    run_in_background,
+    wait_until,
+)
 
 EVENTS = b"".join(f"id: {n}\ndata: token-{n}\n\n".encode() for n in range(1, 6))
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,7 +15,7 @@
     VersionNamed,
 )
 from hibiscustray.platform import OperatorFeed, PlatformStore, RelayedOperatorFeed
-from tests.platform.standins import StoreStandIn, make_configuration
+from hibiscustray.platform.standins import StoreStandIn, make_configuration
 
 
 @pytest.fixture
