--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,49 @@
+"""Short soaks of real entries: a seeded one, the seeds that failed once, and a broken promise."""
+
+from __future__ import annotations
+
+import pytest
+
+from hibiscustray.platform import standins
+from hibiscustray.soak import (
+    FAILED_SEEDS,
+    DisturbLink,
+    DisturbStore,
+    LinkState,
+    SignalEntry,
+    SoakOptions,
+    run_soak,
+)
+
+SEED = 11
+
+
+def test_a_seeded_soak_keeps_all_promises():
+    report = run_soak(SoakOptions(SEED, 20.0, entries=2, callers=6), standins)
+    assert report.violations == ()
+    assert report.requests > 200
+    assert sum(report.faults.values()) >= 3
+    assert {"ENDED", "MIXED", "TWICE", "UNASKED"} <= set(report.checks)
+
+
+@pytest.mark.parametrize("case", FAILED_SEEDS, ids=lambda case: str(case.seed))
+def test_a_seed_that_failed_once_keeps_all_promises(case):
+    assert run_soak(SoakOptions(case.seed, case.length_s), standins).violations == ()
+
+
+def test_a_booking_that_is_sent_twice_is_caught():
+    schedule = (DisturbLink(0.5, 3.0, "replica", 1, LinkState.REPEAT),)
+    options = SoakOptions(SEED, 5.0, entries=1, replicas=2, callers=4)
+    report = run_soak(options, standins, schedule)
+    assert {violation.rule for violation in report.violations} == {"TWICE"}
+
+
+def test_entries_killed_beside_a_store_that_is_down_come_back():
+    schedule = (
+        DisturbStore(0.5, 2.0, "refuse"),
+        SignalEntry(1.0, 0.5, 0, "kill"),
+        SignalEntry(1.2, 0.5, 1, "stop"),
+    )
+    report = run_soak(SoakOptions(SEED, 9.0, entries=2, callers=4), standins, schedule)
+    assert report.violations == ()
+    assert report.checks["RECOVER"] == 2
