Plays the loads that placing answers from the command line, against plain policies

Change: `hibiscustray bench placement` plays six loads (burst, many entries, repeaters, slow replica, scale-out, release) over simulated engines with the placers as they are, against least requests, random and round-robin. Callers count once however often they come; the largest fifth is told apart. The simulated engine moved from the tests to the benchmarks. A load with one prompt asked for often is left out: no prompt is kept after its request, so no policy can use it. Conclusion: no change to placing itself.

--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -9,7 +9,7 @@
 import click
 
 from hibiscustray import __version__
-from hibiscustray.benchmarks.names import CONFIGURATION_FAULTS, WEIGHTS_FAULTS
+from hibiscustray.benchmarks.names import CONFIGURATION_FAULTS, PLACEMENT_LOADS, WEIGHTS_FAULTS
 from hibiscustray.exceptions import HibiscustrayError
 
 os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
@@ -164,6 +164,18 @@
     sys.exit(run_command(**options))
 
 
+@bench.command("placement")
+@click.option("--load", "names", multiple=True, type=click.Choice(PLACEMENT_LOADS))
+@click.option("--seconds", type=click.FloatRange(1.0), default=8.0, show_default=True)
+@click.option("--seed", type=int, default=7, show_default=True)
+@click.option("--json", "is_json", is_flag=True, help="Print one JSON object for each row.")
+def bench_placement(names: tuple[str, ...], seconds: float, seed: int, is_json: bool) -> None:
+    """Play the loads that placing answers, over simulated engines, against plain policies."""
+    from hibiscustray.commands.bench_placement import run_bench_placement
+
+    sys.exit(run_bench_placement(names, seconds, seed, is_json))
+
+
 @bench.command("stream")
 @click.option("--entry-url", "url", required=True, help="URL of a running entry.")
 @click.option("--team-key", "key_file", type=FILE, required=True, help="File with a team's key.")
--- a/hibiscustray/benchmarks/names.py
+++ b/hibiscustray/benchmarks/names.py
@@ -23,3 +23,11 @@
     "version_change",
     "all",
 )
+PLACEMENT_LOADS = (
+    "burst",
+    "many-entries",
+    "repeaters",
+    "slow-replica",
+    "scale-out",
+    "release",
+)
--- /dev/null
+++ b/hibiscustray/commands/bench_placement.py
@@ -0,0 +1,28 @@
+"""Compares placing and refusing with plain policies on the loads that they answer."""
+
+from __future__ import annotations
+
+import click
+import msgspec
+
+from hibiscustray.benchmarks.placement import LOADS, POLICIES, SteadyClock, play
+
+COLUMNS = ("callers", "in_time", "late", "refused", "large_in_time")
+
+
+def run_bench_placement(names: tuple[str, ...], seconds: float, seed: int, is_json: bool) -> int:
+    """Play loads under every policy and print the shares of their callers."""
+    if not is_json:
+        click.echo(f"{'load':<14}{'policy':<16}" + "".join(f"{name:>15}" for name in COLUMNS))
+    for load in LOADS:
+        if names and load.name not in names:
+            continue
+        for policy, make in POLICIES.items():
+            shares = play(load, make(load), seconds, SteadyClock(), seed)
+            row = msgspec.to_builtins(shares)
+            if is_json:
+                click.echo(msgspec.json.encode({"load": load.name, "policy": policy} | row))
+                continue
+            cells = "".join(f"{row[name]:>15}" for name in COLUMNS)
+            click.echo(f"{load.name:<14}{policy:<16}{cells}")
+    return 0
--- a/tests/agent/test_stager.py
+++ b/tests/agent/test_stager.py
@@ -16,6 +16,7 @@
     OrderInForce,
 )
 from hibiscustray.agent.stager import VersionManifests, WeightsStager, make_label
+from hibiscustray.benchmarks.engines import PROFILE
 from hibiscustray.catalog import (
     Catalog,
     CatalogHolder,
@@ -29,7 +30,6 @@
 from hibiscustray.replicas import LayerSpan, ServedModel
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights import ChunkCache, Manifest, SwarmRegistry, TransferEnvironment
-from tests.placement.engines import PROFILE
 
 CHUNKS = 12
 CHUNK_B = 64
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hibiscustray.benchmarks.engines import PROFILE, SimulatedEngine, Work
 from hibiscustray.catalog import ServiceEntry
 from hibiscustray.placement import (
     Demand,
@@ -25,7 +26,6 @@
     ReplicaState,
     ServedModel,
 )
-from tests.placement.engines import PROFILE, SimulatedEngine, Work
 
 SERVICE = ServiceEntry("guide", engine=PROFILE)
 PLAIN = ServiceEntry("booking")
--- a/tests/placement/test_prediction.py
+++ b/tests/placement/test_prediction.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscustray.benchmarks.engines import PROFILE, SimulatedEngine
 from hibiscustray.placement import Demand, predict_engine
-from tests.placement.engines import PROFILE, SimulatedEngine
 
 TOLERANCE = 0.35
 """Error of the prediction that still tells in time from late for most requests."""
