Counts a relayed version from the last own check of the table

Cause: an entry far from the store took a version that another had relayed as named when the relay told it. Change: such a version counts as named since the entry's own last check, at which it was not there. Test: test_a_relayed_version_may_be_as_old_as_the_last_check_of_the_table failed before.

--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -116,7 +116,8 @@
         self._relay_revision = page.revision
         announced = 0
         for change in self._accept(page):
-            self._listener.apply(change, page.answered_at)
+            # Others may have found the change late, but it was not there at the last own check.
+            self._listener.apply(change, self._known_at)
             if isinstance(change, CatalogAnnounced):
                 announced = max(announced, change.revision)
         if announced > self._catalog_revision and not self._take_copy(announced):
--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -232,6 +232,16 @@
     wait_until(lambda: relaying.has(5), 0.4)
 
 
+def test_a_relayed_version_may_be_as_old_as_the_last_check_of_the_table(relaying):
+    checked_at = time.monotonic() - 0.6
+    relaying.publish(2, answered_at=checked_at, **FAR)
+    relaying.follower.start()
+    wait_until(lambda: bool(relaying.relayed.times_of("follow")))
+    relaying.relayed.push(FeedPage((VERSION_2,), 6, answered_at=time.monotonic()))
+    wait_until(lambda: relaying.versions.newest("m") == 2, 0.4)
+    assert relaying.versions.age_s("m") >= 0.6
+
+
 def test_a_small_configuration_ends_the_distance(relaying):
     relaying.publish(2, **FAR)
     relaying.publish(3)
