Closes kept connections without a request three seconds into a planned stop

Ruled out: a longer wait for the end (the grace time is the platform's), refusing late requests with 503 (a caller that has a kept connection can open a new one elsewhere at once). Change: 0.4 s after the listener, connections without a request are closed, and later ones as their requests end, which their answers announce. Test: test_late_in_a_planned_stop_kept_connections_are_closed_and_requests_finished failed before.

--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -19,6 +19,9 @@
 MS_PER_S = 1000.0
 BALANCER_LAG_S = 2.6
 """Time in which the balancer still sends new connections: two missed questions a second apart."""
+IDLE_KEPT_S = 0.4
+"""Time after that in which callers may still use kept connections; a request that came later might
+not end within the grace time."""
 STOP_MARGIN_S = 0.6
 """Time kept of the grace period for the stop itself."""
 IDLE_MARGIN_S = 5.0
@@ -76,6 +79,8 @@
         log.info("entry draining", extra={"running": self._relay.running})
         time.sleep(min(BALANCER_LAG_S, grace_s))
         self._front.close_listener()
+        time.sleep(max(0.0, min(IDLE_KEPT_S, deadline - time.monotonic())))
+        self._front.close_idle()
         return self._relay.wait_until_idle(max(0.0, deadline - time.monotonic()))
 
     def reload(self, settings: HostedSettings) -> None:
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -205,6 +205,12 @@
             if not channel.requests and channel.is_slow_head(self.head_timeout_s):
                 channel.will_close = True
 
+    def close_idle_channels(self) -> None:
+        """Close the connections on which no request was begun; called by the server's thread."""
+        for channel in list(self.active_channels.values()):
+            if not channel.requests and channel.request is None and not channel.total_outbufs_len:
+                channel.will_close = True
+
     def handle_accept(self) -> None:
         """Accept one connection."""
         if self.terminator is None:
@@ -238,6 +244,7 @@
             self._server.terminator = TlsTerminator(context, self._server.take)
         self._scheme = "https" if context is not None else "http"
         self._closing = threading.Event()
+        self._closing_idle = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
         self.address = address
@@ -267,6 +274,11 @@
         self._closing.set()
         self._server.pull_trigger()
 
+    def close_idle(self) -> None:
+        """Close the connections without a request, now and as the others end."""
+        self._closing_idle.set()
+        self._server.pull_trigger()
+
     def stop(self) -> None:
         """Stop accepting and finish the answers being written; a second call does nothing."""
         if self._stopping.is_set():
@@ -288,6 +300,8 @@
         self._map.pop(self._server.socket.fileno(), None)
         self._server.socket.close()
         while not self._stopping.is_set():
+            if self._closing_idle.is_set():
+                self._server.close_idle_channels()
             self._loop(LOOP_TIMEOUT_S)
         deadline = time.monotonic() + FINISH_S
         while time.monotonic() < deadline and self._is_writing():
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -492,6 +492,23 @@
 # The stop
 
 
+def test_late_in_a_planned_stop_kept_connections_are_closed_and_requests_finished(site):
+    site.add_replica("guide", stream(1, 20, pause_s=0.1))
+    site.add_replica("booking", answer_whole())
+    kept = site.connect()
+    assert site.send(kept, "POST", "/book/1", b"x").read() == b"{}"
+    stop = run_in_background(lambda: site.process.drain(8.0))
+    time.sleep(2.0)
+    bodies: list[bytes] = []
+    caller = run_in_background(lambda: bodies.append(site.draft()[1]))
+    started = time.monotonic()
+    assert kept.sock.recv(1) == b"", "closed before a request that could not end in time"
+    assert time.monotonic() - started < 2.0
+    caller.join()
+    stop.join()
+    assert bodies == [b"".join(f"id: {n}\ndata: token-{n}\n\n".encode() for n in range(1, 21))]
+
+
 def test_a_planned_stop_cuts_no_request(site):
     site.add_replica("guide", stream(1, 20, pause_s=0.05))
     kept = site.connect()
