Moves the choice between the copy and the table out of the adapter

Cause: the adapter decided whether a copy of the operator's table is recent enough and fell back to the table; it is to translate only. Ruled out: other decisions there; writing announcements, reading rows and codecs are translations. Change: `feeds/relay.py` makes the choice in one function that both followers use; the adapter offers the table, its small rows and the copy. The test of a copy older than what is announced moved from tests/platform/test_store.py to tests/feeds/test_relay.py, where five cases take the place of two.

--- a/hibiscustray/feeds/changes.py
+++ b/hibiscustray/feeds/changes.py
@@ -96,16 +96,20 @@
 
 
 class RelayedSource(FeedSource, Protocol):
-    """A table whose changes others relay; its small rows can also be read directly."""
+    """A small table of announcements, and the table that they are about."""
+
+    def read_table(self) -> FeedPage:
+        """Return the table itself."""
+        ...
 
     def read_small(self) -> FeedPage:
-        """Return the small rows as they are in the table itself."""
+        """Return the small rows of the table itself."""
         ...
 
-    def read_copy(self, revision: int) -> FeedPage | None:
-        """Return a copy of the table with a configuration of a revision or newer, None if none.
+    def read_copy(self) -> FeedPage | None:
+        """Return the copy of the table, of the revision at which it was made, None if none.
 
-        The page's revision is the one at which the table was copied.
+        Raises `RecordInvalid` when the copy cannot be read.
         """
         ...
 
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -112,11 +112,15 @@
     def _advance(self) -> None:
         called_at = time.monotonic()
         if self._revision is None:
-            self._take_whole(self._source.read(), called_at)
+            self._take_whole(self._read(), called_at)
         else:
             page = self._source.follow(self._revision, self._find_wait(called_at))
             self._take_changes(page, called_at)
 
+    def _read(self) -> FeedPage:
+        """Return the whole table."""
+        return self._source.read()
+
     def _find_wait(self, now: float) -> float:
         """Return how long the store may wait for a change, in seconds."""
         # The first call after an outage returns at once, so that its end is noticed.
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -11,9 +11,9 @@
 import logging
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from hibiscustray.exceptions import HistoryLost, PlatformError
+from hibiscustray.exceptions import HistoryLost, PlatformError, RecordInvalid
 from hibiscustray.feeds.changes import (
     Announcement,
     CatalogAnnounced,
@@ -125,9 +125,8 @@
 
     def _take_copy(self, revision: int) -> bool:
         """Take in the copy of a configuration; tell whether it was there."""
-        copy = self._relayed.read_copy(revision)
+        copy = _read_copy(self._relayed, revision)
         if copy is None:
-            log.info("no copy of a configuration", extra={"revision": revision})
             return False
         for change in self._accept(copy):
             self._listener.apply(change, self._known_at)
@@ -205,6 +204,21 @@
     return []
 
 
+def _read_copy(source: RelayedSource, revision: int) -> FeedPage | None:
+    """Return the copy if its configuration is of a revision or newer."""
+    try:
+        copy = source.read_copy()
+    except RecordInvalid as error:
+        log.warning("copy unreadable", extra={"feed": source.name, "reason": str(error)})
+        return None
+    changes = copy.changes if copy is not None else ()
+    held = [c.catalog.revision for c in changes if isinstance(c, CatalogPublished)]
+    if max(held, default=-1) >= revision:
+        return copy
+    log.info("no copy of a configuration", extra={"revision": revision, "held": held})
+    return None
+
+
 class RelayedFollower(FeedFollower):
     """Follows what others relay of a table, and checks the table itself now and then."""
 
@@ -217,7 +231,7 @@
         rule: RelayedRule,
     ) -> None:
         super().__init__(source, listener, wait_s, metrics)
-        self._small_source = source
+        self._relayed = source
         self._rule = rule
         self._check_at = time.monotonic() + rule.check_s * random.random()
         self._whole_read_at = float("inf")
@@ -228,18 +242,26 @@
             self._check(now)
         if now >= self._whole_read_at:
             # Nothing is forgotten until the whole read succeeds.
-            self._take_whole(self._source.read(), now)
+            self._take_whole(self._read(), now)
             self._whole_read_at = float("inf")
             return
         super()._advance()
 
+    def _read(self) -> FeedPage:
+        # The announcements come first: what is announced meanwhile is followed from there.
+        relayed = self._relayed.read()
+        announced = [c.revision for c in relayed.changes if isinstance(c, CatalogAnnounced)]
+        copy = _read_copy(self._relayed, max(announced, default=0))
+        table = copy if copy is not None else self._relayed.read_table()
+        return replace(relayed, changes=table.changes + relayed.changes)
+
     def _find_wait(self, now: float) -> float:
         # Nothing else wakes this thread when a read is due.
         due_s = min(self._check_at, self._whole_read_at) - now
         return min(super()._find_wait(now), max(0.0, due_s))
 
     def _check(self, now: float) -> None:
-        page = self._small_source.read_small()
+        page = self._relayed.read_small()
         self._check_at = now + self._rule.check_s
         for change in self._accept(page):
             self._listener.apply(change, page.answered_at)
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -8,7 +8,6 @@
 import time
 import zlib
 from collections.abc import Callable
-from dataclasses import replace
 from urllib.parse import urlencode
 
 import msgspec
@@ -279,36 +278,29 @@
     def __init__(self, store: PlatformStore) -> None:
         super().__init__(store, RELAY_TABLE, _read_relayed_row)
 
-    def read(self) -> FeedPage:
-        """Return the operator's table from the copy if that is recent, else from the table."""
-        relayed = super().read()
-        announced = max(
-            (c.revision for c in relayed.changes if isinstance(c, CatalogAnnounced)), default=0
-        )
-        page = self.read_copy(announced) or self._read_operator("")
-        return replace(relayed, changes=page.changes + relayed.changes)
+    def read_table(self) -> FeedPage:
+        """Return the operator's table itself."""
+        return self._read_operator("")
 
     def read_small(self) -> FeedPage:
         """Return the named versions from the operator's table itself."""
         return self._read_operator(VERSION_KEY_PREFIX)
 
-    def read_copy(self, revision: int) -> FeedPage | None:
-        """Return the copied table if its configuration is of the revision or newer."""
+    def read_copy(self) -> FeedPage | None:
+        """Return the copied table."""
         body = self._store.read_object(COPY_NAME)
         if body is None:
             return None
         try:
             copy = msgspec.msgpack.decode(zlib.decompress(body), type=_Copy)
         except (zlib.error, msgspec.DecodeError) as error:
-            log.warning("copy unreadable", extra={"feed": self.name, "reason": str(error)})
-            return None
+            raise RecordInvalid(f"unreadable copy: {error}") from error
         rows = tuple(_Row(row.key, base64.b64encode(row.value).decode()) for row in copy.rows)
-        page = _convert_page(_Page(rows, copy.revision), _read_operator_row)
-        catalogs = [c.catalog for c in page.changes if isinstance(c, CatalogPublished)]
-        return page if any(c.revision >= revision for c in catalogs) else None
+        return _convert_page(_Page(rows, copy.revision), _read_operator_row)
 
     def _read_operator(self, key_prefix: str) -> FeedPage:
-        return _convert_page(self._store.read_table(OPERATOR_TABLE, key_prefix), _read_operator_row)
+        page = self._store.read_table(OPERATOR_TABLE, key_prefix)
+        return _convert_page(page, _read_operator_row)
 
 
 class ReplicaFeed(_TableFeed):
--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hibiscustray.catalog import Catalog, CatalogHolder, VersionBook, WeightsVersion
-from hibiscustray.exceptions import HistoryLost, StoreUnavailable
+from hibiscustray.exceptions import HistoryLost, RecordInvalid, StoreUnavailable
 from hibiscustray.feeds import (
     Announcement,
     CatalogAnnounced,
@@ -40,7 +40,8 @@
     def __init__(self, whole: FeedPage) -> None:
         self.whole = whole
         self.small = FeedPage((), 0)
-        self.copy: FeedPage | None = None
+        self.table = FeedPage((), 0)
+        self.copy: FeedPage | Exception | None = None
         self.failure: Exception | None = None
         self.pages: list[FeedPage] = []
         self.calls: list[tuple[str, float]] = []
@@ -55,6 +56,10 @@
         self.calls.append(("read", time.monotonic()))
         return self.whole
 
+    def read_table(self) -> FeedPage:
+        self.calls.append(("read table", time.monotonic()))
+        return self.table
+
     def read_small(self) -> FeedPage:
         self.calls.append(("read small", time.monotonic()))
         return self.small
@@ -67,8 +72,10 @@
             self._changed.wait_for(lambda: bool(self.pages), wait_s)
             return self.pages.pop(0) if self.pages else FeedPage((), revision, time.monotonic())
 
-    def read_copy(self, revision: int) -> FeedPage | None:
+    def read_copy(self) -> FeedPage | None:
         self.calls.append(("read copy", time.monotonic()))
+        if isinstance(self.copy, Exception):
+            raise self.copy
         return self.copy
 
     def times_of(self, kind: str) -> list[float]:
@@ -257,7 +264,8 @@
 
 @pytest.fixture
 def relayed():
-    table = TableStandIn(FeedPage((CatalogPublished(Catalog(1)),), 1))
+    table = TableStandIn(FeedPage((), 1))
+    table.table = FeedPage((CatalogPublished(Catalog(1)),), 1)
     catalogs, versions = CatalogHolder(), VersionBook()
     rule = RelayedRule(check_s=0.6, least_delay_s=0.3, most_delay_s=0.3)
     listener = OperatorListener(catalogs, versions)
@@ -282,26 +290,47 @@
 
 def test_an_announced_configuration_is_read_later_and_once(relayed):
     table, catalogs, _ = relayed
-    table.whole = FeedPage((CatalogPublished(Catalog(5)),), 5)
+    table.table = FeedPage((CatalogPublished(Catalog(5)),), 5)
     announced_at = time.monotonic()
     table.push(FeedPage((CatalogAnnounced(4),), 2))
     table.push(FeedPage((CatalogAnnounced(5),), 3))
     wait_until(lambda: catalogs.current.revision == 5)
     time.sleep(0.5)
-    assert len(table.times_of("read")) == 2
-    assert table.times_of("read")[1] - announced_at >= 0.3
+    assert len(table.times_of("read table")) == 2
+    assert table.times_of("read table")[1] - announced_at >= 0.3
 
 
 def test_a_whole_read_that_fails_is_made_again(relayed):
     table, catalogs, _ = relayed
-    answer, failures = table.read, [StoreUnavailable("down")]
+    answer, failures = table.read_table, [StoreUnavailable("down")]
 
     def read() -> FeedPage:
         if failures:
             raise failures.pop()
         return answer()
 
-    table.read = read
-    table.whole = FeedPage((CatalogPublished(Catalog(5)),), 5)
+    table.read_table = read
+    table.table = FeedPage((CatalogPublished(Catalog(5)),), 5)
     table.push(FeedPage((CatalogAnnounced(5),), 2))
     wait_until(lambda: catalogs.current.revision == 5)
+
+
+@pytest.mark.parametrize(
+    ("copy", "expected"),
+    [
+        (FeedPage((CatalogPublished(Catalog(7)),), 7), 7),
+        (FeedPage((CatalogPublished(Catalog(6)),), 6), 9),
+        (FeedPage((), 6), 9),
+        (None, 9),
+        (RecordInvalid("spoilt"), 9),
+    ],
+    ids=["recent", "older than announced", "without a configuration", "none", "spoilt"],
+)
+def test_the_whole_table_comes_as_a_copy_if_that_is_recent(relayed, copy, expected):
+    table, catalogs, versions = relayed
+    table.whole = FeedPage((CatalogAnnounced(7), VERSION_2), 8)
+    table.table = FeedPage((CatalogPublished(Catalog(9)),), 9)
+    table.copy = copy
+    table.push(FeedPage((CatalogAnnounced(7),), 7))
+    wait_until(lambda: catalogs.current.revision == expected)
+    assert versions.newest("m") == 2, "announced versions count too"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hibiscustray.catalog import WeightsVersion
+from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.feeds import (
     Announcement,
     CatalogAnnounced,
@@ -33,10 +34,10 @@
     assert page.revision == 2
 
 
-def test_a_relayed_table_is_read_whole_without_a_copy(store):
-    page = RelayedOperatorFeed(PlatformStore(store.address)).read()
+def test_the_operators_table_itself_is_read_beside_the_relay(store):
+    page = RelayedOperatorFeed(PlatformStore(store.address)).read_table()
     assert [type(change) for change in page.changes] == [CatalogPublished, VersionNamed]
-    assert page.revision == 2
+    assert RelayedOperatorFeed(PlatformStore(store.address)).read().changes == ()
 
 
 def test_a_small_read_has_the_versions_alone(store):
@@ -51,24 +52,17 @@
     near.follow(2, 0.0)
     near.write_copy()
     store.put("op", "version/m", {"model": "m", "version": 4})
-    catalog, version = RelayedOperatorFeed(PlatformStore(store.address)).read().changes
-    assert (catalog.catalog.revision, version.named.version) == (3, 3)
-
-
-def test_a_copy_that_is_older_than_the_announced_configuration_is_not_used(store):
-    near = OperatorFeed(PlatformStore(store.address))
-    near.read()
-    near.write_copy()
-    store.put("op", "config", make_configuration(5))
-    assert near.write_announcements((Announcement("", 5),)) == ()
-    catalog, _, announced = RelayedOperatorFeed(PlatformStore(store.address)).read().changes
-    assert (catalog.catalog.revision, announced) == (5, CatalogAnnounced(5))
+    page = RelayedOperatorFeed(PlatformStore(store.address)).read_copy()
+    catalog, version = page.changes
+    assert (page.revision, catalog.catalog.revision, version.named.version) == (3, 3, 3)
 
 
-def test_a_spoilt_copy_is_not_used(store):
+def test_without_a_copy_there_is_none_and_a_spoilt_one_is_an_error(store):
+    feed = RelayedOperatorFeed(PlatformStore(store.address))
+    assert feed.read_copy() is None
     store.objects["hibiscustray-operator-table"] = b"not compressed"
-    page = RelayedOperatorFeed(PlatformStore(store.address)).read()
-    assert [type(change) for change in page.changes] == [CatalogPublished, VersionNamed]
+    with pytest.raises(RecordInvalid):
+        feed.read_copy()
 
 
 def test_announcements_reach_those_that_follow(store):
