Splits the composition root by who runs the programs

Ruled out: splitting __main__.py (416 lines), which is one thin command after another. Change: a package with `standalone` (342 lines), `hosted` (245) and `parts` (26); it is still the one root, its names are re-exported, and only it and the commands import the adapter. No change of behaviour; tests of the path, commands, stand-ins and boundaries pass.

--- /dev/null
+++ b/hibiscustray/composition/__init__.py
@@ -0,0 +1,24 @@
+"""The composition root: wires the parts of each process from its settings."""
+
+from hibiscustray.composition.hosted import build_hosted_agent, build_hosted_entry
+from hibiscustray.composition.standalone import (
+    UNSHAPED,
+    Core,
+    Wrappers,
+    build_agent,
+    build_entry,
+    build_operator,
+    build_status_reader,
+)
+
+__all__ = [
+    "UNSHAPED",
+    "Core",
+    "Wrappers",
+    "build_agent",
+    "build_entry",
+    "build_hosted_agent",
+    "build_hosted_entry",
+    "build_operator",
+    "build_status_reader",
+]
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -23,7 +23,7 @@
 STANDINS = ADAPTER / "standins.py"
 ADAPTER_LINES = 1200
 STANDIN_LINES = 500
-MAY_IMPORT = ("composition.py", "__main__.py", "commands")
+MAY_IMPORT = ("composition", "__main__.py", "commands")
 OUTSIDE = [path for path in sorted(PACKAGE.rglob("*.py")) if ADAPTER not in path.parents]
 
 
