Measures played loads from the caller's arrival, and keeps three tenths of an objective

Cause: the tests of the placer had a second copy of the played loads, which counted a wait from the engine's next pass on. What a caller waits for the pass under way was left out, so fewer were late than were: twelve entries showed 0.09 late where callers have 0.16 (simulated time, 240 requests a second). Ruled out: a reserve of 0.25 (0.15 to 0.16 late there) and of 0.35 (fewer late still, but 0.735 against 0.741 in time at 60 requests a second on five engines). Change: one harness (benchmarks/placement.py), which the tests use with their bounds as they were; with it three cases failed, and pass with three tenths of an objective in reserve.

--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -28,9 +28,9 @@
 """Share of the slots below which every request is let in."""
 LATE_SHARE = 0.75
 """Share of the slots that requests past their objective may fill."""
-OBJECTIVE_MARGIN = 0.2
+OBJECTIVE_MARGIN = 0.3
 """Part of an objective kept for connection, transfer and the error of the prediction, whose p95 is
-some 0.2 s for objectives of 0.4 s to 0.5 s."""
+some 0.2 s for objectives of 0.4 s to 0.5 s: the played loads of `bench placement`."""
 OWN_READ_FACTOR = 1.5
 """A long prompt is let in by its queueing time; its own reading counts up to this many times a
 typical prompt, so that large requests are not shut out."""
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import random
-from dataclasses import dataclass
-
 import pytest
 
-from hibiscustray.benchmarks.engines import PROFILE, SimulatedEngine, Work
+from hibiscustray.benchmarks.engines import PROFILE
+from hibiscustray.benchmarks.placement import POLICIES, Load, Shares, play
 from hibiscustray.catalog import ServiceEntry
 from hibiscustray.placement import (
     Demand,
@@ -30,6 +28,7 @@
 SERVICE = ServiceEntry("guide", engine=PROFILE)
 PLAIN = ServiceEntry("booking")
 OBJECTIVE_S = 0.5
+PLAYED_S = 20.0
 CLOCK = {"now": 0.0}
 
 
@@ -215,137 +214,44 @@
 # Played loads
 
 
-@dataclass
-class Outcome:
-    """Shares of the callers of a played load."""
-
-    in_time: float
-    late: float
-    refused: float
-
-
-def play(rate: float, choose, replicas: int = 5, seconds: float = 20.0, slow: int = 0) -> Outcome:
-    """Play arrivals at a rate over simulated engines; `choose` returns an engine or None."""
-    rng = random.Random(7)
-    engines = {f"i-{n}": SimulatedEngine(PROFILE) for n in range(replicas)}
-    for number in range(slow):
-        engine = engines[f"i-{number}"]
-        engine.profile = type(PROFILE)(
-            **{**vars(PROFILE), "step_s": PROFILE.step_s * 4, "prompt_tokens_per_s": 4800.0}
-        )
-    now, sent, refused = 0.0, [], 0
-    while now < seconds:
-        now += rng.expovariate(rate)
-        CLOCK["now"] = 1000.0 + now
-        for engine in engines.values():
-            engine.advance(now)
-        prompt = min(3880.0, rng.lognormvariate(6.5, 0.8))
-        output = min(260.0, rng.lognormvariate(4.3, 0.7))
-        name = choose(prompt, output, engines, sent)
-        if name is None:
-            refused += 1
-            continue
-        sent.append((name, engines[name].submit(max(now, engines[name].clock), prompt, output)))
-    for engine in engines.values():
-        engine.advance(now + 60.0)
-    return summarize([work for _, work in sent], refused)
-
-
-def summarize(works: list[Work], refused: int) -> Outcome:
-    total = len(works) + refused
-    firsts = [w.first_at - w.arrived_at for w in works if w.first_at is not None]
-    in_time = sum(first <= OBJECTIVE_S for first in firsts)
-    return Outcome(in_time / total, (len(firsts) - in_time) / total, refused / total)
-
-
-class PlacedChooser:
-    """Chooses by the placer under test, which hears of events only as an entry would."""
-
-    def __init__(self, replicas: int) -> None:
-        self.placer = make_placer(*(make_record(n) for n in range(replicas)))
-        self.open: list[tuple[Placed, Work | int]] = []
-
-    def __call__(self, prompt, output, engines, sent):
-        self._learn(sent, engines)
-        placed = self.placer.place(SERVICE, Demand(prompt, output, OBJECTIVE_S), WeightsRule("m"))
-        if isinstance(placed, Refusal):
-            return None
-        self.open.append((placed, len(sent)))
-        return placed.replica.id
-
-    def _learn(self, sent, engines):
-        for number, (placed, index) in enumerate(self.open):
-            if isinstance(index, int):
-                self.open[number] = (placed, sent[index][1])
-        for placed, work in list(self.open):
-            if work.first_at is not None and placed.flight.first_at is None:
-                self.placer.note_first(placed)
-            if work.ended_at is not None:
-                self.placer.finish(placed, SERVICE)
-                self.open.remove((placed, work))
-
-
-class ManyEntries:
-    """Callers come to one of several entries, each of which knows a replica by its own answers."""
-
-    def __init__(self, entries: int, replicas: int) -> None:
-        self.entries = [_ReadingChooser(replicas) for _ in range(entries)]
-        self.random = random.Random(5)
-
-    def __call__(self, prompt, output, engines, sent):
-        return self.random.choice(self.entries)(prompt, output, engines, sent)
-
-
-class _ReadingChooser(PlacedChooser):
-    """One entry; a replica tells its load with the head of each answer."""
-
-    def _learn(self, sent, engines):
-        for number, (placed, index) in enumerate(self.open):
-            if isinstance(index, int):
-                self.open[number] = (placed, sent[index][1])
-        for placed, work in list(self.open):
-            if work.first_at is not None and placed.flight.first_at is None:
-                engine = engines[placed.replica.id]
-                running = min(PROFILE.slots, engine.count)
-                reading = LoadReading(running, engine.count - running, PROFILE.slots)
-                self.placer.note_reading(placed.replica, reading)
-                self.placer.note_first(placed)
-            if work.ended_at is not None:
-                self.placer.finish(placed, SERVICE)
-                self.open.remove((placed, work))
-
-
-def choose_at_random():
-    rng = random.Random(3)
-    return lambda prompt, output, engines, sent: rng.choice(sorted(engines))
-
-
-def choose_least(prompt, output, engines, sent):
-    return min(sorted(engines), key=lambda name: engines[name].count)
+def play_policy(policy: str, load: Load) -> Shares:
+    return play(load, POLICIES[policy](load), PLAYED_S, PlayedClock())
+
+
+class PlayedClock:
+    """Moves the time that the placers see."""
+
+    def now(self) -> float:
+        return CLOCK["now"]
+
+    def wait_until(self, at: float) -> None:
+        CLOCK["now"] = max(CLOCK["now"], at)
 
 
 @pytest.mark.parametrize("rate", [60.0, 80.0])
 def test_beyond_capacity_more_callers_are_served_in_time_than_by_plain_policies(rate):
-    ours = play(rate, PlacedChooser(5))
-    assert ours.in_time > play(rate, choose_least).in_time + 0.1
-    assert ours.in_time > play(rate, choose_at_random()).in_time + 0.1
+    load = Load("steady", rate, 5)
+    ours = play_policy("hibiscustray", load)
+    for plain in ("least-requests", "random"):
+        assert ours.in_time > play_policy(plain, load).in_time + 0.1
     assert ours.late < 0.15
 
 
 def test_within_capacity_nobody_is_refused():
-    ours = play(25.0, PlacedChooser(5))
+    ours = play_policy("hibiscustray", Load("steady", 25.0, 5))
     assert ours.refused == 0.0
     assert ours.in_time > 0.97
 
 
 def test_a_slow_replica_takes_few_callers_with_it():
-    ours = play(25.0, PlacedChooser(5), slow=1)
-    assert ours.in_time > play(25.0, choose_at_random(), slow=1).in_time + 0.1
+    load = Load("steady", 25.0, 5, slow=1)
+    ours = play_policy("hibiscustray", load)
+    assert ours.in_time > play_policy("random", load).in_time + 0.1
     assert ours.in_time > 0.85
 
 
 @pytest.mark.parametrize("entries", [1, 4, 12])
 def test_many_entries_with_few_answers_each_do_not_let_in_too_many(entries):
-    ours = play(240.0, ManyEntries(entries, 20), replicas=20)
+    ours = play_policy("hibiscustray", Load("steady", 240.0, 20, entries=entries))
     assert ours.late < 0.15
     assert ours.in_time > 0.4
