Waits for the run itself before the kill in the test of a death while running

Cause: an agent counts an attempt as running before its claim is written and the upstream is called. A kill in between ends a request that has not run, another agent runs it, and both callers get its answer: true, but not what the test is about. Ruled out: a late kill, as the run then took 4 s. A new test kills in the window before the claim: answered once, both callers get the same.

--- a/tests/entry/test_keyed.py
+++ b/tests/entry/test_keyed.py
@@ -14,6 +14,12 @@
     return next(plain for plain in site.plains if plain.service.runs[reference])
 
 
+def wait_for_runner(site, reference):
+    """Return the service that has begun a booking; an agent counts it as running before."""
+    wait_until(lambda: any(plain.service.begun[reference] for plain in site.plains))
+    return next(plain for plain in site.plains if plain.service.begun[reference])
+
+
 def test_duplicates_through_two_entries_run_once(booking_site):
     for plain in booking_site.plains:
         plain.service.delay_s = 0.3
@@ -39,15 +45,12 @@
 @pytest.mark.parametrize("has_ticket", [False, True])
 def test_death_while_running_is_unknown_and_never_runs_again(booking_site, has_ticket):
     for plain in booking_site.plains:
-        # Longer than a kill takes on a busy machine, or the booking is answered before it.
         plain.service.delay_s = 4.0
     caller = Caller(booking_site, 0)
     key = caller.take_ticket() if has_ticket else "k1"
     with ThreadPoolExecutor(1) as pool:
         sending = pool.submit(caller.book, "r1", key, Hibiscustray_Deadline_Ms="8000")
-        wait_until(lambda: any(plain.agent.state.running for plain in booking_site.plains))
-        runner = next(plain for plain in booking_site.plains if plain.agent.state.running)
-        kill(runner.agent)
+        kill(wait_for_runner(booking_site, "r1").agent)
         first = sending.result()
     second = Caller(booking_site, 1).book("r1", key, Hibiscustray_Deadline_Ms="3000")
     assert (first.outcome, second.outcome) == ("unknown", "unknown")
@@ -56,6 +59,19 @@
     assert count_runs(booking_site, "r1") == 1
 
 
+def test_death_before_the_claim_is_written_lets_another_run_it_once(booking_site):
+    booking_site.platform.set_faults(delay_s=0.5)
+    with ThreadPoolExecutor(1) as pool:
+        sending = pool.submit(Caller(booking_site, 0).book, "r1", "k1")
+        wait_until(lambda: any(plain.agent.state.running for plain in booking_site.plains))
+        kill(next(p for p in booking_site.plains if p.agent.state.running).agent)
+        first = sending.result()
+    second = Caller(booking_site, 1).book("r1", "k1")
+    assert (first.outcome, second.outcome) == ("answered", "answered")
+    assert second.body == first.body
+    assert count_runs(booking_site, "r1") == 1
+
+
 def test_outage_stops_claims_truthfully_but_not_tickets(booking_site):
     caller = Caller(booking_site, 0)
     ticket = caller.take_ticket()
