--- a/tests/deployments/test_revisions.py
+++ b/tests/deployments/test_revisions.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 import msgspec
 import pytest
@@ -23,9 +23,11 @@
 )
 from hibiscustray.protocols import Put, Row, Table
 from hibiscustray.standins.platform import PlatformStandIn
+from tests import waiting
 
 ADDRESS = "127.0.0.1"
 OPERATORS = 8
+wait_until = partial(waiting.wait_until, limit_s=10.0)
 
 
 class MemoryTable:
@@ -90,15 +92,6 @@
     return change_id
 
 
-def wait_until(is_reached) -> None:
-    """Poll until a condition holds; fail after ten seconds."""
-    for _ in range(1000):
-        if is_reached():
-            return
-        time.sleep(0.01)
-    raise AssertionError("the condition was not reached")
-
-
 def test_a_change_reported_as_not_accepted_never_lands():
     table = MemoryTable()
     store = RevisionStore(table)
--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 
 from hibiscustray.standins.site import TEAM_KEY, Site
 from hibiscustray.web import HttpClient
+from tests import waiting
 
-WAIT_S = 10.0
+wait_until = partial(waiting.wait_until, limit_s=10.0)
 
 
 @dataclass(frozen=True)
@@ -65,10 +66,3 @@
 def kill(agent) -> None:
     """Cut an agent off at once, as when its VM dies."""
     agent.stop(0.0)
-
-
-def wait_until(condition):
-    deadline = time.monotonic() + WAIT_S
-    while not condition() and time.monotonic() < deadline:
-        time.sleep(0.02)
-    assert condition()
--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -24,6 +24,7 @@
     VersionNamed,
 )
 from hibiscustray.telemetry import Metrics
+from tests.waiting import wait_until
 
 RULE = RelayRule(large_b=1000, near_mbit_s=1.0, check_s=0.8)
 STORE_TIME_S = 100.0
@@ -117,13 +118,6 @@
         return {model: row.number for model, row in self.rows.items()}
 
 
-def wait_until(condition, limit_s: float = 5.0) -> None:
-    deadline = time.monotonic() + limit_s
-    while not condition() and time.monotonic() < deadline:
-        time.sleep(0.01)
-    assert condition()
-
-
 @dataclass
 class Relaying:
     """A follower that relays, with its table, the relay and what it has learnt."""
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -4,6 +4,7 @@
 
 import time
 import uuid
+from functools import partial
 
 import pytest
 
@@ -16,10 +17,11 @@
 from hibiscustray.peers.messages import DEAD, LEAVING, LIVE
 from hibiscustray.protocols import MachineList, Table
 from hibiscustray.settings import MembershipSettings
+from tests import waiting
 
 SIZE = 8
 TIMEOUT_S = 2.0
-WAIT_S = 20.0
+wait_until = partial(waiting.wait_until, limit_s=20.0)
 FAST = MembershipSettings(
     heartbeat_s=0.1,
     suspect_after_s=0.6,
@@ -29,14 +31,6 @@
 )
 
 
-def wait_until(is_reached) -> None:
-    """Poll until a condition holds; fail after a generous time."""
-    deadline = time.monotonic() + WAIT_S
-    while not is_reached():
-        assert time.monotonic() < deadline, "the condition was not reached"
-        time.sleep(0.02)
-
-
 def accept(fleet: Fleet, team: str, expected: int):
     """Accept a revision without telling any process."""
     store = RevisionStore(Table(fleet.platform.url, TIMEOUT_S))
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -29,9 +29,11 @@
     HostedSettings,
     HostedStore,
 )
+from hibiscustray.soak.programs import find_port
 from hibiscustray.telemetry import Metrics
+from tests.waiting import wait_until
 
-WAIT_S = 5.0
+CALL_TIMEOUT_S = 5.0
 
 
 @dataclass
@@ -64,12 +66,12 @@
     def connect(self) -> http.client.HTTPConnection:
         """Open a connection for callers."""
         host, _, port = self.settings.entry.callers.rpartition(":")
-        return http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+        return http.client.HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
 
     def open_socket(self) -> socket.socket:
         """Open a connection for raw bytes."""
         host, _, port = self.settings.entry.callers.rpartition(":")
-        return socket.create_connection((host, int(port)), timeout=WAIT_S)
+        return socket.create_connection((host, int(port)), timeout=CALL_TIMEOUT_S)
 
     def call(self, method: str, path: str, body: bytes | None = None, **headers: str):
         """Send one request; return the response and its body."""
@@ -97,7 +99,7 @@
     def read_ready(self) -> int:
         """Return the status of the readiness answer."""
         host, _, port = self.settings.entry.readiness.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+        connection = http.client.HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
         connection.request("GET", "/v1/ready")
         status = connection.getresponse().status
         connection.close()
@@ -114,7 +116,7 @@
         process=HostedProcess("edge-1", "z1", "r1", "127.0.0.1", 0, 0),
         store=HostedStore(store.address, wait_s=1.0),
         regions={"z1": "r1"},
-        entry=HostedEntry(f"127.0.0.1:{_free_port()}", f"127.0.0.1:{_free_port()}", threads=16),
+        entry=HostedEntry(f"127.0.0.1:{find_port()}", f"127.0.0.1:{find_port()}", threads=16),
         bounds=HostedBounds(version_ms=1000.0, grace_s=3.0),
     )
     process = build_hosted_entry(settings, Metrics("edge-1"))
@@ -131,21 +133,8 @@
             replica.close()
 
 
-def wait_until(condition, limit_s: float = WAIT_S) -> None:
-    """Wait for a condition; fail the test if it does not come."""
-    deadline = time.monotonic() + limit_s
-    while not condition() and time.monotonic() < deadline:
-        time.sleep(0.01)
-    assert condition()
-
-
 def run_in_background(function) -> threading.Thread:
     """Run a function on a thread of its own."""
     thread = threading.Thread(target=function, daemon=True)
     thread.start()
     return thread
-
-
-def _free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -23,8 +23,8 @@
     HostedSite,
     run_hosted_site,
     run_in_background,
-    wait_until,
 )
+from tests.waiting import wait_until
 
 EVENTS = b"".join(f"id: {n}\ndata: token-{n}\n\n".encode() for n in range(1, 6))
 
