Logs what an incident on outdated weights needs to be told apart

Added, with no change of any decision:

- `target weights version read`: feed, the store's own time of the response, length of the call
- `request ended`: required, listed and answered version of the weights

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -51,7 +51,7 @@
 from hibiscustray.rollout import OrderGate
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.settings import HostedSettings
-from hibiscustray.telemetry import Metrics
+from hibiscustray.telemetry import Metrics, PauseDetector
 from hibiscustray.web import HttpServer
 from hibiscustray.weights import (
     ChunkCache,
@@ -116,7 +116,8 @@
         bounds.retry_share * RETRY_BUDGET_SHARE,
         bounds.retry_slack * RETRY_BUDGET_SHARE / RETRY_SLACK_ENTRIES,
     )
-    watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S)
+    pauses = PauseDetector(metrics, HOSTED_WATCHDOG_INTERVAL_S)
+    watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check)
     reporter = RequestReporter(metrics)
     attempts = AttemptController(
         feed_state.versions,
--- a/hibiscustray/entry/watchdog.py
+++ b/hibiscustray/entry/watchdog.py
@@ -16,6 +16,10 @@
     return False
 
 
+def _do_nothing() -> None:
+    return None
+
+
 class Watch:
     """The supervision of one call."""
 
@@ -81,10 +85,15 @@
 
 
 class Watchdog:
-    """A thread that checks all running calls of an entry periodically."""
+    """A thread that checks all running calls of an entry periodically, after `on_check`."""
 
-    def __init__(self, check_interval_s: float = CHECK_INTERVAL_S) -> None:
+    def __init__(
+        self,
+        check_interval_s: float = CHECK_INTERVAL_S,
+        on_check: Callable[[], None] = _do_nothing,
+    ) -> None:
         self._check_interval_s = check_interval_s
+        self._on_check = on_check
         self._watches: set[Watch] = set()
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -119,6 +128,7 @@
 
     def _run(self) -> None:
         while not self._stopping.wait(self._check_interval_s):
+            self._on_check()
             now = time.monotonic()
             with self._lock:
                 watches = list(self._watches)
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -9,7 +9,13 @@
 from typing import Protocol
 
 from hibiscustray.exceptions import HistoryLost, PlatformError
-from hibiscustray.feeds.changes import Change, FeedPage, FeedSource, RowRejected
+from hibiscustray.feeds.changes import (
+    Change,
+    FeedPage,
+    FeedSource,
+    RowRejected,
+    TargetVersionSet,
+)
 from hibiscustray.telemetry import Metrics
 
 log = logging.getLogger(__name__)
@@ -75,6 +81,7 @@
         self._last_answered_at = float("-inf")
         self._outage_started_at: float | None = None
         self._rejected = 0
+        self._logged_versions: dict[str, int] = {}
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"feed-{source.name}", daemon=True)
 
@@ -128,12 +135,14 @@
         return self._wait_s if self._outage_started_at is None else 0.0
 
     def _apply_full_page(self, page: FeedPage, called_at: float) -> None:
+        self._log_target_versions(page, called_at)
         earliest_at = self._compute_earliest_change(called_at, page)
         self._record_recovery()
         self._listener.replace(self._process_changes(page), earliest_at)
         self._record_page(page)
 
     def _apply_changes(self, page: FeedPage, called_at: float) -> None:
+        self._log_target_versions(page, called_at)
         earliest_at = self._compute_earliest_change(called_at, page)
         self._record_recovery()
         for change in self._process_changes(page):
@@ -163,6 +172,25 @@
                 self._record_rejected(change)
         return page.changes
 
+    def _log_target_versions(self, page: FeedPage, called_at: float) -> None:
+        """Log from which response a target version was learnt, once for each version."""
+        for change in page.changes:
+            match change:
+                case TargetVersionSet(target=target):
+                    if target.version <= self._logged_versions.get(target.model, 0):
+                        continue
+                    self._logged_versions[target.model] = target.version
+                    log.info(
+                        "target weights version read",
+                        extra={
+                            "feed": self._source.name,
+                            "model": target.model,
+                            "version": target.version,
+                            "store_time_s": round(page.store_time_s, 3),
+                            "call_s": round(time.monotonic() - called_at, 3),
+                        },
+                    )
+
     def _record_rejected(self, row: RowRejected) -> None:
         self._metrics.count("feed_entries_rejected_total", {"feed": self._source.name})
         self._rejected += 1
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -111,6 +111,7 @@
         self._relay_page(page)
 
     def _follow_relay(self, remaining_s: float) -> None:
+        called_at = time.monotonic()
         try:
             page = self._relay_source.follow(self._relay_revision, min(self._wait_s, remaining_s))
         except HistoryLost:
@@ -118,6 +119,7 @@
             self._next_poll_at = float("-inf")
             return
         self._relay_revision = page.revision
+        self._log_target_versions(page, called_at)
         announced = 0
         for change in self._process_changes(page):
             # The change may have been relayed late, but it was made after the last own poll.
--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -244,6 +244,7 @@
         if 200 <= response.status < 300 and not response.is_authentic:
             raise UpstreamConnectionLost("the response does not authenticate its replica")
         if response.version:
+            context.answered_version = response.version
             self.placer.record_version(placement.replica, response.version)
         self.placer.record_response_start(placement)
         return response
--- a/hibiscustray/gateway/context.py
+++ b/hibiscustray/gateway/context.py
@@ -15,7 +15,8 @@
     """A request with its route, service and team; `deadline` is in monotonic seconds.
 
     `attempts_sent` counts attempts, `uncertain_attempts` those after which the request may have
-    run, and `trail` lists each replica tried with the result.
+    run, and `trail` lists each replica tried with the result. `answered_version` is the version of
+    the weights that the last response named, 0 if it named none.
     """
 
     inbound: InboundRequest
@@ -30,6 +31,7 @@
     excluded: set[str] = field(default_factory=set)
     trail: list[str] = field(default_factory=list)
     last_placement: Placement | None = None
+    answered_version: int = 0
 
     @property
     def model(self) -> str:
--- a/hibiscustray/gateway/reporter.py
+++ b/hibiscustray/gateway/reporter.py
@@ -115,6 +115,10 @@
                 details["first_s"] = round(in_flight.response_started_at - in_flight.started_at, 3)
             details["outstanding"] = round(placement.outstanding, 1)
             details["load_age_s"] = round(min(placement.load_report_age_s, MAX_LOGGED_AGE_S), 2)
+            if context.model:
+                details["required_weights"] = placement.required_version
+                details["listed_weights"] = placement.version
+                details["answered_weights"] = context.answered_version
         log.info(
             "request ended",
             extra={
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -100,7 +100,8 @@
 class Placement:
     """The replica chosen for a request, and the load data that the choice is based on.
 
-    `version` is the version of the replica's weights for the requested model, 0 if unknown.
+    `version` is the version of the replica's weights for the requested model, 0 if unknown, and
+    `required_version` the oldest one that the request may begin on, 0 for any.
     """
 
     replica: ReplicaRecord
@@ -109,6 +110,7 @@
     load_report_age_s: float
     candidates: int
     version: int = 0
+    required_version: int = 0
 
 
 @dataclass(frozen=True)
@@ -178,6 +180,7 @@
             best.load.report_age(now),
             len(candidates),
             version,
+            weights.required,
         )
 
     def record_load(self, replica: ReplicaRecord, report: LoadReport) -> None:
--- a/hibiscustray/telemetry/__init__.py
+++ b/hibiscustray/telemetry/__init__.py
@@ -2,5 +2,6 @@
 
 from hibiscustray.telemetry.logs import configure_hosted_logs, configure_logs
 from hibiscustray.telemetry.metrics import Metrics
+from hibiscustray.telemetry.pauses import PauseDetector
 
-__all__ = ["Metrics", "configure_hosted_logs", "configure_logs"]
+__all__ = ["Metrics", "PauseDetector", "configure_hosted_logs", "configure_logs"]
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -157,3 +157,12 @@
     started_at = time.monotonic()
     script = (FeedPage((), 1, started_at), StoreUnavailable("down"), respond_after_outage)
     assert measure_age_s(*script) >= 0.4
+
+
+def test_response_that_names_a_version_is_logged_once(caplog):
+    caplog.set_level("INFO", logger="hibiscustray.feeds.follower")
+    page = FeedPage((TargetVersionSet(WeightsVersion("m", 2)),), 2, store_time_s=41.5)
+    source = ScriptedSource(FeedPage((), 1), page, page)
+    follow(source, OperatorListener(CatalogHolder(), TargetVersions()))
+    lines = [r for r in caplog.records if r.message == "target weights version read"]
+    assert [(r.feed, r.version, r.store_time_s) for r in lines] == [("table", 2, 41.5)]
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -530,3 +530,12 @@
     stop.join()
     assert bodies == [b"".join(f"id: {n}\ndata: token-{n}\n\n".encode() for n in range(1, 21))]
     assert drained == [True]
+
+
+def test_the_end_of_a_request_is_logged_with_the_weights_that_it_ran_on(site, caplog):
+    caplog.set_level("INFO", logger="hibiscustray.gateway.reporter")
+    site.add_replica("guide", stream_tokens(1, 5))
+    assert site.request_stream()[0].status == 200
+    wait_until(lambda: any(r.message == "request ended" for r in caplog.records))
+    line = next(r for r in caplog.records if r.message == "request ended")
+    assert (line.required_weights, line.listed_weights, line.answered_weights) == (0, 1, 1)
