--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(BIN)/hibiscustray demo
 
 test: venv
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PYTEST_OPTIONS)
 
 lint: venv
 	$(BIN)/black --check --quiet hibiscustray tests examples tools
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -166,3 +166,30 @@
     follow(source, OperatorListener(CatalogHolder(), TargetVersions()))
     lines = [r for r in caplog.records if r.message == "target weights version read"]
     assert [(r.feed, r.version, r.store_time_s) for r in lines] == [("table", 2, 41.5)]
+
+
+STORE_CLOCK_AHEAD_S = 5000.0
+
+
+def make_store_page(changes: tuple, revision: int, unread_s: float = 0.0) -> FeedPage:
+    """Return a page that the store sends now and that is read after `unread_s`."""
+    store_time_s = time.monotonic() + STORE_CLOCK_AHEAD_S
+    time.sleep(unread_s)
+    return FeedPage(changes, revision, time.monotonic(), store_time_s=store_time_s)
+
+
+def test_version_in_response_read_late_counts_from_when_it_was_sent():
+    def respond_to_frozen_process() -> FeedPage:
+        time.sleep(0.1)
+        return make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2, unread_s=0.6)
+
+    assert measure_age_s(lambda: make_store_page((), 1), respond_to_frozen_process) >= 0.6
+
+
+def test_version_set_while_previous_response_lay_unread_counts_from_that_response():
+    script = (
+        lambda: make_store_page((), 1),
+        lambda: make_store_page((), 1, unread_s=0.6),
+        lambda: make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2),
+    )
+    assert measure_age_s(*script) >= 0.6
