Dates a version by when the store sent it, not by when it was read

Cause: a feed took the time at which it read a response as the time of the change. The response had been sent at 8.311 s and lay unread until 12.703 s, so the version was required 4.39 s too late. The time of the response before had the same fault, and with it the earliest time of the next change.

Evidence: the entry's log has the version with an age of 0.0 s at 12.703 s, the other entries at 8.315 s; its metrics show one completed call between 8.007 s and 13.007 s.

A call counts as waiting by how long the store held it; changes made while no call waited are as old as the previous response.

--- a/hibiscustray/feeds/changes.py
+++ b/hibiscustray/feeds/changes.py
@@ -66,8 +66,10 @@
 class FeedPage:
     """Changes in order, and the store's revision after the last of them.
 
-    `answered_at` is the monotonic time in seconds at which the response began to arrive, `size_b`
-    its length in bytes and `store_time_s` the time on the store's own monotonic clock.
+    `sent_at` and `answered_at` are the monotonic times in seconds at which the call had been sent
+    and at which its response was read; `sent_at` is None if it is not known. `size_b` is the length
+    of the response in bytes and `store_time_s` the time on the store's own monotonic clock at which
+    it was sent, 0 if the response has none.
     """
 
     changes: tuple[Change, ...]
@@ -75,6 +77,7 @@
     answered_at: float = 0.0
     size_b: int = 0
     store_time_s: float = 0.0
+    sent_at: float | None = None
 
 
 class FeedSource(Protocol):
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -16,6 +16,7 @@
     RowRejected,
     TargetVersionSet,
 )
+from hibiscustray.feeds.clock import StoreClock
 from hibiscustray.telemetry import Metrics
 
 log = logging.getLogger(__name__)
@@ -26,7 +27,9 @@
 BACKOFF_FACTOR = 2.0
 MAX_CALL_GAP_S = 0.1
 """If at most this time passes between a response and the next call, a change counts as made when
-its own response arrived, since the store responds within a few milliseconds."""
+the store sent its own response, since the store responds within a few milliseconds."""
+MAX_IMMEDIATE_RESPONSE_S = 0.25
+"""Longest time for a response to a call that does not wait, from a slow store."""
 MAX_CHANGE_AGE_AFTER_OUTAGE_S = 3.0
 """Maximum age of a change in the first response after an outage: no change is made while the store
 is down, but a congested link delays responses."""
@@ -78,7 +81,8 @@
         self._metrics = metrics
         self._pause_s = pause_s
         self._revision: int | None = None
-        self._last_answered_at = float("-inf")
+        self._store_clock = StoreClock()
+        self._last_responded_at = float("-inf")
         self._outage_started_at: float | None = None
         self._rejected = 0
         self._logged_versions: dict[str, int] = {}
@@ -122,8 +126,9 @@
         if self._revision is None:
             self._apply_full_page(self._read(), called_at)
         else:
-            page = self._source.follow(self._revision, self._compute_wait(called_at))
-            self._apply_changes(page, called_at)
+            wait_s = self._compute_wait(called_at)
+            page = self._source.follow(self._revision, wait_s)
+            self._apply_changes(page, called_at, wait_s)
 
     def _read(self) -> FeedPage:
         """Return the whole table."""
@@ -136,35 +141,45 @@
 
     def _apply_full_page(self, page: FeedPage, called_at: float) -> None:
         self._log_target_versions(page, called_at)
-        earliest_at = self._compute_earliest_change(called_at, page)
+        responded_at = self._locate_response(page, called_at)
+        earliest_at = self._compute_earliest_change(page, called_at, responded_at, wait_s=0.0)
         self._record_recovery()
         self._listener.replace(self._process_changes(page), earliest_at)
-        self._record_page(page)
+        self._record_page(page, responded_at)
 
-    def _apply_changes(self, page: FeedPage, called_at: float) -> None:
+    def _apply_changes(self, page: FeedPage, called_at: float, wait_s: float) -> None:
         self._log_target_versions(page, called_at)
-        earliest_at = self._compute_earliest_change(called_at, page)
+        responded_at = self._locate_response(page, called_at)
+        earliest_at = self._compute_earliest_change(page, called_at, responded_at, wait_s)
         self._record_recovery()
         for change in self._process_changes(page):
             self._listener.apply(change, earliest_at)
-        self._record_page(page)
+        self._record_page(page, responded_at)
 
-    def _record_page(self, page: FeedPage) -> None:
+    def _record_page(self, page: FeedPage, responded_at: float) -> None:
         self._revision = page.revision
-        self._last_answered_at = page.answered_at
+        self._last_responded_at = responded_at
         self._metrics.count("feed_calls_total", {"feed": self._source.name})
 
-    def _compute_earliest_change(self, called_at: float, page: FeedPage) -> float:
+    def _locate_response(self, page: FeedPage, called_at: float) -> float:
+        """Return when the store sent a page, which a frozen process reads much later."""
+        return self._store_clock.locate(page.store_time_s, called_at, page.answered_at)
+
+    def _compute_earliest_change(
+        self, page: FeedPage, called_at: float, responded_at: float, wait_s: float
+    ) -> float:
         """Return the earliest time at which a page's changes may have been made.
 
         The store responds to a waiting call at the first change, so the response time is the time
-        of the change. Changes made between calls may be as old as the previous response.
+        of the change. Changes made while no call waited may be as old as the previous response.
         """
         if self._outage_started_at is not None:
-            return max(self._last_answered_at, page.answered_at - MAX_CHANGE_AGE_AFTER_OUTAGE_S)
-        if called_at - self._last_answered_at > MAX_CALL_GAP_S:
-            return self._last_answered_at
-        return page.answered_at
+            return max(self._last_responded_at, responded_at - MAX_CHANGE_AGE_AFTER_OUTAGE_S)
+        sent_at = page.sent_at if page.sent_at is not None else called_at
+        has_waited = min(wait_s, responded_at - sent_at) > MAX_IMMEDIATE_RESPONSE_S
+        if has_waited or sent_at - self._last_responded_at <= MAX_CALL_GAP_S:
+            return responded_at
+        return self._last_responded_at
 
     def _process_changes(self, page: FeedPage) -> tuple[Change, ...]:
         for change in page.changes:
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -106,8 +106,8 @@
         super()._apply_full_page(page, called_at)
         self._relay_page(page)
 
-    def _apply_changes(self, page: FeedPage, called_at: float) -> None:
-        super()._apply_changes(page, called_at)
+    def _apply_changes(self, page: FeedPage, called_at: float, wait_s: float) -> None:
+        super()._apply_changes(page, called_at, wait_s)
         self._relay_page(page)
 
     def _follow_relay(self, remaining_s: float) -> None:
@@ -123,7 +123,7 @@
         announced = 0
         for change in self._process_changes(page):
             # The change may have been relayed late, but it was made after the last own poll.
-            self._listener.apply(change, self._last_answered_at)
+            self._listener.apply(change, self._last_responded_at)
             if isinstance(change, CatalogAnnounced):
                 announced = max(announced, change.revision)
         if announced > self._catalog_revision and not self._apply_copy(announced):
@@ -135,7 +135,7 @@
         if copy is None:
             return False
         for change in self._process_changes(copy):
-            self._listener.apply(change, self._last_answered_at)
+            self._listener.apply(change, self._last_responded_at)
         self._record_catalog_revision(copy)
         self._revision = max(self._revision or 0, copy.revision)
         self._metrics.count("feed_copies_read_total", {"feed": self._source.name})
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -5,7 +5,6 @@
 import base64
 import binascii
 import logging
-import time
 import zlib
 from collections.abc import Callable
 from urllib.parse import urlencode
@@ -47,7 +46,7 @@
     ROWS_TX_PATH,
     VERSION_KEY_PREFIX,
 )
-from hibiscustray.web import HttpClient
+from hibiscustray.web import HttpClient, HttpStream
 
 log = logging.getLogger(__name__)
 
@@ -81,7 +80,9 @@
     truncated: bool = False
     # Time on the store's monotonic clock.
     server_time_ms: float = msgspec.field(default=0.0, name="serverTimeMs")
-    # Set by the client: monotonic time at which the response headers arrived, and body length.
+    # Set by the client: monotonic times at which the call had been sent and at which the response
+    # headers were read, and body length.
+    sent_at: float | None = None
     answered_at: float = 0.0
     size_b: int = 0
 
@@ -141,58 +142,54 @@
             conditions.append(row_id | {"revision": revision})
             puts.append(row_id | {"value": base64.b64encode(value).decode()})
         body = msgspec.json.encode({"precondition": conditions, "puts": puts, "remove": []})
-        status, response, _ = self._call("POST", ROWS_TX_PATH, READ_TIMEOUT_S, body)
-        if status == OK:
+        response, current = self._call("POST", ROWS_TX_PATH, READ_TIMEOUT_S, body)
+        if response.status == OK:
             return ()
-        if status != PRECONDITION_FAILED:
-            raise StoreUnavailable(f"the store returned HTTP status {status}")
-        return _decode_page(response).rows
+        if response.status != PRECONDITION_FAILED:
+            raise StoreUnavailable(f"the store returned HTTP status {response.status}")
+        return _decode_page(current).rows
 
     def read_object(self, name: str) -> bytes | None:
         """Return an object's bytes, None if it does not exist; raise `StoreUnavailable`."""
-        status, body, _ = self._call("GET", f"{OBJECT_GET_PATH}{name}", READ_TIMEOUT_S)
-        if status not in (OK, NOT_FOUND):
-            raise StoreUnavailable(f"the store returned HTTP status {status}")
-        return body if status == OK else None
+        response, body = self._call("GET", f"{OBJECT_GET_PATH}{name}", READ_TIMEOUT_S)
+        if response.status not in (OK, NOT_FOUND):
+            raise StoreUnavailable(f"the store returned HTTP status {response.status}")
+        return body if response.status == OK else None
 
     def write_object(self, name: str, body: bytes) -> None:
         """Write an object, replacing an earlier one; raise `StoreUnavailable`."""
-        status, _, _ = self._call("PUT", f"{OBJECT_PUT_PATH}{name}", READ_TIMEOUT_S, body)
-        if status not in WRITE_STATUSES:
-            raise StoreUnavailable(f"the store returned HTTP status {status}")
+        response, _ = self._call("PUT", f"{OBJECT_PUT_PATH}{name}", READ_TIMEOUT_S, body)
+        if response.status not in WRITE_STATUSES:
+            raise StoreUnavailable(f"the store returned HTTP status {response.status}")
 
     def close(self) -> None:
         """Close the idle connections."""
         self._http.close()
 
     def _get(self, path: str, query: dict, timeout_s: float) -> _Page:
-        status, body, answered_at = self._call("GET", f"{path}?{urlencode(query)}", timeout_s)
-        if status == GONE:
+        response, body = self._call("GET", f"{path}?{urlencode(query)}", timeout_s)
+        if response.status == GONE:
             raise HistoryLost(f"changes since {query.get('sinceRev')} are no longer stored")
-        if status != OK:
-            raise StoreUnavailable(f"the store returned HTTP status {status}")
+        if response.status != OK:
+            raise StoreUnavailable(f"the store returned HTTP status {response.status}")
         return msgspec.structs.replace(
             _decode_page(body),
-            answered_at=answered_at,
+            sent_at=response.sent_at,
+            answered_at=response.answered_at,
             size_b=len(body),
         )
 
     def _call(
-        self,
-        method: str,
-        path: str,
-        timeout_s: float,
-        body: bytes = b"",
-    ) -> tuple[int, bytes, float]:
-        """Return the status, the body and the monotonic time at which the headers arrived."""
+        self, method: str, path: str, timeout_s: float, body: bytes = b""
+    ) -> tuple[HttpStream, bytes]:
+        """Return the response, which is already closed, and its body."""
         headers = JSON_HEADERS if method == "POST" else {}
         limits = {"timeout_s": timeout_s, "connect_timeout_s": CONNECT_TIMEOUT_S}
         try:
             stream = self._http.open(method, path, body, headers, **limits)
-            answered_at = time.monotonic()
             try:
                 stream.set_timeout(READ_TIMEOUT_S)
-                return stream.status, stream.read_all(), answered_at
+                return stream, stream.read_all()
             finally:
                 stream.close()
         except (UpstreamUnreachable, UpstreamConnectionLost) as error:
@@ -312,8 +309,9 @@
 
 def _convert_page(page: _Page, read_row: Callable[[str, bytes | None], Change]) -> FeedPage:
     changes = tuple(_convert_row(row, read_row) for row in page.rows)
+    store_time_s = page.server_time_ms / MS_PER_S
     return FeedPage(
-        changes, page.revision, page.answered_at, page.size_b, page.server_time_ms / MS_PER_S
+        changes, page.revision, page.answered_at, page.size_b, store_time_s, page.sent_at
     )
 
 
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 import threading
+import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import partial
@@ -37,7 +38,9 @@
 class HttpStream:
     """An HTTP response whose body is read line by line or in blocks."""
 
-    def __init__(self, client: HttpClient, connection, response, sock: socket.socket) -> None:
+    def __init__(
+        self, client: HttpClient, connection, response, sock: socket.socket, sent_at: float
+    ) -> None:
         self._client = client
         # Kept, as http.client clears `connection.sock` if the response ends the connection.
         self._sock = sock
@@ -45,6 +48,9 @@
         self._response = response
         self._lock = threading.Lock()
         self._is_closed = False
+        # Monotonic times in seconds at which the request had been sent and the headers were read.
+        self.sent_at = sent_at
+        self.answered_at = time.monotonic()
         self.status: int = response.status
         self.headers = {key.lower(): value for key, value in response.getheaders()}
 
@@ -174,11 +180,12 @@
         sock = connection.sock
         try:
             _send(connection, method, self._prefix + path, body, headers or {})
+            sent_at = time.monotonic()
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise UpstreamConnectionLost(f"{self.base_url}: {error}") from error
-        return HttpStream(self, connection, response, sock)
+        return HttpStream(self, connection, response, sock, sent_at)
 
     def release(self, connection: http.client.HTTPConnection) -> None:
         """Return a connection to the pool, or close it if the pool is full."""
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -56,8 +56,8 @@
         return step
 
 
-def follow(source: ScriptedSource, listener) -> None:
-    follower = FeedFollower(source, listener, 0.1, Metrics("test"))
+def follow(source: ScriptedSource, listener, wait_s: float = 0.1) -> None:
+    follower = FeedFollower(source, listener, wait_s, Metrics("test"))
     follower.start()
     assert source.is_done.wait(5.0)
     follower.stop()
@@ -193,3 +193,18 @@
         lambda: make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2),
     )
     assert measure_age_s(*script) >= 0.6
+
+
+def test_version_that_ends_wait_counts_as_new_after_late_read_response():
+    def respond_after_wait() -> FeedPage:
+        time.sleep(0.8)
+        return make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2)
+
+    versions = TargetVersions()
+    source = ScriptedSource(
+        lambda: make_store_page((), 1),
+        lambda: make_store_page((), 1, unread_s=0.6),
+        respond_after_wait,
+    )
+    follow(source, OperatorListener(CatalogHolder(), versions), wait_s=1.0)
+    assert versions.find_age("m") < 0.4
