Dates a version after an outage back to the failed call of a frozen process

What callers may see: requests that begin on a version past the bound, through an entry that was frozen while its connection to the store broke.

A frozen process notices the broken call only when it runs again, so the call that failed may be far older than 3 s, and nothing is known since it was sent.

Change: a change found after an outage may be as old as the last failed call, if that is longer. Calls are repeated within a second during an outage, so nothing changes for a process that runs.

test_version_found_after_outage_may_be_as_old_as_last_failed_call failed before (age 0.100 s instead of 0.6 s or more) and passes.

--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -31,8 +31,8 @@
 MAX_IMMEDIATE_RESPONSE_S = 0.25
 """Longest time for a response to a call that does not wait, from a slow store."""
 MAX_CHANGE_AGE_AFTER_OUTAGE_S = 3.0
-"""Maximum age of a change in the first response after an outage: no change is made while the store
-is down, but a congested link delays responses."""
+"""Maximum age of a change in the first response after an outage, unless the last failed call began
+earlier: no change is made while the store is down, but a congested link delays responses."""
 MAX_REJECTED_LOGGED = 20
 """Limit of logged rows, so that a faulty writer cannot flood the log."""
 
@@ -84,6 +84,7 @@
         self._store_clock = StoreClock()
         self._last_responded_at = float("-inf")
         self._outage_started_at: float | None = None
+        self._last_failed_call_at = float("-inf")
         self._rejected = 0
         self._logged_versions: dict[str, int] = {}
         self._stopping = threading.Event()
@@ -100,6 +101,7 @@
     def _run(self) -> None:
         pause_s = MIN_BACKOFF_S
         while not self._stopping.is_set():
+            called_at = time.monotonic()
             try:
                 self._process_next_page()
             except HistoryLost:
@@ -107,6 +109,7 @@
                 self._metrics.count("feed_history_lost_total", {"feed": self._source.name})
                 self._revision = None
             except PlatformError as error:
+                self._last_failed_call_at = called_at
                 self._record_outage(error)
                 self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_FACTOR)
@@ -174,7 +177,9 @@
         of the change. Changes made while no call waited may be as old as the previous response.
         """
         if self._outage_started_at is not None:
-            return max(self._last_responded_at, responded_at - MAX_CHANGE_AGE_AFTER_OUTAGE_S)
+            # The process may have been frozen since it sent the call that failed.
+            oldest_at = min(self._last_failed_call_at, responded_at - MAX_CHANGE_AGE_AFTER_OUTAGE_S)
+            return max(self._last_responded_at, oldest_at)
         sent_at = page.sent_at if page.sent_at is not None else called_at
         has_waited = min(wait_s, responded_at - sent_at) > MAX_IMMEDIATE_RESPONSE_S
         if has_waited or sent_at - self._last_responded_at <= MAX_CALL_GAP_S:
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -208,3 +208,18 @@
     )
     follow(source, OperatorListener(CatalogHolder(), versions), wait_s=1.0)
     assert versions.find_age("m") < 0.4
+
+
+def test_version_found_after_outage_may_be_as_old_as_last_failed_call(monkeypatch):
+    monkeypatch.setattr("hibiscustray.feeds.follower.MAX_CHANGE_AGE_AFTER_OUTAGE_S", 0.1)
+
+    def fail_after_freeze() -> FeedPage:
+        time.sleep(0.6)
+        raise StoreUnavailable("connection lost while the process was frozen")
+
+    script = (
+        lambda: make_store_page((), 1),
+        fail_after_freeze,
+        lambda: make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2),
+    )
+    assert measure_age_s(*script) >= 0.6
