Counts suspended time in the age of target versions

What callers may see: requests that begin on a version past the bound, through an entry whose VM was suspended after it had learnt of a newer version.

Cause: ages were measured with time.monotonic, which stands still while a machine is suspended. The bound is counted by others, so the version was required too late by the time of the suspension.

Change: `read_clock` reads the clock that counts suspended time. Feeds, the times of a response and the target versions use it; their tests do too.

--- a/hibiscustray/catalog/versions.py
+++ b/hibiscustray/catalog/versions.py
@@ -5,9 +5,10 @@
 import logging
 import math
 import threading
-import time
 from dataclasses import dataclass
 
+from hibiscustray.clock import read_clock
+
 log = logging.getLogger(__name__)
 
 DEFAULT_VERSION = 1
@@ -32,16 +33,16 @@
     def record(self, target: WeightsVersion, set_at: float | None = None) -> bool:
         """Record a target version; return whether it is newer than the recorded ones.
 
-        `set_at` is the earliest monotonic time at which it may have been set, in seconds. It is
-        now by default, and minus infinity for a version found when this process started.
+        `set_at` is the earliest time of `read_clock` at which it may have been set. It is now by
+        default, and minus infinity for a version found when this process started.
         """
-        set_at = time.monotonic() if set_at is None else set_at
+        set_at = read_clock() if set_at is None else set_at
         with self._lock:
             versions = self._target_versions.setdefault(target.model, [])
             if versions and target.version <= versions[-1][0]:
                 return False
             versions.append((target.version, set_at))
-        age_s = time.monotonic() - set_at
+        age_s = read_clock() - set_at
         log.info(
             "target weights version set",
             extra={
@@ -61,14 +62,14 @@
     def find_age(self, model: str) -> float:
         """Return the seconds since the newest target version was set, infinite if none was."""
         versions = self._target_versions.get(model)
-        return time.monotonic() - versions[-1][1] if versions else float("inf")
+        return read_clock() - versions[-1][1] if versions else float("inf")
 
     def find_time_left(self, model: str, held: int, bound_s: float) -> float:
         """Return the seconds until a version newer than `held` is required, infinite if none.
 
         A version is required from `bound_s` after it was set as the target.
         """
-        now = time.monotonic()
+        now = read_clock()
         with self._lock:
             ages = [
                 now - at for version, at in self._target_versions.get(model, ()) if version > held
@@ -80,7 +81,7 @@
 
         This is the newest version that was set as the target at least `bound_s` ago.
         """
-        limit = time.monotonic() - bound_s
+        limit = read_clock() - bound_s
         with self._lock:
             old = [version for version, at in self._target_versions.get(model, ()) if at <= limit]
         return old[-1] if old else 0
--- a/hibiscustray/feeds/changes.py
+++ b/hibiscustray/feeds/changes.py
@@ -66,10 +66,10 @@
 class FeedPage:
     """Changes in order, and the store's revision after the last of them.
 
-    `sent_at` and `answered_at` are the monotonic times in seconds at which the call had been sent
-    and at which its response was read; `sent_at` is None if it is not known. `size_b` is the length
-    of the response in bytes and `store_time_s` the time on the store's own monotonic clock at which
-    it was sent, 0 if the response has none.
+    `sent_at` and `answered_at` are the times of `read_clock` in seconds at which the call had been
+    sent and at which its response was read; `sent_at` is None if it is not known. `size_b` is the
+    length of the response in bytes and `store_time_s` the time on the store's own monotonic clock
+    at which it was sent, 0 if the response has none.
     """
 
     changes: tuple[Change, ...]
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -5,9 +5,9 @@
 import logging
 import random
 import threading
-import time
 from typing import Protocol
 
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import HistoryLost, PlatformError
 from hibiscustray.feeds.changes import (
     Change,
@@ -40,7 +40,7 @@
 class FeedListener(Protocol):
     """Receives the changes of a table on the follower's thread.
 
-    `earliest_at` is the earliest monotonic time in seconds at which the changes may have been made.
+    `earliest_at` is the earliest time of `read_clock` at which the changes may have been made.
     """
 
     def replace(self, changes: tuple[Change, ...], earliest_at: float) -> None:
@@ -101,7 +101,7 @@
     def _run(self) -> None:
         pause_s = MIN_BACKOFF_S
         while not self._stopping.is_set():
-            called_at = time.monotonic()
+            called_at = read_clock()
             try:
                 self._process_next_page()
             except HistoryLost:
@@ -125,7 +125,7 @@
                 self._stopping.wait(self._pause_s)
 
     def _process_next_page(self) -> None:
-        called_at = time.monotonic()
+        called_at = read_clock()
         if self._revision is None:
             self._apply_full_page(self._read(), called_at)
         else:
@@ -207,7 +207,7 @@
                             "model": target.model,
                             "version": target.version,
                             "store_time_s": round(page.store_time_s, 3),
-                            "call_s": round(time.monotonic() - called_at, 3),
+                            "call_s": round(read_clock() - called_at, 3),
                         },
                     )
 
@@ -223,13 +223,13 @@
     def _record_outage(self, error: PlatformError) -> None:
         self._metrics.count("feed_failures_total", {"feed": self._source.name})
         if self._outage_started_at is None:
-            self._outage_started_at = time.monotonic()
+            self._outage_started_at = read_clock()
             log.warning("feed unavailable", extra={"feed": self._source.name, "reason": str(error)})
             self._listener.record_outage()
 
     def _record_recovery(self) -> None:
         if self._outage_started_at is not None:
-            outage_s = time.monotonic() - self._outage_started_at
+            outage_s = read_clock() - self._outage_started_at
             self._outage_started_at = None
             log.info(
                 "feed available again",
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -10,9 +10,9 @@
 
 import logging
 import random
-import time
 from dataclasses import dataclass, replace
 
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import HistoryLost, PlatformError, RecordInvalid
 from hibiscustray.feeds.changes import (
     Announcement,
@@ -91,7 +91,7 @@
         self._next_poll_at = float("-inf")
 
     def _process_next_page(self) -> None:
-        now = time.monotonic()
+        now = read_clock()
         if self._revision is None or not self._is_far or now >= self._next_poll_at:
             super()._process_next_page()
             # The polls of many entries are spread, so that one of them finds a change early.
@@ -111,7 +111,7 @@
         self._relay_page(page)
 
     def _follow_relay(self, remaining_s: float) -> None:
-        called_at = time.monotonic()
+        called_at = read_clock()
         try:
             page = self._relay_source.follow(self._relay_revision, min(self._wait_s, remaining_s))
         except HistoryLost:
@@ -241,11 +241,11 @@
         super().__init__(source, listener, wait_s, metrics)
         self._relay_source = source
         self._tuning = tuning
-        self._next_poll_at = time.monotonic() + tuning.check_interval_s * random.random()
+        self._next_poll_at = read_clock() + tuning.check_interval_s * random.random()
         self._full_read_at = float("inf")
 
     def _process_next_page(self) -> None:
-        now = time.monotonic()
+        now = read_clock()
         if self._revision is not None and now >= self._next_poll_at:
             self._poll_small_rows(now)
         if now >= self._full_read_at:
@@ -279,5 +279,5 @@
         is_announced = any(isinstance(change, CatalogAnnounced) for change in changes)
         if is_announced and self._revision is not None and self._full_read_at == float("inf"):
             delay_s = random.uniform(self._tuning.min_delay_s, self._tuning.max_delay_s)
-            self._full_read_at = time.monotonic() + delay_s
+            self._full_read_at = read_clock() + delay_s
         return changes
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -80,8 +80,8 @@
     truncated: bool = False
     # Time on the store's monotonic clock.
     server_time_ms: float = msgspec.field(default=0.0, name="serverTimeMs")
-    # Set by the client: monotonic times at which the call had been sent and at which the response
-    # headers were read, and body length.
+    # Set by the client: times of `read_clock` at which the call had been sent and at which the
+    # response headers were read, and body length.
     sent_at: float | None = None
     answered_at: float = 0.0
     size_b: int = 0
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -8,12 +8,12 @@
 import socket
 import ssl
 import threading
-import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import partial
 from urllib.parse import urlsplit
 
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import UpstreamConnectionLost, UpstreamUnreachable
 
 MAX_IDLE_CONNECTIONS = 32
@@ -48,9 +48,9 @@
         self._response = response
         self._lock = threading.Lock()
         self._is_closed = False
-        # Monotonic times in seconds at which the request had been sent and the headers were read.
+        # Times of `read_clock` at which the request had been sent and the headers were read.
         self.sent_at = sent_at
-        self.answered_at = time.monotonic()
+        self.answered_at = read_clock()
         self.status: int = response.status
         self.headers = {key.lower(): value for key, value in response.getheaders()}
 
@@ -180,7 +180,7 @@
         sock = connection.sock
         try:
             _send(connection, method, self._prefix + path, body, headers or {})
-            sent_at = time.monotonic()
+            sent_at = read_clock()
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hibiscustray.catalog import Catalog, CatalogHolder, TargetVersions, WeightsVersion
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import HistoryLost, StoreUnavailable
 from hibiscustray.feeds import (
     CatalogPublished,
@@ -46,7 +47,7 @@
         if not self.script:
             self.is_done.set()
             time.sleep(0.05)
-            return FeedPage((), max(0, revision), time.monotonic())
+            return FeedPage((), max(0, revision), read_clock())
         self.calls.append((kind, revision))
         step = self.script.pop(0)
         if isinstance(step, Exception):
@@ -132,29 +133,27 @@
 def test_version_that_ends_wait_counts_as_new():
     def respond_after_wait() -> FeedPage:
         time.sleep(0.5)
-        return make_version_page(2, time.monotonic())
+        return make_version_page(2, read_clock())
 
-    started_at = time.monotonic()
+    started_at = read_clock()
     assert measure_age_s(FeedPage((), 1, started_at), respond_after_wait) < 0.4
 
 
 def test_version_found_without_wait_may_be_as_old_as_previous_response():
     def respond_over_slow_link() -> FeedPage:
-        answered_at = time.monotonic()
+        answered_at = read_clock()
         time.sleep(0.5)
         return FeedPage((), 1, answered_at)
 
-    assert (
-        measure_age_s(respond_over_slow_link, lambda: make_version_page(2, time.monotonic())) >= 0.5
-    )
+    assert measure_age_s(respond_over_slow_link, lambda: make_version_page(2, read_clock())) >= 0.5
 
 
 def test_version_found_after_outage_may_be_as_old_as_outage():
     def respond_after_outage() -> FeedPage:
         time.sleep(0.4)
-        return make_version_page(2, time.monotonic())
+        return make_version_page(2, read_clock())
 
-    started_at = time.monotonic()
+    started_at = read_clock()
     script = (FeedPage((), 1, started_at), StoreUnavailable("down"), respond_after_outage)
     assert measure_age_s(*script) >= 0.4
 
@@ -173,9 +172,9 @@
 
 def make_store_page(changes: tuple, revision: int, unread_s: float = 0.0) -> FeedPage:
     """Return a page that the store sends now and that is read after `unread_s`."""
-    store_time_s = time.monotonic() + STORE_CLOCK_AHEAD_S
+    store_time_s = read_clock() + STORE_CLOCK_AHEAD_S
     time.sleep(unread_s)
-    return FeedPage(changes, revision, time.monotonic(), store_time_s=store_time_s)
+    return FeedPage(changes, revision, read_clock(), store_time_s=store_time_s)
 
 
 def test_version_in_response_read_late_counts_from_when_it_was_sent():
--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -9,6 +9,7 @@
 import pytest
 
 from hibiscustray.catalog import Catalog, CatalogHolder, TargetVersions, WeightsVersion
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import HistoryLost, RecordInvalid, StoreUnavailable
 from hibiscustray.feeds import (
     Announcement,
@@ -54,27 +55,27 @@
             self._changed.notify_all()
 
     def read(self) -> FeedPage:
-        self.calls.append(("read", time.monotonic()))
+        self.calls.append(("read", read_clock()))
         return self.full_page
 
     def read_table(self) -> FeedPage:
-        self.calls.append(("read table", time.monotonic()))
+        self.calls.append(("read table", read_clock()))
         return self.operator_page
 
     def read_small(self) -> FeedPage:
-        self.calls.append(("read small", time.monotonic()))
+        self.calls.append(("read small", read_clock()))
         return self.small_page
 
     def follow(self, revision: int, wait_s: float) -> FeedPage:
-        self.calls.append(("follow", time.monotonic()))
+        self.calls.append(("follow", read_clock()))
         if self.failure is not None:
             raise self.failure
         with self._changed:
             self._changed.wait_for(lambda: bool(self.pages), wait_s)
-            return self.pages.pop(0) if self.pages else FeedPage((), revision, time.monotonic())
+            return self.pages.pop(0) if self.pages else FeedPage((), revision, read_clock())
 
     def read_copy(self) -> FeedPage | None:
-        self.calls.append(("read copy", time.monotonic()))
+        self.calls.append(("read copy", read_clock()))
         if isinstance(self.copy, Exception):
             raise self.copy
         return self.copy
@@ -236,11 +237,11 @@
 
 
 def test_relayed_version_may_be_as_old_as_last_table_poll(setup):
-    checked_at = time.monotonic() - 0.6
+    checked_at = read_clock() - 0.6
     setup.publish(2, answered_at=checked_at, **FAR)
     setup.follower.start()
     wait_until(lambda: bool(setup.relayed.times_of("follow")))
-    setup.relayed.push(FeedPage((VERSION_2,), 6, answered_at=time.monotonic()))
+    setup.relayed.push(FeedPage((VERSION_2,), 6, answered_at=read_clock()))
     wait_until(lambda: setup.versions.find_newest("m") == 2, 0.4)
     assert setup.versions.find_age("m") >= 0.6
 
@@ -287,7 +288,7 @@
 def test_reader_reads_announced_configuration_once_after_delay(relayed):
     table, catalogs, _ = relayed
     table.operator_page = FeedPage((CatalogPublished(Catalog(5)),), 5)
-    announced_at = time.monotonic()
+    announced_at = read_clock()
     table.push(FeedPage((CatalogAnnounced(4),), 2))
     table.push(FeedPage((CatalogAnnounced(5),), 3))
     wait_until(lambda: catalogs.current.revision == 5)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hibiscustray.catalog import WeightsVersion
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.feeds import (
     Announcement,
@@ -106,9 +107,9 @@
 
 def test_a_page_contains_the_start_time_and_size_of_its_response(store):
     feed = OperatorFeed(PlatformStore(store.address))
-    before = time.monotonic()
+    before = read_clock()
     # 50 ms more than the 0.2 s checked: the client may read the headers after the pause begins.
     store.body_pause_s = 0.25
     page = feed.follow(2, 0.3)
-    assert before + 0.3 <= page.answered_at <= time.monotonic() - 0.2
+    assert before + 0.3 <= page.answered_at <= read_clock() - 0.2
     assert page.size_b > 0
