Remembers a frozen call through the whole outage

What callers may see: requests that begin on a version past the bound, through an entry that was frozen while several of its connections broke.

Cause: only the last failed call of an outage was remembered, so one quick failure after the call in which the process was frozen hid the time in which nothing was known.

Change: a failed call that lasted longer than its timeouts allow marks a process that was frozen; its start is kept until the table is read again.

--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -25,6 +25,9 @@
 MAX_BACKOFF_S = 0.8
 """A change must become active within seconds after an outage, so the backoff is capped low."""
 BACKOFF_FACTOR = 2.0
+MAX_CALL_MARGIN_S = 1.5
+"""Longest time, beyond its wait, that a failing call takes in a process that runs: the timeouts for
+the connection and for a response that is due."""
 MAX_CALL_GAP_S = 0.1
 """If at most this time passes between a response and the next call, a change counts as made when
 the store sent its own response, since the store responds within a few milliseconds."""
@@ -85,6 +88,7 @@
         self._last_response: ResponseTimes | None = None
         self._outage_started_at: float | None = None
         self._last_failed_call_at = float("-inf")
+        self._frozen_call_at = float("inf")
         self._rejected = 0
         self._logged_versions: dict[str, int] = {}
         self._stopping = threading.Event()
@@ -109,8 +113,7 @@
                 self._metrics.count("feed_history_lost_total", {"feed": self._source.name})
                 self._revision = None
             except PlatformError as error:
-                self._last_failed_call_at = called_at
-                self._record_outage(error)
+                self._record_outage(error, called_at)
                 self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_FACTOR)
             except Exception:
@@ -186,8 +189,11 @@
         """
         responded_at = self._store_clock.locate(response)
         if self._outage_started_at is not None:
-            # The process may have been frozen since it sent the call that failed.
-            oldest_at = min(self._last_failed_call_at, responded_at - MAX_CHANGE_AGE_AFTER_OUTAGE_S)
+            oldest_at = min(
+                responded_at - MAX_CHANGE_AGE_AFTER_OUTAGE_S,
+                self._last_failed_call_at,
+                self._frozen_call_at,
+            )
             return max(self._last_responded_at, oldest_at)
         sent_at = page.sent_at if page.sent_at is not None else response.called_at
         has_waited = min(wait_s, responded_at - sent_at) > MAX_IMMEDIATE_RESPONSE_S
@@ -229,7 +235,11 @@
                 extra={"feed": self._source.name, "key": row.key, "reason": row.reason},
             )
 
-    def _record_outage(self, error: PlatformError) -> None:
+    def _record_outage(self, error: PlatformError, called_at: float) -> None:
+        self._last_failed_call_at = called_at
+        if read_clock() - called_at > self._wait_s + MAX_CALL_MARGIN_S:
+            # Nothing is known of the store for the time in which this process was frozen.
+            self._frozen_call_at = min(self._frozen_call_at, called_at)
         self._metrics.count("feed_failures_total", {"feed": self._source.name})
         if self._outage_started_at is None:
             self._outage_started_at = read_clock()
@@ -240,6 +250,7 @@
         if self._outage_started_at is not None:
             outage_s = read_clock() - self._outage_started_at
             self._outage_started_at = None
+            self._frozen_call_at = float("inf")
             log.info(
                 "feed available again",
                 extra={"feed": self._source.name, "outage_s": round(outage_s, 3)},
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -230,3 +230,20 @@
         lambda: make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2),
     )
     assert measure_age_s(*script) >= 0.6
+
+
+def test_version_found_after_outage_may_be_as_old_as_earlier_failed_call(monkeypatch):
+    monkeypatch.setattr("hibiscustray.feeds.follower.MAX_CHANGE_AGE_AFTER_OUTAGE_S", 0.1)
+    monkeypatch.setattr("hibiscustray.feeds.follower.MAX_CALL_MARGIN_S", 0.4)
+
+    def fail_after_freeze() -> FeedPage:
+        time.sleep(0.6)
+        raise StoreUnavailable("connection lost while the process was frozen")
+
+    script = (
+        lambda: make_store_page((), 1),
+        fail_after_freeze,
+        StoreUnavailable("next pooled connection lost too"),
+        lambda: make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2),
+    )
+    assert measure_age_s(*script) >= 0.6
