Follows a table from the first page of a read

What callers may see: a replica or a key as it was before a change, until the next full read, with a table of more than 500 rows or 1 MB.

The version of the last response was taken for that of all of them.

test_change_made_between_two_pages_of_a_table_is_followed failed before and passes.

--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -118,7 +118,7 @@
             first = first or page
             rows.extend(page.rows)
             if not page.truncated or not page.rows:
-                return msgspec.structs.replace(first, rows=tuple(rows), revision=page.revision)
+                return msgspec.structs.replace(first, rows=tuple(rows))
             # The start of a range is inclusive: continue with the smallest key after the last one.
             query["rangeStart"] = page.rows[-1].key + "\0"
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -113,3 +113,22 @@
     page = feed.follow(2, 0.3)
     assert before + 0.3 <= page.answered_at <= read_clock() - 0.2
     assert page.size_b > 0
+
+
+def test_change_made_between_two_pages_of_a_table_is_followed(store, monkeypatch):
+    store.put("op", "version/a", {"model": "a", "version": 1})
+    store.put("op", "version/b", {"model": "b", "version": 1})
+    read_rows = store._read_table
+
+    def read_one_row(query: dict) -> dict:
+        page = read_rows(query)
+        if len(page["rows"]) > 1:
+            page |= {"rows": page["rows"][:1], "truncated": True}
+        if len(page["rows"]) == 1 and page["rows"][0]["key"] == "version/a":
+            store.put("op", "version/a", {"model": "a", "version": 2})
+        return page
+
+    monkeypatch.setattr(store, "_read_table", read_one_row)
+    feed = OperatorFeed(PlatformStore(store.address))
+    followed = feed.follow(feed.read().revision, 0.0)
+    assert TargetVersionSet(WeightsVersion("a", 2)) in followed.changes
