Asks the answers too for the version that bounds the wait for a first event

What callers see: 502 and streams begun late, where a replica has swapped to the required version and answered with it, but its record still names the old one (the list is read late, or the store is down).

Cause: placement takes the newer of a replica's record and its last answer, the timeout for the first event only the record. The older version of the record is past its bound, so each attempt is cancelled after 0.1 s.

Evidence: test_replica_whose_answers_are_newer_than_its_record_keeps_its_time_for_first_event failed before (status 502 instead of 200).

Change: the timeout uses the version with which the replica was chosen.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -112,8 +112,9 @@
         A request must not begin on an old version after a newer one has become required, so an
         attempt that has not begun is cancelled just before that time.
         """
-        held = placement.replica.find_version(context.model)
-        left_s = self._versions.find_time_left(context.model, held, self.limits.version_bound_s)
+        left_s = self._versions.find_time_left(
+            context.model, placement.version, self.limits.version_bound_s
+        )
         return max(
             MIN_FIRST_BYTE_TIMEOUT_S, min(FIRST_BYTE_TIMEOUT_S, left_s - VERSION_DEADLINE_MARGIN_S)
         )
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -532,6 +532,24 @@
     assert drained == [True]
 
 
+def test_replica_whose_answers_are_newer_than_its_record_keeps_its_time_for_first_event(site):
+    pauses_s = [0.0, 0.3]
+
+    def respond_with_version_2(request, connection):
+        time.sleep(pauses_s.pop(0))
+        head = f"{ATTEMPT_ID}: {request.id}\r\n{SERVER_SEAL}: seal-1\r\n"
+        head += f"X-Hibiscustray-Weight-Versions: 2\r\nContent-Length: {len(EVENTS)}\r\n\r\n"
+        connection.sendall(f"HTTP/1.1 200 OK\r\n{head}".encode() + EVENTS)
+
+    site.add_replica("guide", respond_with_version_2)
+    assert site.request_stream()[1] == EVENTS
+    site.store.put("op", "version/m", {"model": "m", "version": 2})
+    wait_until(lambda: site.process._forwarder._attempts._versions.find_newest("m") == 2)
+    time.sleep(1.2)
+    response, body = site.request_stream()
+    assert (response.status, body) == (200, EVENTS)
+
+
 def test_the_end_of_a_request_is_logged_with_the_weights_that_it_ran_on(site, caplog):
     caplog.set_level("INFO", logger="hibiscustray.gateway.reporter")
     site.add_replica("guide", stream_tokens(1, 5))
