Counts the wait for a thread against a request's deadline

What callers see: a response as late as the wait for a thread of the entry plus the whole deadline (here 3.05 s for a deadline of 1.6 s), where all threads of an entry are busy. Such a request was also admitted as if it had just arrived, and its replica was told the whole time.

Cause: the time of a request was taken when a thread began to handle it, not when the entry had received it.

Evidence: test_time_in_which_a_request_waits_for_a_thread_counts_for_its_deadline failed before (3.05 s instead of less than 2 s).

Change: the server records when a request is complete and passes it to the application. Time in which the request lay in the socket of a frozen process remains unknown. 547 tests of the platform, web, boundaries and bad input pass.

--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -26,7 +25,7 @@
     URGENCY,
 )
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
-from hibiscustray.web.server import REASON_PHRASES
+from hibiscustray.web.server import REASON_PHRASES, RECEIVED_AT
 
 REPLACED_HEADERS = frozenset(
     name.lower()
@@ -108,7 +107,7 @@
         target=target,
         headers=forwarded,
         body=environ["wsgi.input"].read(),
-        received_at=time.monotonic(),
+        received_at=environ[RECEIVED_AT],
         time_left_s=_read_time_left(headers.get(TIME_LEFT_MS.lower(), "")),
         key=authorization[len(BEARER_PREFIX) :] if authorization.startswith(BEARER_PREFIX) else "",
         generation=_read_generation(headers),
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -35,6 +35,8 @@
 CLEANUP_INTERVAL_S = 5
 MAX_OPEN_CONNECTIONS = 4096
 MAX_HEADERS_B = 64 * 1024
+RECEIVED_AT = "hibiscustray.received_at"
+"""Key in the WSGI environment of the monotonic time at which a request had been received."""
 MAX_BUFFER_B = 1 << 40
 """Larger than any body, so that waitress never writes a buffer to a temporary file."""
 REASON_PHRASES = {
@@ -155,10 +157,25 @@
         if self.channel.server.is_keep_alive_disabled:
             self.set_close_on_finish()
 
+    def get_environment(self) -> dict[str, Any]:
+        """Return the WSGI environment with the time at which the request had been received."""
+        environ = super().get_environment()
+        environ[RECEIVED_AT] = self.request.received_at
+        return environ
+
 
 class StrictParser(HTTPRequestParser):
     """Rejects requests with a Content-Length and a chunked body, which allow request smuggling."""
 
+    received_at: float | None = None
+
+    def received(self, data: bytes) -> int:
+        """Process received bytes and record when the request is complete."""
+        size_b = super().received(data)
+        if self.completed and self.received_at is None:
+            self.received_at = time.monotonic()
+        return size_b
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the headers of a request."""
         super().parse_header(header_plus)
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -294,6 +294,25 @@
     assert time.monotonic() - started < 1.0
 
 
+def test_time_in_which_a_request_waits_for_a_thread_counts_for_its_deadline(site):
+    busy_threads = site.settings.entry.threads
+    site.add_replica("booking", lambda request, connection: time.sleep(4), slots=10 * busy_threads)
+    took_s: list[float] = []
+
+    def call(deadline_ms: str) -> None:
+        started = time.monotonic()
+        site.call("POST", "/book/1", b"x", X_Hibiscustray_Deadline_Ms=deadline_ms)
+        took_s.append(time.monotonic() - started)
+
+    busy = [run_in_background(lambda: call("1500")) for _ in range(busy_threads)]
+    wait_until(lambda: site.process._forwarder.running == busy_threads)
+    took_s.clear()
+    waiting = run_in_background(lambda: call("1600"))
+    for thread in (*busy, waiting):
+        thread.join()
+    assert max(took_s) < 2.0
+
+
 # Weights
 
 
