Counts suspended time in the age of verified staged chunks

What callers may see: answers made with a spoilt piece of the weights, where the VM of an agent was suspended between the verification of the staged chunks and the load order. Not seen on the platform.

Cause: the age of the verification, limited to 2 s, was measured with time.monotonic, which stands still while a machine is suspended. A chunk may become corrupt in the staging area meanwhile.

Evidence: test_chunk_that_becomes_corrupt_while_vm_is_suspended_is_not_loaded failed before in three runs of three (the engine loaded the corrupt chunk 0).

Change: the age is measured with read_clock. A suspension after this check and before the engine accepts the order, within one local call, is not covered. The tests of the agent and boundaries pass.

--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -17,6 +17,7 @@
     StagingEngine,
 )
 from hibiscustray.catalog import CatalogHolder, TargetVersions
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import (
     ChunkCorrupt,
     ChunkMissing,
@@ -282,7 +283,7 @@
         report = self._engine.read_report()
         if report.find_version(model) == version or report.is_loading:
             return
-        if time.monotonic() - verified_at > MAX_VERIFICATION_AGE_S:
+        if read_clock() - verified_at > MAX_VERIFICATION_AGE_S:
             return
         outcome = self._engine.order_load(
             model, version, LoadMode.FINISH_RUNNING, report.order_count, version
@@ -308,7 +309,7 @@
     def _stage(self, model: str, label: str, manifest: Manifest) -> float:
         """Stage all chunks and verify them; return when the verification began.
 
-        The time is in monotonic seconds. Returns -inf if a chunk had to be staged again, so that
+        The time is one of `read_clock`. Returns -inf if a chunk had to be staged again, so that
         the verification is repeated.
         """
         cache = self._environment.cache
@@ -316,7 +317,7 @@
         for index in range(manifest.count):
             if index not in staged or not self._is_staged_intact(model, index, manifest):
                 self._engine.stage(model, index, cache.get(label, index))
-        verified_at = time.monotonic()
+        verified_at = read_clock()
         for index in range(manifest.count):
             if not self._is_staged_intact(model, index, manifest):
                 self._metrics.count("staged_chunks_rejected_total")
--- a/tests/agent/test_stager.py
+++ b/tests/agent/test_stager.py
@@ -219,6 +219,31 @@
     assert engine.loads == [make_chunks(1)]
 
 
+class SuspendingEngine(Engine):
+    """An engine whose VM is suspended once, after all staged chunks were verified."""
+
+    suspended_s = 0.0
+
+    def read_report(self) -> EngineReport:
+        if len(self.staged) == CHUNKS and not self.suspended_s:
+            self.suspended_s = 9.0
+            self.staged[0] = b"rot"
+        return super().read_report()
+
+
+def test_chunk_that_becomes_corrupt_while_vm_is_suspended_is_not_loaded(start_stager, monkeypatch):
+    engine = SuspendingEngine()
+    read_clock = time.clock_gettime
+
+    def read_after_suspension(clock: int) -> float:
+        is_counted = clock == time.CLOCK_BOOTTIME
+        return read_clock(clock) + (engine.suspended_s if is_counted else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+    start_stager(engine).wait_for(1)
+    assert engine.loads == [make_chunks(1)]
+
+
 def test_a_chunk_that_the_origin_corrupts_is_fetched_again(start_stager, monkeypatch):
     monkeypatch.setattr("hibiscustray.weights.transfer.ORIGIN_CORRUPT_RETRY_S", 0.05)
     engine = Engine()
