Counts suspended time against the deadlines of hosted requests

What callers may see: a response later than the route's timeout by the time for which the VM of the entry was suspended, and a replica that is told more time than is left. Not seen on the platform.

Cause: deadlines were measured with time.monotonic, which stands still while a machine is suspended.

Change: the time of a request, its deadline and its age use read_clock. The watchdog is given the clock of the deadlines; the standalone entry keeps its monotonic one. Silence is still measured with time.monotonic, since nothing is read while the machine is suspended.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -10,6 +10,7 @@
 from hibiscustray.agent.roster import AgentRoster
 from hibiscustray.agent.stager import OriginManifests, WeightsStager
 from hibiscustray.catalog import CatalogHolder, TargetVersions
+from hibiscustray.clock import read_clock
 from hibiscustray.composition.parts import MIB, MS_PER_S, DeferredApplication, make_incarnation
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.feeds import (
@@ -117,7 +118,7 @@
         bounds.retry_slack * RETRY_BUDGET_SHARE / RETRY_SLACK_ENTRIES,
     )
     pauses = PauseDetector(metrics, HOSTED_WATCHDOG_INTERVAL_S)
-    watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check)
+    watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check, read_clock)
     reporter = RequestReporter(metrics)
     attempts = AttemptController(
         feed_state.versions,
--- a/hibiscustray/entry/watchdog.py
+++ b/hibiscustray/entry/watchdog.py
@@ -69,12 +69,15 @@
         if self._is_cancelled:
             cancel()
 
-    def check(self, now: float) -> None:
-        """Cancel the call if it is silent or past its deadline, or the caller has disconnected."""
+    def check(self, now: float, deadline_now: float) -> None:
+        """Cancel the call if it is silent or past its deadline, or the caller has disconnected.
+
+        `now` is in monotonic seconds, `deadline_now` the time by the clock of the deadline.
+        """
         last_activity_at = self._last_activity_at
         if last_activity_at is not None and now - last_activity_at > self._silence_limit_s:
             self._is_silent = True
-        elif now <= self._deadline and not self._is_disconnected():
+        elif deadline_now <= self._deadline and not self._is_disconnected():
             return
         self._is_cancelled = True
         self._cancel()
@@ -85,15 +88,21 @@
 
 
 class Watchdog:
-    """A thread that checks all running calls of an entry periodically, after `on_check`."""
+    """A thread that checks all running calls of an entry periodically, after `on_check`.
+
+    `read_deadline_clock` is the clock of the deadlines. Silence is always measured with the
+    monotonic clock, since no data is read while the machine is suspended.
+    """
 
     def __init__(
         self,
         check_interval_s: float = CHECK_INTERVAL_S,
         on_check: Callable[[], None] = _do_nothing,
+        read_deadline_clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._check_interval_s = check_interval_s
         self._on_check = on_check
+        self._read_deadline_clock = read_deadline_clock
         self._watches: set[Watch] = set()
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -129,8 +138,8 @@
     def _run(self) -> None:
         while not self._stopping.wait(self._check_interval_s):
             self._on_check()
-            now = time.monotonic()
+            now, deadline_now = time.monotonic(), self._read_deadline_clock()
             with self._lock:
                 watches = list(self._watches)
             for watch in watches:
-                watch.check(now)
+                watch.check(now, deadline_now)
--- a/hibiscustray/gateway/context.py
+++ b/hibiscustray/gateway/context.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass, field, replace
 
 from hibiscustray.catalog import Catalog, Route, ServiceEntry
+from hibiscustray.clock import read_clock
 from hibiscustray.gateway.interface import InboundRequest
 from hibiscustray.placement import Demand, Placement
 
 
 @dataclass
 class RequestContext:
-    """A request with its route, service and team; `deadline` is in monotonic seconds.
+    """A request with its route, service and team; `deadline` is a time of `read_clock`.
 
     `attempts_sent` counts attempts, `uncertain_attempts` those after which the request may have
     run, and `trail` lists each replica tried with the result. `answered_version` is the version of
@@ -45,11 +45,11 @@
 
     def time_left(self) -> float:
         """Return the seconds until the deadline."""
-        return self.deadline - time.monotonic()
+        return self.deadline - read_clock()
 
     def current_demand(self) -> Demand:
         """Return the demand with its age and remaining time updated to now."""
-        elapsed_s = time.monotonic() - self.inbound.received_at
+        elapsed_s = read_clock() - self.inbound.received_at
         return replace(
             self.demand, age_s=self.demand.age_s + elapsed_s, time_left_s=self.time_left()
         )
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True)
 class InboundRequest:
-    """A request as received from a caller; `received_at` is in monotonic seconds.
+    """A request as received from a caller; `received_at` is a time of `read_clock`.
 
     `target` is the path with its query as sent, `headers` are those to forward, `key` is the
     caller's team key, and `resume_after` is the id of the last stream event that the caller has.
--- a/hibiscustray/gateway/reporter.py
+++ b/hibiscustray/gateway/reporter.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import logging
-import time
 
+from hibiscustray.clock import read_clock
 from hibiscustray.gateway.context import RequestContext
 from hibiscustray.gateway.interface import Headers, InboundRequest, InboundResponse
 from hibiscustray.placement import Refusal, RefusalReason
@@ -102,7 +102,7 @@
 
     def _count(self, context: RequestContext, outcome: str) -> None:
         labels = {"outcome": outcome, "service": context.service.name}
-        elapsed_s = time.monotonic() - context.inbound.received_at
+        elapsed_s = read_clock() - context.inbound.received_at
         self._metrics.count("requests_total", labels)
         self._metrics.observe("request_seconds", elapsed_s, labels)
 
@@ -128,7 +128,7 @@
                 "service": context.service.name,
                 "revision": context.catalog.revision,
                 "age_s": round(context.demand.age_s, 3),
-                "took_s": round(time.monotonic() - context.inbound.received_at, 3),
+                "took_s": round(read_clock() - context.inbound.received_at, 3),
                 "trail": list(context.trail),
                 **details,
             },
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -21,6 +21,7 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import SettingsError
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.tls import TlsTerminator
@@ -36,7 +37,7 @@
 MAX_OPEN_CONNECTIONS = 4096
 MAX_HEADERS_B = 64 * 1024
 RECEIVED_AT = "hibiscustray.received_at"
-"""Key in the WSGI environment of the monotonic time at which a request had been received."""
+"""Key in the WSGI environment of the time of `read_clock` at which a request had been received."""
 MAX_BUFFER_B = 1 << 40
 """Larger than any body, so that waitress never writes a buffer to a temporary file."""
 REASON_PHRASES = {
@@ -173,7 +174,7 @@
         """Process received bytes and record when the request is complete."""
         size_b = super().received(data)
         if self.completed and self.received_at is None:
-            self.received_at = time.monotonic()
+            self.received_at = read_clock()
         return size_b
 
     def parse_header(self, header_plus: bytes) -> None:
