Drops the duration of plain calls if none has succeeded for 3 s

What callers may see: every request to a service without an engine refused as `hopeless` by an entry, with idle replicas and without an end, after the entry was frozen.

Cause: a response that lay unread while the process was frozen counts as a call of that length. Once the smoothed duration exceeds all deadlines, nothing is sent, so no success can correct it.

Evidence: test_plain_calls_that_a_frozen_process_read_late_do_not_cause_refusals_forever failed before: eight responses read 4 s late gave 1.38 s, and a request with 1.0 s left was refused 10 s later too.

Change: the duration is dropped if no call has succeeded for 3 s. An entry that has a success every 3 s decides as before. The tests of placement, the hosted entry and boundaries pass; no load was run.

--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -52,6 +52,9 @@
 INITIAL_PLAIN_DURATION_S = 0.05
 """Assumed duration of a call to a service without an engine until one has been measured."""
 PLAIN_DURATION_SMOOTHING = 0.05
+MAX_PLAIN_DURATION_AGE_S = 3.0
+"""Time without a success after which the measured duration is dropped. If it exceeded all
+deadlines, all requests would be refused and it would never be measured again."""
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 NO_REPLICA_RETRY_AFTER_S = 0.5
@@ -150,7 +153,8 @@
         self._regions = regions
         self._random = random.Random(seed)
         self._loads: dict[tuple[str, int], ReplicaLoad] = {}
-        self._plain_durations_s: dict[str, float] = {}
+        # Smoothed duration, and the time of the last success.
+        self._plain_durations_s: dict[str, tuple[float, float]] = {}
         self._lock = threading.Lock()
 
     def place(
@@ -208,11 +212,10 @@
             load.record_success(now)
             self._remove(load, placement.in_flight)
             if service.engine is None:
-                previous_s = self._plain_durations_s.get(service.name, INITIAL_PLAIN_DURATION_S)
+                previous_s = self._find_plain_duration(service, now)
                 elapsed_s = now - placement.in_flight.started_at
-                self._plain_durations_s[service.name] = previous_s + PLAIN_DURATION_SMOOTHING * (
-                    elapsed_s - previous_s
-                )
+                smoothed_s = previous_s + PLAIN_DURATION_SMOOTHING * (elapsed_s - previous_s)
+                self._plain_durations_s[service.name] = (smoothed_s, now)
 
     def record_failure(self, placement: Placement, is_silent: bool = False) -> None:
         """Record a failed attempt; `is_silent` if the replica did not respond."""
@@ -326,10 +329,9 @@
         slots = max(1, load.slots or replica.slots or DEFAULT_SLOTS)
         profile = service.engine
         if profile is None:
-            admission_s = self._plain_wait_s(service, outstanding, slots)
-            first_event_s = admission_s + self._plain_durations_s.get(
-                service.name, INITIAL_PLAIN_DURATION_S
-            )
+            duration_s = self._find_plain_duration(service, now)
+            admission_s = _predict_plain_wait(duration_s, outstanding, slots)
+            first_event_s = admission_s + duration_s
         else:
             queued_tokens = load.estimate_queued_tokens(now, profile.typical_prompt_tokens, average)
             estimate = predict_latency(profile, outstanding, queued_tokens, demand, load.slowdown)
@@ -349,10 +351,12 @@
         cost_s += self._distance_cost_s(replica) + UTILIZATION_COST_S * outstanding / slots
         return _Candidate(replica, load, first_event_s, admission_s, cost_s, outstanding, slots)
 
-    def _plain_wait_s(self, service: ServiceEntry, outstanding: float, slots: int) -> float:
-        duration_s = self._plain_durations_s.get(service.name, INITIAL_PLAIN_DURATION_S)
-        queued_s = max(0.0, outstanding + 1 - slots) * duration_s / slots
-        return queued_s + duration_s * outstanding / slots / 2
+    def _find_plain_duration(self, service: ServiceEntry, now: float) -> float:
+        duration_s, measured_at = self._plain_durations_s.get(
+            service.name, (INITIAL_PLAIN_DURATION_S, now)
+        )
+        is_current = now - measured_at <= MAX_PLAIN_DURATION_AGE_S
+        return duration_s if is_current else INITIAL_PLAIN_DURATION_S
 
     def _distance_cost_s(self, replica: ReplicaRecord) -> float:
         if replica.availability_zone == self._zone:
@@ -386,6 +390,11 @@
             load.in_flight_requests.remove(in_flight)
 
 
+def _predict_plain_wait(duration_s: float, outstanding: float, slots: int) -> float:
+    queued_s = max(0.0, outstanding + 1 - slots) * duration_s / slots
+    return queued_s + duration_s * outstanding / slots / 2
+
+
 def _find_refusal_reason(
     best: _Candidate, demand: Demand, profile: EngineProfile | None
 ) -> RefusalReason | None:
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -203,6 +203,17 @@
     assert 3 <= chosen.count("i-1") <= 5
 
 
+def test_plain_calls_that_a_frozen_process_read_late_do_not_cause_refusals_forever():
+    placer = make_placer(make_record(1, "booking"))
+    placements = [placer.place(PLAIN, Demand(objective_s=0.2)) for _ in range(8)]
+    CLOCK["now"] += 4.0
+    for placement in placements:
+        placer.record_success(placement, PLAIN)
+    CLOCK["now"] += 10.0
+    placed = placer.place(PLAIN, Demand(objective_s=0.2, time_left_s=1.0))
+    assert isinstance(placed, Placement)
+
+
 def test_retry_times_of_callers_refused_together_are_spread():
     placer = make_placer(make_record(1))
     placer.record_load(make_record(1), LoadReport(16, 12, 16))
