Lets a lease expire for a holder whose VM was suspended

What callers may see (standalone platform): more replicas of a service swap their weights at once than its maximum, after the VM of a swapping agent was suspended.

Cause: the holder measured the validity of its lease with time.monotonic, which stands still while a machine is suspended. A contender takes the lease over meanwhile, and the holder still acts on it.

Evidence: test_lease_expires_for_a_holder_whose_vm_was_suspended failed before (still valid 20 s after a lease of 10 s was acquired).

Change: the validity is measured with read_clock. A contender's own wait keeps the monotonic clock, with which it can only wait longer. The tests' clock replaces both. The tests of rollout, the agent and boundaries pass.

--- a/hibiscustray/rollout/leases.py
+++ b/hibiscustray/rollout/leases.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import (
     LeaseHeld,
     PreconditionFailed,
@@ -37,7 +38,7 @@
 
 @dataclass(frozen=True)
 class Lease:
-    """A held lease, on which the holder may act until `valid_until` (monotonic seconds).
+    """A held lease, on which the holder may act until `valid_until` (a time of `read_clock`).
 
     `number` is the fencing number of the acquisition or renewal, and the version of the row.
     """
@@ -49,7 +50,7 @@
 
     def is_valid(self) -> bool:
         """Return whether the holder may still act on the lease."""
-        return time.monotonic() < self.valid_until
+        return read_clock() < self.valid_until
 
 
 @dataclass(frozen=True)
@@ -67,7 +68,8 @@
     """Acquires, renews and releases leases by compare-and-set.
 
     Wall clocks of different VMs are never compared. A contender takes over a lease only after it
-    has itself observed the same row for the full duration of the lease.
+    has itself observed the same row for the full duration of the lease. Time in which its machine
+    was suspended counts for a holder, but not for a contender.
     """
 
     def __init__(self, table: Table, holder: str) -> None:
@@ -135,7 +137,7 @@
 
     def _write(self, name: str, duration_s: float, expected: int) -> Lease:
         """Write the holder's row; the lease's validity counts from before the request was sent."""
-        started = time.monotonic()
+        started = read_clock()
         lease = Lease(name, uuid.uuid4().hex, expected + 1, started + duration_s)
         body = msgspec.msgpack.encode(LeaseBody(self._holder, lease.nonce, duration_s))
         row = Row(LEASE_PARTITION, name, lease.number, body)
--- a/tests/rollout/test_leases.py
+++ b/tests/rollout/test_leases.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import (
     FencingRejected,
     HibiscustrayError,
@@ -72,6 +75,7 @@
 def clock(monkeypatch):
     clock = Clock()
     monkeypatch.setattr(leases_module, "time", clock)
+    monkeypatch.setattr(leases_module, "read_clock", clock.monotonic)
     return clock
 
 
@@ -95,6 +99,19 @@
     assert acquire_when_free(contender, clock, 60.0) >= DURATION_S
 
 
+def test_lease_expires_for_a_holder_whose_vm_was_suspended(monkeypatch):
+    read_time, suspended_s = time.clock_gettime, [0.0]
+
+    def read_after_suspension(clock: int) -> float:
+        return read_time(clock) + (suspended_s[0] if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+    lease = LeaseStore(MemoryTable(), "a").acquire("slot", DURATION_S)
+    assert lease.is_valid()
+    suspended_s[0] = 2 * DURATION_S
+    assert not lease.is_valid()
+
+
 def test_renewing_keeps_contenders_out(clock):
     table = MemoryTable()
     holder, contender = LeaseStore(table, "a"), LeaseStore(table, "b")
@@ -163,6 +180,7 @@
     def begin(self, is_checking: bool) -> None:
         self.clock = Clock()
         self.real_time, leases_module.time = leases_module.time, self.clock
+        leases_module.read_clock = self.clock.monotonic
         self.table = MemoryTable()
         self.stores = {name: LeaseStore(self.table, name) for name in HOLDERS}
         self.leases = {}
@@ -171,6 +189,7 @@
     def teardown(self) -> None:
         if hasattr(self, "real_time"):
             leases_module.time = self.real_time
+            leases_module.read_clock = read_clock
 
     @rule(
         holder=st.sampled_from(HOLDERS),
