Counts suspended time since the last contact of a process

What callers may see (standalone platform): an outdated configuration, served by an isolated process for longer than the 30 s allowed, after its VM was suspended.

Cause: the time since the last contact was measured with time.monotonic, which stands still while a machine is suspended.

Evidence: test_contact_expires_for_a_process_whose_vm_was_suspended failed before (still allowed to serve after a suspension of 60 s, limit 30 s).

Change: the last contact uses read_clock; the tests' clock replaces both. The settle time after a start keeps the monotonic clock.

--- a/hibiscustray/deployments/justification.py
+++ b/hibiscustray/deployments/justification.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+from hibiscustray.clock import read_clock
+
 MAX_QUORUM = 3
 SETTLE_S = 3.0
 ISOLATION_GRACE_S = 30.0
@@ -48,7 +50,7 @@
         with self._lock:
             self._store_number = max(head, self._store_number or 0)
             if head <= local_number:
-                self._last_contact_at = time.monotonic()
+                self._last_contact_at = read_clock()
             self._reevaluate(local_number)
 
     def record_peer(
@@ -59,7 +61,7 @@
             if not self._is_established:
                 self._peer_reports[peer_id] = (number, is_established)
             if is_established and number <= local_number:
-                self._last_contact_at = time.monotonic()
+                self._last_contact_at = read_clock()
             self._reevaluate(local_number)
 
     def revoke(self) -> None:
@@ -72,7 +74,7 @@
             return False
         if not self._is_established:
             return False
-        return time.monotonic() - self._last_contact_at < self._grace_s
+        return read_clock() - self._last_contact_at < self._grace_s
 
     def reevaluate(self, local_number: int) -> None:
         """Evaluate the evidence again, which can become sufficient by the passage of time alone."""
@@ -97,7 +99,7 @@
         if is_confirmed_by_store or is_confirmed_by_peers:
             self._is_established = True
             self._peer_reports.clear()
-            self._last_contact_at = time.monotonic()
+            self._last_contact_at = read_clock()
 
     def _compute_quorum(self) -> int:
         if self._expected_peers is None:
--- a/tests/deployments/test_justification.py
+++ b/tests/deployments/test_justification.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from hibiscustray.deployments import justification as module
@@ -20,6 +22,7 @@
 
     clock = Clock()
     monkeypatch.setattr(module, "time", clock)
+    monkeypatch.setattr(module, "read_clock", clock.monotonic)
     return clock
 
 
@@ -129,3 +132,17 @@
     clock.now += 60.0
     justification.reevaluate(local_number=0)
     assert not justification.allows_serving()
+
+
+def test_contact_expires_for_a_process_whose_vm_was_suspended(monkeypatch):
+    read_time, suspended_s = time.clock_gettime, [0.0]
+
+    def read_after_suspension(clock: int) -> float:
+        return read_time(clock) + (suspended_s[0] if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+    justification = Justification(grace_s=30.0, settle_s=0.0)
+    justification.record_store_read(5, local_number=5)
+    assert justification.allows_serving()
+    suspended_s[0] = 60.0
+    assert not justification.allows_serving()
