--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -294,6 +294,46 @@
     assert time.monotonic() - started < 1.0
 
 
+def test_time_in_which_a_request_waits_for_a_thread_counts_for_its_deadline(site):
+    busy_threads = site.settings.entry.threads
+    site.add_replica("booking", lambda request, connection: time.sleep(4), slots=10 * busy_threads)
+    took_s: list[float] = []
+
+    def call(deadline_ms: str) -> None:
+        started = time.monotonic()
+        site.call("POST", "/book/1", b"x", X_Hibiscustray_Deadline_Ms=deadline_ms)
+        took_s.append(time.monotonic() - started)
+
+    busy = [run_in_background(lambda: call("1500")) for _ in range(busy_threads)]
+    wait_until(lambda: site.process._forwarder.running == busy_threads)
+    took_s.clear()
+    waiting = run_in_background(lambda: call("1600"))
+    for thread in (*busy, waiting):
+        thread.join()
+    assert max(took_s) < 2.0
+
+
+def test_time_in_which_machine_was_suspended_counts_for_deadline(site, monkeypatch):
+    replica = site.add_replica("booking", lambda request, connection: time.sleep(4))
+    suspended_s = [0.0]
+    read_clock = time.clock_gettime
+
+    def read_after_suspension(clock: int) -> float:
+        return read_clock(clock) + (suspended_s[0] if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+    statuses: list[int] = []
+    caller = run_in_background(
+        lambda: statuses.append(site.call("POST", "/book/1", b"x")[0].status)
+    )
+    wait_until(lambda: bool(replica.received))
+    suspended_s[0] = 2.5
+    resumed_at = time.monotonic()
+    caller.join()
+    assert statuses == [504]
+    assert time.monotonic() - resumed_at < 1.0
+
+
 # Weights
 
 
@@ -532,6 +572,24 @@
     assert drained == [True]
 
 
+def test_replica_whose_answers_are_newer_than_its_record_keeps_its_time_for_first_event(site):
+    pauses_s = [0.0, 0.3]
+
+    def respond_with_version_2(request, connection):
+        time.sleep(pauses_s.pop(0))
+        head = f"{ATTEMPT_ID}: {request.id}\r\n{SERVER_SEAL}: seal-1\r\n"
+        head += f"X-Hibiscustray-Weight-Versions: 2\r\nContent-Length: {len(EVENTS)}\r\n\r\n"
+        connection.sendall(f"HTTP/1.1 200 OK\r\n{head}".encode() + EVENTS)
+
+    site.add_replica("guide", respond_with_version_2)
+    assert site.request_stream()[1] == EVENTS
+    site.store.put("op", "version/m", {"model": "m", "version": 2})
+    wait_until(lambda: site.process._forwarder._attempts._versions.find_newest("m") == 2)
+    time.sleep(1.2)
+    response, body = site.request_stream()
+    assert (response.status, body) == (200, EVENTS)
+
+
 def test_the_end_of_a_request_is_logged_with_the_weights_that_it_ran_on(site, caplog):
     caplog.set_level("INFO", logger="hibiscustray.gateway.reporter")
     site.add_replica("guide", stream_tokens(1, 5))
