Adds a failing test for a replica that leaves while a call hangs

What callers may see: a request sent to a replica up to 2.9 s after it was unlisted, where the entry's connection to the store had gone silent (drain time 2 s).

--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -64,6 +64,11 @@
     follower.stop()
 
 
+def fail_after(seconds: float) -> FeedPage:
+    time.sleep(seconds)
+    raise StoreUnavailable("no response in time")
+
+
 def test_lost_history_causes_full_read():
     directory = ReplicaDirectory()
     source = ScriptedSource(
@@ -211,14 +216,9 @@
 
 def test_version_found_after_outage_may_be_as_old_as_last_failed_call(monkeypatch):
     monkeypatch.setattr("hibiscustray.feeds.follower.MAX_CHANGE_AGE_AFTER_OUTAGE_S", 0.1)
-
-    def fail_after_freeze() -> FeedPage:
-        time.sleep(0.6)
-        raise StoreUnavailable("connection lost while the process was frozen")
-
     script = (
         lambda: make_store_page((), 1),
-        fail_after_freeze,
+        lambda: fail_after(0.6),
         lambda: make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2),
     )
     assert measure_age_s(*script) >= 0.6
@@ -235,15 +235,24 @@
 def test_version_found_after_outage_may_be_as_old_as_earlier_failed_call(monkeypatch):
     monkeypatch.setattr("hibiscustray.feeds.follower.MAX_CHANGE_AGE_AFTER_OUTAGE_S", 0.1)
     monkeypatch.setattr("hibiscustray.feeds.follower.MAX_CALL_MARGIN_S", 0.4)
-
-    def fail_after_freeze() -> FeedPage:
-        time.sleep(0.6)
-        raise StoreUnavailable("connection lost while the process was frozen")
-
     script = (
         lambda: make_store_page((), 1),
-        fail_after_freeze,
+        lambda: fail_after(0.6),
         StoreUnavailable("next pooled connection lost too"),
         lambda: make_store_page((TargetVersionSet(WeightsVersion("m", 2)),), 2),
     )
     assert measure_age_s(*script) >= 0.6
+
+
+def test_replica_that_left_while_a_call_hung_gets_no_requests_after_its_drain_time():
+    directory = ReplicaDirectory()
+    source = ScriptedSource(
+        FeedPage((ReplicaListed(RECORD),), 4),
+        lambda: fail_after(3.0),
+        FeedPage((ReplicaUnlisted("i-1"),), 6),
+    )
+    started_at = time.monotonic()
+    follow(source, ReplicaListener(directory))
+    left_at = started_at + 2.2
+    time.sleep(max(0.0, left_at + 2.5 - time.monotonic()))
+    assert directory.list_ready("s") == ()
