Gives the soak's entries ports that nothing else is given

What was seen: one of 18 runs of a short soak, most of them beside another soak, reported violations because entry-0 never started. Its log has two lines, "port 37017: found Address already in use".

Cause: a port is chosen before the entry starts, and is free while the entry is stopped. The kernel gives the same ports to outgoing connections and to other listeners.

Change: ports are chosen from 20,000 to 32,767, below the range of the kernel (32,768 to 60,999 here). The test of the range passes; that the fault is gone follows from the range, not from repeated runs.

--- a/hibiscustray/soak/programs.py
+++ b/hibiscustray/soak/programs.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,11 @@
 
 log = logging.getLogger(__name__)
 
+PORTS = range(20_000, 32_768)
+"""Ports of the entries, below those that Linux gives to outgoing connections and to port 0.
+
+An entry's port is free until it has started and while it is stopped, and must not be given away.
+"""
 STOP_TIMEOUT_S = 12.0
 """Time for an entry to exit after SIGTERM: its grace period of 8 s plus 4 s for a busy machine."""
 
@@ -138,5 +144,7 @@
 
 def find_free_port() -> int:
     """Return a port of the loopback interface on which nothing listens at present."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from hibiscustray.platform import standins
 from hibiscustray.soak import (
     FAILED_SEEDS,
@@ -12,7 +14,7 @@
     StoreFault,
     run_soak,
 )
-from hibiscustray.soak.programs import EntryProgram
+from hibiscustray.soak.programs import EntryProgram, find_free_port
 
 SEED = 11
 
@@ -58,3 +60,8 @@
     report = run_soak(SoakOptions(SEED, 9.0, entries=2, callers=4), standins, schedule)
     assert report.violations == ()
     assert report.checks["RECOVER"] == 2
+
+
+def test_ports_of_entries_are_not_given_to_outgoing_connections():
+    first_ephemeral = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    assert all(find_free_port() < first_ephemeral for _ in range(100))
