Checks in the soak that streams do not begin on outdated weights

Entries ran with a bound of 60 s, replicas took a new version at once, and no check looked at the version that a request begins on.

What: rule VERSION. A stream must not begin on weights older than a target version that was set more than 5 s ago, through an entry that was undisturbed for the last 3 s. A disturbance of the store or of the entry's link to it begins the 5 s anew; a pause of the entry does not. Replicas whose own link was disturbed in the last 3 s are left out, as such a link delivers requests that were sent earlier.

- Entries run with version_ms = 5000, not 4000: a version dated by the end of a pause is required 4.2 s after that end with 5 s, 3.2 s with 4 s, and entries are checked from 3.25 s after it only.
- Stream replicas swap 3 s, 5.5 s and 8 s after a version was set, and answer 421 to a request that expects another version than they hold.
Responses name the version that they come from.

--- a/hibiscustray/platform/standins.py
+++ b/hibiscustray/platform/standins.py
@@ -217,6 +217,11 @@
         """Return the number of the last event that the caller received, 0 for none."""
         return int(self.headers.get("last-event-id", 0))
 
+    @property
+    def expected_version(self) -> int:
+        """Return the version of the weights that the replica must hold, 0 for any."""
+        return int(self.headers.get("x-hibiscustray-expect-version", 0))
+
 
 Script = Callable[[ReceivedRequest, socket.socket], None]
 
@@ -294,11 +299,11 @@
     return script
 
 
-def respond_with_events(events: list[bytes]) -> Script:
+def respond_with_events(events: list[bytes], version: int = 1) -> Script:
     """Return a script that streams the events after the last one that the caller received."""
 
     def script(request: ReceivedRequest, connection: socket.socket) -> None:
-        connection.sendall(_encode_stream_head(request))
+        connection.sendall(_encode_stream_head(request, version))
         for event in events[request.resume_after :]:
             connection.sendall(_encode_chunk(event))
             time.sleep(0.01)
@@ -343,13 +348,13 @@
     return script
 
 
-def _encode_stream_head(request: ReceivedRequest) -> bytes:
+def _encode_stream_head(request: ReceivedRequest, version: int = 1) -> bytes:
     head = {
         "Content-Type": "text/event-stream",
         "Transfer-Encoding": "chunked",
         ATTEMPT_ID: request.id,
         SERVER_SEAL: "seal-1",
-        "X-Hibiscustray-Weight-Versions": "1",
+        "X-Hibiscustray-Weight-Versions": str(version),
     }
     return _encode_head(200, head)
 
@@ -475,18 +480,12 @@
             data += block
     except (OSError, http.client.HTTPException):
         is_ended = False
-    if response.length:
-        is_ended = False
+    is_ended = is_ended and not response.length
     # Reading in blocks does not close the response, which would keep the connection open.
     response.close()
-    return CallerResponse(
-        response.status,
-        SERVER_SEAL in response.headers,
-        data,
-        is_ended,
-        float(response.headers.get("Retry-After", 0)),
-        response.will_close or not is_ended,
-    )
+    is_sealed, is_closed = SERVER_SEAL in response.headers, response.will_close or not is_ended
+    retry_after_s = float(response.headers.get("Retry-After", 0))
+    return CallerResponse(response.status, is_sealed, data, is_ended, retry_after_s, is_closed)
 
 
 def read_readiness(address: str) -> int:
--- a/hibiscustray/soak/guarantees.py
+++ b/hibiscustray/soak/guarantees.py
@@ -10,6 +10,8 @@
 - `ENDED`: a response ends by the caller's deadline.
 - `CONFIG`: a revoked team key is not admitted after `MAX_CONFIGURATION_DELAY_S`.
 - `DRAIN`: a draining replica gets no requests after `MAX_DRAIN_DELAY_S`.
+- `VERSION`: a stream does not begin on weights older than a target version that was set more than
+  `MAX_VERSION_AGE_S` ago.
 
 The soak itself reports `RECOVER` (an entry is not ready in time), `EXIT` (an entry exits
 unexpectedly) and `STOP` (an entry does not exit after SIGTERM).
@@ -34,10 +36,24 @@
 """Time within which an entry has to apply a new configuration."""
 MAX_DRAIN_DELAY_S = 3.0
 """Time within which an entry has to stop sending requests to a draining replica."""
+MAX_VERSION_AGE_S = 5.0
+"""Time within which streams have to stop beginning on outdated weights, set for the entries.
+
+It has to exceed 4.05 s: entries require a version 0.8 s before the bound and are checked from
+`CONTACT_S` + 0.25 s after a pause, so otherwise a version dated by the end of a pause passes.
+"""
+CONTACT_S = 3.0
+"""Time before a moment without disturbances after which an entry is in touch with the platform.
+
+The version of the weights is checked then, even if the entry was paused earlier.
+"""
 MAX_RECOVERY_S = 15.0
 """Time within which an entry has to be ready after its start, unless it is disturbed."""
 BOUND_SLACK_S = 0.5
-"""Time added to the bounds above for a machine whose processors are all in use."""
+"""Time added to the bounds above for a machine whose processors are all in use.
+
+It is not added to `MAX_VERSION_AGE_S`, as the entries require a version 0.8 s earlier.
+"""
 
 
 @dataclass(frozen=True)
@@ -82,25 +98,56 @@
     detail: str
 
 
+@dataclass(frozen=True)
+class _Disturbance:
+    target: int | None
+    begin: float
+    end: float
+    is_of_process: bool
+
+    def affects(self, target: int, begin: float, end: float) -> bool:
+        return self.target in (None, target) and self.begin <= end and self.end >= begin
+
+
 class DisturbanceLog:
-    """Periods in which an entry's process, its link to the store, or the store is disturbed."""
+    """Periods in which an entry's process, its link to the store, or the store is disturbed.
+
+    Another log has the periods in which the links to the replicas are disturbed.
+    """
 
     def __init__(self) -> None:
-        self._periods: list[tuple[int | None, float, float]] = []
+        self._disturbances: list[_Disturbance] = []
         self._lock = threading.Lock()
 
-    def add(self, entry: int | None, begin: float, end: float) -> None:
-        """Add a disturbance of one entry, or of all if None; times are monotonic seconds."""
+    def add(
+        self, target: int | None, begin: float, end: float, is_of_process: bool = False
+    ) -> None:
+        """Add a disturbance of one entry or replica, or of all if None.
+
+        `is_of_process` if only the process is disturbed, not its link or the store. Times are
+        monotonic seconds.
+        """
         with self._lock:
-            self._periods.append((entry, begin, end))
+            self._disturbances.append(_Disturbance(target, begin, end, is_of_process))
 
-    def is_undisturbed(self, entry: int, begin: float, end: float) -> bool:
-        """Return whether an entry had no disturbance between two times."""
+    def is_undisturbed(self, target: int, begin: float, end: float) -> bool:
+        """Return whether an entry or replica had no disturbance between two times."""
         with self._lock:
-            return not any(
-                disturbed in (None, entry) and first <= end and last >= begin
-                for disturbed, first, last in self._periods
-            )
+            return not any(d.affects(target, begin, end) for d in self._disturbances)
+
+    def find_connected_since(self, entry: int, begin: float, end: float) -> float:
+        """Return the earliest time from `begin` since which an entry could reach the store.
+
+        Disturbances of the entry's process are not considered. The result is after `end` if it
+        cannot reach the store then.
+        """
+        with self._lock:
+            ends = [
+                d.end
+                for d in self._disturbances
+                if not d.is_of_process and d.affects(entry, begin, end)
+            ]
+        return max([begin, *ends])
 
 
 @dataclass
@@ -117,10 +164,12 @@
     def __init__(self, disturbances: DisturbanceLog, started_at: float) -> None:
         self._disturbances = disturbances
         self._started_at = started_at
+        self._target_versions: list[tuple[int, float]] = []
         self._records: dict[str, _RequestRecord] = {}
         self._revoked_at: dict[str, float] = {}
         self._drained_at: dict[int, float] = {}
         self._lock = threading.Lock()
+        self.replica_links = DisturbanceLog()
         self.violations: list[Violation] = []
         self.checks: Counter[str] = Counter()
         self.outcomes: Counter[str] = Counter()
@@ -136,8 +185,16 @@
             del self._records[request.id]
             self.outcomes["unreachable"] += 1
 
-    def record_run(self, request_id: str, path: str, body: bytes, replica: int, at: float) -> None:
-        """Record that a replica runs a request."""
+    def record_run(
+        self,
+        request_id: str,
+        path: str,
+        body: bytes,
+        replica: int,
+        at: float,
+        version: int | None = None,
+    ) -> None:
+        """Record that a replica runs a request, for a stream with the version of its weights."""
         with self._lock:
             record = self._records.get(request_id)
             self.checks["UNASKED"] += 1
@@ -163,6 +220,8 @@
             drained_at = self._drained_at.get(replica)
             if drained_at is not None:
                 self._check_drain(request, replica, drained_at, at)
+            if version is not None:
+                self._check_version(request, replica, version, at)
 
     def record_outcome(self, outcome: SoakOutcome) -> None:
         """Record how a request ended."""
@@ -188,6 +247,11 @@
         with self._lock:
             self._revoked_at[key] = at
 
+    def record_target_version(self, version: int, at: float) -> None:
+        """Record that the store has a new target version of the weights."""
+        with self._lock:
+            self._target_versions.append((version, at))
+
     def record_drain(self, replica: int, at: float | None) -> None:
         """Record that a replica is listed as draining; None if it has been started again."""
         with self._lock:
@@ -272,6 +336,35 @@
             f"request {request.id} reached replica {replica} {late_s:.2f} s after its drain began",
         )
 
+    def _check_version(self, request: SoakRequest, replica: int, version: int, at: float) -> None:
+        """Check that a stream does not begin on weights that have been outdated for too long.
+
+        The time since a target version was set begins anew with each disturbance of the store or of
+        the entry's link to it. The link to the replica may hold a request back, so it has to be
+        undisturbed as well.
+        """
+        entry = request.entry
+        if not self._disturbances.is_undisturbed(entry, at - CONTACT_S, at):
+            return
+        if not self.replica_links.is_undisturbed(replica, at - CONTACT_S, at):
+            return
+        required = [
+            (target, set_at)
+            for target, set_at in self._target_versions
+            if at - self._disturbances.find_connected_since(entry, set_at, at) > MAX_VERSION_AGE_S
+        ]
+        if not required:
+            return
+        self.checks["VERSION"] += 1
+        target, set_at = max(required)
+        if version < target:
+            self._add_violation(
+                "VERSION",
+                at,
+                f"request {request.id} through entry {entry} began on version {version} at replica "
+                f"{replica} {at - set_at:.2f} s after version {target} was set",
+            )
+
     def _was_undisturbed_since(self, entry: int, changed_at: float, at: float) -> bool:
         """Return whether an entry has been undisturbed since `MIN_UNDISTURBED_S` before a change.
 
--- a/hibiscustray/soak/interface.py
+++ b/hibiscustray/soak/interface.py
@@ -50,13 +50,15 @@
 class ReplicaRequest(Protocol):
     """A request as a replica received it.
 
-    `resume_after` is the number of the last event that the caller received, 0 for none.
+    `resume_after` is the number of the last event that the caller received, 0 for none, and
+    `expected_version` the version of the weights that the replica must hold, 0 for any.
     """
 
     id: str
     path: str
     body: bytes
     resume_after: int
+    expected_version: int
 
 
 Script = Callable[[Any, socket.socket], None]
@@ -93,8 +95,11 @@
         """Return a script that sends a sealed response, by default with the id of its request."""
         ...
 
-    def respond_with_events(self, events: list[bytes]) -> Script:
-        """Return a script that streams the events after the last one that the caller received."""
+    def respond_with_events(self, events: list[bytes], version: int = 1) -> Script:
+        """Return a script that streams the events after the last one that the caller received.
+
+        The response names the version of the weights that it comes from.
+        """
         ...
 
     def respond_with_bytes(self, data: bytes) -> Script:
--- a/hibiscustray/soak/programs.py
+++ b/hibiscustray/soak/programs.py
@@ -19,9 +19,11 @@
 from pathlib import Path
 
 from hibiscustray.exceptions import ProgramEnded
+from hibiscustray.soak.guarantees import MAX_VERSION_AGE_S
 
 log = logging.getLogger(__name__)
 
+MS_PER_S = 1000.0
 PORTS = range(20_000, 32_768)
 """Ports of the entries, below those that Linux gives to outgoing connections and to port 0.
 
@@ -51,7 +53,7 @@
 z1 = r1
 
 [bounds]
-version_ms = 60000
+version_ms = {version_ms:.0f}
 grace_s = 8
 """
 
@@ -74,6 +76,7 @@
                 readiness_port=ports[1],
                 peer_port=ports[2],
                 metrics_port=ports[3],
+                version_ms=MAX_VERSION_AGE_S * MS_PER_S,
             )
         )
         self._process: subprocess.Popen | None = None
--- a/hibiscustray/soak/replicas.py
+++ b/hibiscustray/soak/replicas.py
@@ -18,6 +18,8 @@
 SLOTS = 16
 EVENTS_PER_STREAM = 8
 STREAM_PATH = "/draft/"
+MISDIRECTED_REQUEST = 421
+"""Status for a request that expects another version of the weights."""
 
 
 class SoakReplica:
@@ -34,11 +36,13 @@
         standins: StandIns,
         store: StoreStandIn,
         checker: GuaranteeChecker,
+        version: int,
     ) -> None:
         self.number = number
         self.service = service
         self.fault = ""
         self.is_draining = False
+        self.version = version
         self._standins = standins
         self._store = store
         self._checker = checker
@@ -49,26 +53,33 @@
         self._standin = standins.ReplicaStandIn(f"i-{number}", service, self._respond)
         self.proxy = LoopbackProxy(self._standin.address)
 
-    def register(self, version: int) -> None:
+    def register(self) -> None:
         """Add the replica to the replica list or update its row."""
         state = "draining" if self.is_draining else "ready"
         values = {"born": self._start_count, "slots": SLOTS, "state": state}
-        self._store.list_replica(self._standin, self.proxy.address, version, **values)
+        self._store.list_replica(self._standin, self.proxy.address, self.version, **values)
 
     def deregister(self) -> None:
         """Remove the replica from the replica list."""
         self._store.unlist(self._standin)
 
     def restart(self, version: int) -> None:
-        """Stop the replica and start it again with the same id at another address."""
+        """Stop the replica; start it with the same id and a version at another address."""
         self.close()
+        self.version = version
         self._start_count += 1
         self.is_draining = False
         self._standin = self._standins.ReplicaStandIn(
             f"i-{self.number}", self.service, self._respond
         )
         self.proxy = LoopbackProxy(self._standin.address)
-        self.register(version)
+        self.register()
+
+    def swap(self, version: int) -> None:
+        """Change to a newer version of the weights unless the replica is draining."""
+        if not self.is_draining and self.version < version:
+            self.version = version
+            self.register()
 
     def close(self) -> None:
         """Refuse new connections and reset the open ones."""
@@ -83,15 +94,25 @@
             self._standins.reject()(request, connection)
             return
         try:
-            now = time.monotonic()
-            self._checker.record_run(request.id, request.path, request.body, self.number, now)
+            version = self.version
+            if request.expected_version not in (0, version):
+                self._standins.reject(MISDIRECTED_REQUEST)(request, connection)
+                return
+            self._checker.record_run(
+                request.id,
+                request.path,
+                request.body,
+                self.number,
+                time.monotonic(),
+                version if request.path.startswith(STREAM_PATH) else None,
+            )
             time.sleep(random.uniform(MIN_WORK_S, MAX_WORK_S))
-            self._respond_to_run(request, connection)
+            self._respond_to_run(request, connection, version)
         finally:
             with self._lock:
                 self._running -= 1
 
-    def _respond_to_run(self, request, connection: socket.socket) -> None:
+    def _respond_to_run(self, request, connection: socket.socket, version: int) -> None:
         """Respond to a request that was run, with the current fault."""
         is_stream = request.path.startswith(STREAM_PATH)
         body = make_body(request.id, request.body, EVENTS_PER_STREAM if is_stream else 0)
@@ -120,7 +141,7 @@
             case fault:
                 if is_stream:
                     events = [make_event(request.id, n) for n in range(1, EVENTS_PER_STREAM + 1)]
-                    self._standins.respond_with_events(events)(request, connection)
+                    self._standins.respond_with_events(events, version)(request, connection)
                 else:
                     self._standins.respond_with_body(body=body)(request, connection)
                 if fault == "extra":
--- a/hibiscustray/soak/runs.py
+++ b/hibiscustray/soak/runs.py
@@ -16,6 +16,7 @@
 from hibiscustray.soak.callers import Caller
 from hibiscustray.soak.guarantees import (
     MAX_RECOVERY_S,
+    MAX_VERSION_AGE_S,
     DisturbanceLog,
     GuaranteeChecker,
     Violation,
@@ -40,6 +41,11 @@
 """Longest time until an entry is ready at the start of a soak on a busy machine."""
 DRAINING_S = 4.0
 """Time for which a draining replica stays listed and serves: its drain time of 3 s plus 1 s."""
+FIRST_SWAP_S, SWAP_INTERVAL_S = 0.6 * MAX_VERSION_AGE_S, 0.5 * MAX_VERSION_AGE_S
+"""Time from a new target version to the first replica's swap, and from one replica's to the next.
+
+Only the first is done before the bound, so the other replicas hold an outdated version past it.
+"""
 WATCH_INTERVAL_S = 0.25
 """Interval at which the soak checks whether the entry processes are running."""
 STORE_BODY_PAUSE_S = 0.4
@@ -48,6 +54,7 @@
 CLOCK_JUMP_S = 500.0
 STREAM_SERVICE, PLAIN_SERVICE = "guide", "booking"
 INITIAL_KEY = "key-0"
+INITIAL_VERSION = 1
 
 
 @dataclass(frozen=True)
@@ -110,11 +117,12 @@
                 self.standins,
                 self.store,
                 self.checker,
+                INITIAL_VERSION,
             )
             for number in range(self.options.replicas)
         ]
         self.faults: Counter[str] = Counter()
-        self.version = 1
+        self.version = INITIAL_VERSION
         self.revision = 1
         self.keys = [INITIAL_KEY, "key-1"]
         self.revoked_keys: list[str] = []
@@ -126,7 +134,7 @@
         """Publish the configuration, list the replicas and wait until all entries are ready."""
         self.store.publish(self.revision, self.keys)
         for replica in self.replicas:
-            replica.register(self.version)
+            replica.register()
         for entry in self.entries:
             entry.start()
         for number in range(len(self.entries)):
@@ -148,6 +156,7 @@
                 self._run_in_background(_disturb_link, self.store_links[number], state, duration_s)
             case LinkFault(index=number, state=state, duration_s=duration_s):
                 self.faults[f"replica link {state.value}"] += 1
+                self.checker.replica_links.add(number, now, now + duration_s)
                 self._run_in_background(
                     _disturb_link, self.replicas[number].proxy, state, duration_s
                 )
@@ -214,7 +223,8 @@
         entry, begin = self.entries[number], time.monotonic()
         match kind:
             case "pause":
-                self.disturbances.add(number, begin, begin + duration_s + WATCH_INTERVAL_S)
+                end = begin + duration_s + WATCH_INTERVAL_S
+                self.disturbances.add(number, begin, end, is_of_process=True)
                 entry.pause(duration_s)
                 return
             case "stop":
@@ -226,7 +236,7 @@
                     )
             case "kill":
                 entry.kill()
-        self.disturbances.add(number, begin, time.monotonic() + duration_s)
+        self.disturbances.add(number, begin, time.monotonic() + duration_s, is_of_process=True)
         time.sleep(duration_s)
         entry.start()
         self._check_recovery(number)
@@ -241,7 +251,7 @@
             self.checker.record_violation(
                 "RECOVER", end, f"entry {number} was not ready in time after a restart"
             )
-        self.disturbances.add(number, begin, end)
+        self.disturbances.add(number, begin, end, is_of_process=True)
 
     def _wait_ready(self, number: int, timeout_s: float) -> bool:
         deadline = time.monotonic() + timeout_s
@@ -281,7 +291,7 @@
                     if replica.is_draining:
                         return
                     replica.is_draining = True
-                    replica.register(self.version)
+                    replica.register()
                 self.checker.record_drain(replica.number, time.monotonic())
                 time.sleep(DRAINING_S)
                 with self._lock:
@@ -295,15 +305,24 @@
                 time.sleep(duration_s)
                 replica.fault = ""
 
+    def _swap_replicas(self, version: int) -> None:
+        """Have the stream replicas change to a version one after another."""
+        pause_s = FIRST_SWAP_S
+        for replica in self.replicas:
+            if replica.service == STREAM_SERVICE:
+                time.sleep(pause_s)
+                with self._lock:
+                    replica.swap(version)
+                pause_s = SWAP_INTERVAL_S
+
     def _perform_action(self, action: str) -> None:
         with self._lock:
             match action:
                 case "name":
                     self.version += 1
                     self.store.set_target_version(self.version)
-                    for replica in self.replicas:
-                        if not replica.is_draining:
-                            replica.register(self.version)
+                    self.checker.record_target_version(self.version, time.monotonic())
+                    self._run_in_background(self._swap_replicas, self.version)
                     return
                 case "revoke":
                     revoked, self.keys = self.keys[0], [self.keys[1], f"key-{self.revision + 1}"]
--- a/hibiscustray/soak/schedule.py
+++ b/hibiscustray/soak/schedule.py
@@ -15,6 +15,12 @@
 """Duration of a fault."""
 MAX_SERIES_LENGTH = 3
 """Largest number of faults in a series."""
+MEAN_VERSION_GAP_S = 8.0
+"""Mean time between two pauses of entries with a target version, each taken as the longest."""
+MIN_VERSION_PAUSE_S, MAX_VERSION_PAUSE_S = 2.0, 4.0
+"""Duration of such a pause."""
+MIN_VERSION_DELAY_S, MAX_VERSION_DELAY_S = 0.05, 1.0
+"""Time from the start of such a pause until the version is set."""
 QUIET_START_S = 1.0
 """Time without faults at the start."""
 QUIET_END_S = 8.0
@@ -129,9 +135,27 @@
             if step_at_s >= length_s - QUIET_END_S:
                 break
         at_s += rng.expovariate(1 / MEAN_SERIES_INTERVAL_S)
+    steps += _generate_versions_during_pauses(seed, length_s, entries)
     return tuple(sorted(steps, key=lambda step: step.at_s))
 
 
+def _generate_versions_during_pauses(seed: int, length_s: float, entries: int) -> list[Step]:
+    """Return pauses of entries, each with a target version that is set during it.
+
+    They have a generator of their own, so that the other steps of a seed do not depend on them.
+    """
+    rng = random.Random(f"versions-{seed}")
+    steps: list[Step] = []
+    at_s = QUIET_START_S + rng.expovariate(1 / MEAN_VERSION_GAP_S)
+    while at_s < length_s - QUIET_END_S - MAX_VERSION_PAUSE_S:
+        duration_s = rng.uniform(MIN_VERSION_PAUSE_S, MAX_VERSION_PAUSE_S)
+        delay_s = rng.uniform(MIN_VERSION_DELAY_S, MAX_VERSION_DELAY_S)
+        steps.append(EntryFault(at_s, duration_s, rng.randrange(entries), "pause"))
+        steps.append(OperatorAction(at_s + delay_s, "name"))
+        at_s += MAX_VERSION_PAUSE_S + rng.expovariate(1 / MEAN_VERSION_GAP_S)
+    return steps
+
+
 def _generate_step(
     rng: random.Random, kind: str, at_s: float, duration_s: float, entries: int, replicas: int
 ) -> Step:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -33,9 +33,13 @@
 
 
 def record_run(
-    checker: GuaranteeChecker, request: SoakRequest = REQUEST, at: float = 10.05, replica: int = 0
+    checker: GuaranteeChecker,
+    request: SoakRequest = REQUEST,
+    at: float = 10.05,
+    replica: int = 0,
+    version: int | None = None,
 ) -> None:
-    checker.record_run(request.id, request.path, request.body, replica, at)
+    checker.record_run(request.id, request.path, request.body, replica, at, version)
 
 
 def get_violated_rules(checker: GuaranteeChecker) -> list[str]:
@@ -167,3 +171,79 @@
     checker.record_request(other)
     record_run(checker, other, replica=4)
     assert get_violated_rules(checker) == ["DRAIN"]
+
+
+@pytest.fixture
+def stream(checker) -> SoakRequest:
+    """Return a recorded stream request; versions 2 and 3 are set as the target at 20 s and 30 s."""
+    stream = dataclasses.replace(REQUEST, id="r3", kind="draft", path="/draft/1", event_count=3)
+    checker.record_request(stream)
+    checker.record_target_version(2, 20.0)
+    checker.record_target_version(3, 30.0)
+    return stream
+
+
+@pytest.mark.parametrize(
+    ("version", "at", "is_violation"),
+    [
+        (1, 24.9, False),
+        (1, 25.1, True),
+        (2, 25.1, False),
+        (3, 31.0, False),
+        (1, 31.0, True),
+        (2, 34.9, False),
+        (2, 35.1, True),
+        (3, 35.1, False),
+    ],
+)
+def test_a_stream_on_weights_outdated_past_the_bound_is_a_violation(
+    checker, stream, version, at, is_violation
+):
+    record_run(checker, stream, at, version=version)
+    assert get_violated_rules(checker) == ["VERSION"] * is_violation
+    assert checker.checks["VERSION"] == (at > 25.0)
+
+
+@pytest.mark.parametrize(("paused_until", "is_violation"), [(22.9, False), (21.9, True)])
+def test_a_pause_excuses_outdated_weights_for_3_s_and_does_not_extend_the_bound(
+    checker, disturbances, stream, paused_until, is_violation
+):
+    disturbances.add(0, 19.9, paused_until, is_of_process=True)
+    record_run(checker, stream, 25.1, version=1)
+    assert get_violated_rules(checker) == ["VERSION"] * is_violation
+
+
+@pytest.mark.parametrize("target", [0, None], ids=["store link", "store"])
+@pytest.mark.parametrize(
+    ("begin", "end", "at", "is_violation"),
+    [
+        (21.0, 21.5, 26.4, False),
+        (21.0, 21.5, 26.6, True),
+        (19.0, 20.5, 25.4, False),
+        (19.0, 20.5, 25.6, True),
+        (19.0, 19.9, 25.1, True),
+    ],
+)
+def test_the_bound_begins_anew_after_a_disturbance_of_the_store_or_its_link(
+    checker, disturbances, stream, target, begin, end, at, is_violation
+):
+    disturbances.add(target, begin, end)
+    record_run(checker, stream, at, version=1)
+    assert get_violated_rules(checker) == ["VERSION"] * is_violation
+
+
+def test_disturbances_of_another_entry_or_replica_do_not_excuse_outdated_weights(
+    checker, disturbances, stream
+):
+    disturbances.add(1, 24.0, 25.0)
+    checker.replica_links.add(1, 24.0, 25.0)
+    record_run(checker, stream, 25.1, version=1)
+    assert get_violated_rules(checker) == ["VERSION"]
+
+
+def test_a_link_to_a_replica_may_have_held_a_stream_back(checker, stream):
+    checker.replica_links.add(0, 21.0, 25.0)
+    record_run(checker, stream, 25.1, version=1)
+    assert get_violated_rules(checker) == []
+    record_run(checker, stream, 28.1, version=1)
+    assert get_violated_rules(checker) == ["VERSION"]
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hibiscustray.soak import EntryFault, generate_schedule
+from hibiscustray.soak import EntryFault, OperatorAction, generate_schedule
 
 LENGTH_S = 40.0
 
@@ -37,3 +37,15 @@
         for first in faults
         for second in faults
     )
+
+
+def test_target_versions_are_often_set_while_an_entry_is_paused():
+    counts = []
+    for seed in range(30):
+        steps = generate_schedule(seed, LENGTH_S, 3, 6)
+        pauses = [s for s in steps if isinstance(s, EntryFault) and s.kind == "pause"]
+        names = [s for s in steps if isinstance(s, OperatorAction) and s.action == "name"]
+        counts.append(
+            sum(any(p.at_s < n.at_s < p.at_s + p.duration_s for p in pauses) for n in names)
+        )
+    assert sum(counts) >= 2 * len(counts)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
     EntryFault,
     LinkFault,
     LinkState,
+    OperatorAction,
     SoakOptions,
     StoreFault,
     run_soak,
@@ -51,6 +52,13 @@
     assert {violation.rule for violation in report.violations} == {"TWICE"}
 
 
+def test_stream_does_not_begin_on_outdated_weights_after_entry_was_paused_as_version_was_set():
+    schedule = (EntryFault(1.0, 2.2, 0, "pause"), OperatorAction(1.2, "name"))
+    report = run_soak(SoakOptions(SEED, 10.0, entries=2, callers=8), standins, schedule)
+    assert report.violations == ()
+    assert report.checks["VERSION"] > 10
+
+
 def test_entries_killed_and_stopped_during_a_store_outage_recover():
     schedule = (
         StoreFault(0.5, 2.0, "refuse"),
