--- a/hibiscustray/soak/programs.py
+++ b/hibiscustray/soak/programs.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,9 +19,16 @@
 from pathlib import Path
 
 from hibiscustray.exceptions import ProgramEnded
+from hibiscustray.soak.guarantees import MAX_VERSION_AGE_S
 
 log = logging.getLogger(__name__)
 
+MS_PER_S = 1000.0
+PORTS = range(20_000, 32_768)
+"""Ports of the entries, below those that Linux gives to outgoing connections and to port 0.
+
+An entry's port is free until it has started and while it is stopped, and must not be given away.
+"""
 STOP_TIMEOUT_S = 12.0
 """Time for an entry to exit after SIGTERM: its grace period of 8 s plus 4 s for a busy machine."""
 
@@ -45,7 +53,7 @@
 z1 = r1
 
 [bounds]
-version_ms = 60000
+version_ms = {version_ms:.0f}
 grace_s = 8
 """
 
@@ -68,6 +76,7 @@
                 readiness_port=ports[1],
                 peer_port=ports[2],
                 metrics_port=ports[3],
+                version_ms=MAX_VERSION_AGE_S * MS_PER_S,
             )
         )
         self._process: subprocess.Popen | None = None
@@ -138,5 +147,7 @@
 
 def find_free_port() -> int:
     """Return a port of the loopback interface on which nothing listens at present."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from hibiscustray.platform import standins
 from hibiscustray.soak import (
     FAILED_SEEDS,
     EntryFault,
     LinkFault,
     LinkState,
+    OperatorAction,
     SoakOptions,
     StoreFault,
     run_soak,
 )
-from hibiscustray.soak.programs import EntryProgram
+from hibiscustray.soak.programs import EntryProgram, find_free_port
 
 SEED = 11
 
@@ -49,6 +52,13 @@
     assert {violation.rule for violation in report.violations} == {"TWICE"}
 
 
+def test_stream_does_not_begin_on_outdated_weights_after_entry_was_paused_as_version_was_set():
+    schedule = (EntryFault(1.0, 2.2, 0, "pause"), OperatorAction(1.2, "name"))
+    report = run_soak(SoakOptions(SEED, 10.0, entries=2, callers=8), standins, schedule)
+    assert report.violations == ()
+    assert report.checks["VERSION"] > 10
+
+
 def test_entries_killed_and_stopped_during_a_store_outage_recover():
     schedule = (
         StoreFault(0.5, 2.0, "refuse"),
@@ -58,3 +68,8 @@
     report = run_soak(SoakOptions(SEED, 9.0, entries=2, callers=4), standins, schedule)
     assert report.violations == ()
     assert report.checks["RECOVER"] == 2
+
+
+def test_ports_of_entries_are_not_given_to_outgoing_connections():
+    first_ephemeral = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    assert all(find_free_port() < first_ephemeral for _ in range(100))
