Names the times of a call and its response by what they are

Before: `sent_at` for a call and for a response, `answered_at` for the reading of one. Now: `called_at`, `call_sent_at`, `responded_at` (the store sent the response) and `read_at`.

--- a/hibiscustray/feeds/changes.py
+++ b/hibiscustray/feeds/changes.py
@@ -66,18 +66,18 @@
 class FeedPage:
     """Changes in order, and the store's revision after the last of them.
 
-    `sent_at` and `answered_at` are the times of `read_clock` in seconds at which the call had been
-    sent and at which its response was read; `sent_at` is None if it is not known. `size_b` is the
-    length of the response in bytes and `store_time_s` the time on the store's own monotonic clock
-    at which it was sent, 0 if the response has none.
+    `call_sent_at` and `read_at` are the times of `read_clock` in seconds at which the call had been
+    sent and at which its response was read; `call_sent_at` is None if it is not known. `size_b` is
+    the length of the response in bytes and `store_time_s` the time on the store's own monotonic
+    clock at which it was sent, 0 if the response has none.
     """
 
     changes: tuple[Change, ...]
     revision: int
-    answered_at: float = 0.0
+    read_at: float = 0.0
     size_b: int = 0
     store_time_s: float = 0.0
-    sent_at: float | None = None
+    call_sent_at: float | None = None
 
 
 class FeedSource(Protocol):
--- a/hibiscustray/feeds/clock.py
+++ b/hibiscustray/feeds/clock.py
@@ -58,5 +58,5 @@
         """
         if not times.store_time_s:
             return times.read_at
-        sent_at = times.store_time_s - max(self._offset_s, self._previous_offset_s)
-        return min(times.read_at, max(times.called_at, sent_at))
+        responded_at = times.store_time_s - max(self._offset_s, self._previous_offset_s)
+        return min(times.read_at, max(times.called_at, responded_at))
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -32,7 +32,7 @@
 """If at most this time passes between a response and the next call, a change counts as made when
 the store sent its own response, since the store responds within a few milliseconds."""
 MAX_IMMEDIATE_RESPONSE_S = 0.25
-"""Longest time for a response to a call that does not wait, from a slow store."""
+"""Longest time in which a slow store responds without a wait; a later response ended a wait."""
 MAX_CHANGE_AGE_AFTER_OUTAGE_S = 3.0
 """Maximum age of a change in the first response after an outage, unless the last failed call began
 earlier: no change is made while the store is down, but a congested link delays responses."""
@@ -174,7 +174,8 @@
         self._metrics.count("feed_calls_total", {"feed": self._source.name})
 
     def _record_times(self, page: FeedPage, called_at: float) -> ResponseTimes:
-        response = ResponseTimes(page.store_time_s, called_at, page.answered_at)
+        """Compare the clocks by a page's times; return the times."""
+        response = ResponseTimes(page.store_time_s, called_at, page.read_at)
         self._store_clock.record(response)
         return response
 
@@ -195,9 +196,11 @@
                 self._frozen_call_at,
             )
             return max(self._last_responded_at, oldest_at)
-        sent_at = page.sent_at if page.sent_at is not None else response.called_at
+        sent_at = page.call_sent_at if page.call_sent_at is not None else response.called_at
+        # A call that was not allowed to wait has not waited, however slow the store was.
         has_waited = min(wait_s, responded_at - sent_at) > MAX_IMMEDIATE_RESPONSE_S
-        if has_waited or sent_at - self._last_responded_at <= MAX_CALL_GAP_S:
+        gap_s = sent_at - self._last_responded_at
+        if has_waited or gap_s <= MAX_CALL_GAP_S:
             return responded_at
         return self._last_responded_at
 
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -272,7 +272,7 @@
         page = self._relay_source.read_small()
         self._next_poll_at = now + self._tuning.check_interval_s
         for change in self._process_changes(page):
-            self._listener.apply(change, page.answered_at)
+            self._listener.apply(change, page.read_at)
 
     def _process_changes(self, page: FeedPage) -> tuple[Change, ...]:
         changes = super()._process_changes(page)
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -82,8 +82,8 @@
     server_time_ms: float = msgspec.field(default=0.0, name="serverTimeMs")
     # Set by the client: times of `read_clock` at which the call had been sent and at which the
     # response headers were read, and body length.
-    sent_at: float | None = None
-    answered_at: float = 0.0
+    call_sent_at: float | None = None
+    read_at: float = 0.0
     size_b: int = 0
 
 
@@ -174,8 +174,8 @@
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
         return msgspec.structs.replace(
             _decode_page(body),
-            sent_at=response.sent_at,
-            answered_at=response.answered_at,
+            call_sent_at=response.sent_at,
+            read_at=response.read_at,
             size_b=len(body),
         )
 
@@ -311,7 +311,7 @@
     changes = tuple(_convert_row(row, read_row) for row in page.rows)
     store_time_s = page.server_time_ms / MS_PER_S
     return FeedPage(
-        changes, page.revision, page.answered_at, page.size_b, store_time_s, page.sent_at
+        changes, page.revision, page.read_at, page.size_b, store_time_s, page.call_sent_at
     )
 
 
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -50,7 +50,7 @@
         self._is_closed = False
         # Times of `read_clock` at which the request had been sent and the headers were read.
         self.sent_at = sent_at
-        self.answered_at = read_clock()
+        self.read_at = read_clock()
         self.status: int = response.status
         self.headers = {key.lower(): value for key, value in response.getheaders()}
 
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -123,9 +123,9 @@
     assert versions.find_required("m", 1e6) == 2
 
 
-def make_version_page(version: int, answered_at: float) -> FeedPage:
+def make_version_page(version: int, read_at: float) -> FeedPage:
     target = WeightsVersion("m", version)
-    return FeedPage((TargetVersionSet(target),), version, answered_at)
+    return FeedPage((TargetVersionSet(target),), version, read_at)
 
 
 def measure_age_s(*script) -> float:
@@ -146,9 +146,9 @@
 
 def test_version_found_without_wait_may_be_as_old_as_previous_response():
     def respond_over_slow_link() -> FeedPage:
-        answered_at = read_clock()
+        read_at = read_clock()
         time.sleep(0.5)
-        return FeedPage((), 1, answered_at)
+        return FeedPage((), 1, read_at)
 
     assert measure_age_s(respond_over_slow_link, lambda: make_version_page(2, read_clock())) >= 0.5
 
--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -238,10 +238,10 @@
 
 def test_relayed_version_may_be_as_old_as_last_table_poll(setup):
     checked_at = read_clock() - 0.6
-    setup.publish(2, answered_at=checked_at, **FAR)
+    setup.publish(2, read_at=checked_at, **FAR)
     setup.follower.start()
     wait_until(lambda: bool(setup.relayed.times_of("follow")))
-    setup.relayed.push(FeedPage((VERSION_2,), 6, answered_at=read_clock()))
+    setup.relayed.push(FeedPage((VERSION_2,), 6, read_at=read_clock()))
     wait_until(lambda: setup.versions.find_newest("m") == 2, 0.4)
     assert setup.versions.find_age("m") >= 0.6
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -111,7 +111,7 @@
     # 50 ms more than the 0.2 s checked: the client may read the headers after the pause begins.
     store.body_pause_s = 0.25
     page = feed.follow(2, 0.3)
-    assert before + 0.3 <= page.answered_at <= read_clock() - 0.2
+    assert before + 0.3 <= page.read_at <= read_clock() - 0.2
     assert page.size_b > 0
 
 
