--- a/tests/agent/test_stager.py
+++ b/tests/agent/test_stager.py
@@ -5,6 +5,7 @@
 import hashlib
 import threading
 import time
+from collections.abc import Callable
 
 import pytest
 
@@ -222,24 +223,23 @@
 class SuspendingEngine(Engine):
     """An engine whose VM is suspended once, after all staged chunks were verified."""
 
-    suspended_s = 0.0
+    def __init__(self, suspend_machine: Callable[[float], None]) -> None:
+        super().__init__()
+        self._suspend_machine = suspend_machine
+        self._is_suspended = False
 
     def read_report(self) -> EngineReport:
-        if len(self.staged) == CHUNKS and not self.suspended_s:
-            self.suspended_s = 9.0
+        if len(self.staged) == CHUNKS and not self._is_suspended:
+            self._is_suspended = True
+            self._suspend_machine(9.0)
             self.staged[0] = b"rot"
         return super().read_report()
 
 
-def test_chunk_that_becomes_corrupt_while_vm_is_suspended_is_not_loaded(start_stager, monkeypatch):
-    engine = SuspendingEngine()
-    read_clock = time.clock_gettime
-
-    def read_after_suspension(clock: int) -> float:
-        is_counted = clock == time.CLOCK_BOOTTIME
-        return read_clock(clock) + (engine.suspended_s if is_counted else 0.0)
-
-    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+def test_chunk_that_becomes_corrupt_while_vm_is_suspended_is_not_loaded(
+    start_stager, suspend_machine
+):
+    engine = SuspendingEngine(suspend_machine)
     start_stager(engine).wait_for(1)
     assert engine.loads == [make_chunks(1)]
 
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -81,15 +81,10 @@
     assert versions.find_time_left("m", 3, 8.0) == float("inf")
 
 
-def test_time_in_which_machine_was_suspended_counts_for_age_of_target_version(monkeypatch):
+def test_time_in_which_machine_was_suspended_counts_for_age_of_target_version(suspend_machine):
     versions = TargetVersions()
     versions.record(WeightsVersion("m", 2))
-    read_clock = time.clock_gettime
-
-    def read_after_suspension(clock: int) -> float:
-        return read_clock(clock) + (9.0 if clock == time.CLOCK_BOOTTIME else 0.0)
-
-    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+    suspend_machine(9.0)
     assert versions.find_required("m", 8.0) == 2
     assert versions.find_time_left("m", 1, 8.0) < 0.0
     assert versions.find_age("m") >= 9.0
--- a/tests/deployments/test_justification.py
+++ b/tests/deployments/test_justification.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 import pytest
 
 from hibiscustray.deployments import justification as module
@@ -134,15 +132,9 @@
     assert not justification.allows_serving()
 
 
-def test_contact_expires_for_a_process_whose_vm_was_suspended(monkeypatch):
-    read_time, suspended_s = time.clock_gettime, [0.0]
-
-    def read_after_suspension(clock: int) -> float:
-        return read_time(clock) + (suspended_s[0] if clock == time.CLOCK_BOOTTIME else 0.0)
-
-    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+def test_contact_expires_for_a_process_whose_vm_was_suspended(suspend_machine):
     justification = Justification(grace_s=30.0, settle_s=0.0)
     justification.record_store_read(5, local_number=5)
     assert justification.allows_serving()
-    suspended_s[0] = 60.0
+    suspend_machine(60.0)
     assert not justification.allows_serving()
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -313,21 +313,14 @@
     assert max(took_s) < 2.0
 
 
-def test_time_in_which_machine_was_suspended_counts_for_deadline(site, monkeypatch):
+def test_time_in_which_machine_was_suspended_counts_for_deadline(site, suspend_machine):
     replica = site.add_replica("booking", lambda request, connection: time.sleep(4))
-    suspended_s = [0.0]
-    read_clock = time.clock_gettime
-
-    def read_after_suspension(clock: int) -> float:
-        return read_clock(clock) + (suspended_s[0] if clock == time.CLOCK_BOOTTIME else 0.0)
-
-    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
     statuses: list[int] = []
     caller = run_in_background(
         lambda: statuses.append(site.call("POST", "/book/1", b"x")[0].status)
     )
     wait_until(lambda: bool(replica.received))
-    suspended_s[0] = 2.5
+    suspend_machine(2.5)
     resumed_at = time.monotonic()
     caller.join()
     assert statuses == [504]
--- a/tests/rollout/test_leases.py
+++ b/tests/rollout/test_leases.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -99,16 +97,10 @@
     assert acquire_when_free(contender, clock, 60.0) >= DURATION_S
 
 
-def test_lease_expires_for_a_holder_whose_vm_was_suspended(monkeypatch):
-    read_time, suspended_s = time.clock_gettime, [0.0]
-
-    def read_after_suspension(clock: int) -> float:
-        return read_time(clock) + (suspended_s[0] if clock == time.CLOCK_BOOTTIME else 0.0)
-
-    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+def test_lease_expires_for_a_holder_whose_vm_was_suspended(suspend_machine):
     lease = LeaseStore(MemoryTable(), "a").acquire("slot", DURATION_S)
     assert lease.is_valid()
-    suspended_s[0] = 2 * DURATION_S
+    suspend_machine(2 * DURATION_S)
     assert not lease.is_valid()
 
 
