--- a/tests/platform/test_frozen_entry.py
+++ b/tests/platform/test_frozen_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import configparser
 import http.client
 import os
 import signal
@@ -156,12 +157,13 @@
 
     def _make_program(self) -> EntryProgram:
         program = EntryProgram(0, self.link.address, self._folder)
-        settings = self._folder / f"{program.id}.ini"
-        text = settings.read_text()
-        bound_ms = self.limits.version_bound_s * 1000
-        text = text.replace("version_ms = 60000", f"version_ms = {bound_ms:.0f}")
-        text = text.replace("[store]\n", f"[store]\nwait_s = {WAIT_S}\n")
-        settings.write_text(text)
+        path = self._folder / f"{program.id}.ini"
+        settings = configparser.ConfigParser()
+        settings.read(path)
+        settings["bounds"]["version_ms"] = f"{self.limits.version_bound_s * 1000:.0f}"
+        settings["store"]["wait_s"] = str(WAIT_S)
+        with path.open("w") as file:
+            settings.write(file)
         return program
 
     def _has_lost_port(self) -> bool:
