Logs the replica and the prompt's parts of each lost attempt

The record could not tell which part the requests at these replicas shared: no line named a part, and the replica of a lost attempt was only in the trail of the last line of its request. The line now has the replica, whether a response had begun, and digests of the parts that other requests may share: digests, as callers choose the ids and their length; the first eight, so that the line is bounded.

--- a/hibiscustray/gateway/__init__.py
+++ b/hibiscustray/gateway/__init__.py
@@ -9,6 +9,7 @@
     OutboundRequest,
     ReplicaClient,
     ReplicaResponse,
+    digest_part,
 )
 from hibiscustray.gateway.process import GatewayProcess
 from hibiscustray.gateway.reporter import RequestReporter
@@ -25,4 +26,5 @@
     "RequestForwarder",
     "RequestReporter",
     "VersionLimits",
+    "digest_part",
 ]
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -10,6 +11,12 @@
 from hibiscustray.replicas import ReplicaRecord
 
 Headers = tuple[tuple[str, str], ...]
+PART_DIGEST_B = 8
+
+
+def digest_part(part_id: str) -> str:
+    """Return the digest of a prompt part's id, of a fixed length whatever the caller chose."""
+    return hashlib.blake2b(part_id.encode(), digest_size=PART_DIGEST_B).hexdigest()
 
 
 def _never_disconnected() -> bool:
@@ -34,7 +41,8 @@
     """A request as received from a caller; `received_at` is a time of `read_clock`.
 
     `target` is the path with its query as sent, `headers` are those to forward, `key` is the
-    caller's team key, and `resume_after` is the id of the last stream event that the caller has.
+    caller's team key, `prompt_parts` are digests of the parts of the prompt that other requests may
+    share, and `resume_after` is the id of the last stream event that the caller has.
     """
 
     id: str
@@ -48,6 +56,7 @@
     time_left_s: float | None = None
     key: str = ""
     generation: Generation | None = None
+    prompt_parts: tuple[str, ...] = ()
     resume_after: str = ""
     is_disconnected: Callable[[], bool] = _never_disconnected
 
--- a/hibiscustray/gateway/reporter.py
+++ b/hibiscustray/gateway/reporter.py
@@ -17,6 +17,7 @@
 CLIENT_CLOSED_REQUEST = 499
 """Status reported for a caller that has disconnected; the response itself is never read."""
 MAX_LOGGED_AGE_S = 99.0
+MAX_LOGGED_PARTS = 8
 
 
 class RequestReporter:
@@ -97,7 +98,21 @@
 
     def record_lost_attempt(self, context: RequestContext, detail: str) -> None:
         """Report that the response of an attempt was lost."""
-        log.info("attempt lost", extra={"request": context.inbound.id, "reason": detail[:200]})
+        placement = context.last_placement
+        details: dict[str, object] = {}
+        if placement is not None:
+            started_at = placement.in_flight.response_started_at
+            details["replica"] = placement.replica.id
+            details["has_response"] = started_at is not None
+        log.info(
+            "attempt lost",
+            extra={
+                "request": context.inbound.id,
+                "reason": detail[:200],
+                "prompt_parts": list(context.inbound.prompt_parts[:MAX_LOGGED_PARTS]),
+                **details,
+            },
+        )
         self._metrics.count("attempts_lost_total", {"service": context.service.name})
 
     def _count(self, context: RequestContext, outcome: str) -> None:
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from hibiscustray.gateway import Generation, InboundRequest, InboundResponse, RequestForwarder
+from hibiscustray.gateway import (
+    Generation,
+    InboundRequest,
+    InboundResponse,
+    RequestForwarder,
+    digest_part,
+)
 from hibiscustray.platform.replica import HOP_BY_HOP_HEADERS
 from hibiscustray.platform.wire import (
     ATTEMPT_ID,
@@ -18,6 +24,7 @@
     LAST_EVENT_ID,
     MODEL,
     MS_PER_S,
+    PROMPT_PARTS,
     READY_PATH,
     TEAM,
     TIME_LEFT_MS,
@@ -111,6 +118,7 @@
         time_left_s=_read_time_left(headers.get(TIME_LEFT_MS.lower(), "")),
         key=authorization[len(BEARER_PREFIX) :] if authorization.startswith(BEARER_PREFIX) else "",
         generation=_read_generation(headers),
+        prompt_parts=_read_prompt_parts(headers.get(PROMPT_PARTS.lower(), "")),
         resume_after=headers.get(LAST_EVENT_ID.lower(), ""),
         is_disconnected=environ.get("waitress.client_disconnected", lambda: False),
     )
@@ -131,6 +139,12 @@
     )
 
 
+def _read_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the digests of the shared parts; the last part belongs to the request itself."""
+    ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
+    return tuple(digest_part(part_id) for part_id in ids[:-1] if part_id)
+
+
 def _write_response(response: InboundResponse, start_response) -> Iterable[bytes]:
     reason = REASON_PHRASES.get(response.status, "Status")
     headers = list(response.headers)
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hibiscustray.gateway import digest_part
 from hibiscustray.platform.standins import (
     ATTEMPT_ID,
     HOST,
@@ -590,3 +591,13 @@
     wait_until(lambda: any(r.message == "request ended" for r in caplog.records))
     line = next(r for r in caplog.records if r.message == "request ended")
     assert (line.required_weights, line.listed_weights, line.answered_weights) == (0, 1, 1)
+
+
+def test_lost_attempt_is_logged_with_its_replica_and_the_parts_of_its_prompt(site, caplog):
+    caplog.set_level("INFO")
+    replica = site.add_replica("guide", close_without_response)
+    site.request_stream(X_Hibiscustray_Prompt_Prefix="aa:40, BB:10,cc:60")
+    line = next(record for record in caplog.records if record.message == "attempt lost")
+    assert line.replica == replica.id
+    assert not line.has_response
+    assert line.prompt_parts == [digest_part("aa"), digest_part("bb")]
