--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -21,26 +21,9 @@
     WEIGHT_VERSIONS,
 )
 from hibiscustray.web import HttpClient, HttpStream
+from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
 
 MISDIRECTED_REQUEST = 421
-HOP_BY_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "trailers",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    )
-)
-"""Headers that are not forwarded: they describe one connection or its message framing, which differ
-between the caller's and the replica's side."""
 
 
 class PlatformReplicaResponse:
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -13,7 +13,6 @@
     RequestForwarder,
     digest_part,
 )
-from hibiscustray.platform.replica import HOP_BY_HOP_HEADERS
 from hibiscustray.platform.wire import (
     ATTEMPT_ID,
     AUTHORIZATION,
@@ -31,6 +30,7 @@
     TOKEN_COUNTS,
     URGENCY,
 )
+from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.server import REASON_PHRASES, RECEIVED_AT
 
