Refuses requests with a part under which replicas end, agreed among all entries

Cause: an entry remembered a lost attempt for its replica only. The next request with the same harmful part, and the repeat of the lost one, went to the next replica, at each entry anew.

Change: each entry writes which parts of lost requests were at which replica to one row of a table that all entries follow, once no sign of life of the replica voids the loss. A part is blocked when three replicas ended one after the other, each under a request sent after the end before, and no request with it completed; entries that had completed one say so before. Replicas that are killed together form no sequence. Losses that one part explains do not count for the parts beside it, and parts that cannot be told apart block only requests that have all of them. A blocked request is refused at once, checked before each attempt and once more with the connection open. The entry that decided a block alone lets one request probe it after 30 s, twice as long after each that fails; others take the block over if it is gone. Parts are known by digests, and rows, memory and lines are bounded.

A stream with neither length nor chunks that ends before its first event counts as broken off, and its end never speaks for its prompt.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -14,6 +14,7 @@
 from hibiscustray.composition.parts import MIB, MS_PER_S, DeferredApplication, make_incarnation
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.feeds import (
+    EntryListener,
     FeedFollower,
     OperatorListener,
     RelayReader,
@@ -38,22 +39,25 @@
 )
 from hibiscustray.placement import Placer
 from hibiscustray.platform import (
+    READY_PATH,
+    EntryFeed,
     GatewayApplication,
     OperatorFeed,
     PlatformEngine,
     PlatformOrigin,
     PlatformReplicaClient,
     PlatformStore,
-    ReadinessApplication,
     RelayedOperatorFeed,
     ReplicaFeed,
 )
+from hibiscustray.quarantine import PartQuarantine, ReportPublisher
 from hibiscustray.replicas import ReplicaDirectory
 from hibiscustray.rollout import OrderGate
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.settings import HostedSettings
 from hibiscustray.telemetry import Metrics, PauseDetector
 from hibiscustray.web import HttpServer
+from hibiscustray.web.status import StatusApplication
 from hibiscustray.weights import (
     ChunkCache,
     LinkRateLimiter,
@@ -71,6 +75,8 @@
 """Share of the platform's bound on retries that is used, as entries do not count them together."""
 RETRY_SLACK_ENTRIES = 12
 """Number of entries among which the retry slack is divided."""
+REPORT_PAUSE_S = 0.1
+"""Pause between reads of the entries' reports, so that one read carries those of one event."""
 UPLINK_SHARE = 0.9
 """Share of a VM's upload rate that transfers of weights may use."""
 ENTRY_RELAY_TUNING = RelayWriterTuning(large_b=48 * 1024, near_mbit_s=16.0, check_interval_s=1.8)
@@ -120,9 +126,19 @@
     pauses = PauseDetector(metrics, HOSTED_WATCHDOG_INTERVAL_S)
     watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check, read_clock)
     reporter = RequestReporter(metrics)
+    quarantine = PartQuarantine(settings.process.address, metrics)
+    reports = EntryFeed(PlatformStore(settings.store.address))
+    entries = FeedFollower(
+        reports,
+        EntryListener(quarantine, settings.process.address),
+        settings.store.wait_s,
+        metrics,
+        REPORT_PAUSE_S,
+    )
     attempts = AttemptController(
         feed_state.versions,
         placer,
+        quarantine,
         PlatformReplicaClient(),
         budgets,
         watchdog,
@@ -137,13 +153,14 @@
         _build_hosted_http(entry.callers, GatewayApplication(forwarder), entry.threads),
         _build_hosted_http(entry.readiness, readiness, HOSTED_STATUS_THREADS),
         _build_hosted_metrics(settings, metrics),
-        feed_state.followers,
+        (*feed_state.followers, entries),
+        ReportPublisher(settings.process.address, quarantine, reports),
         feed_state.catalogs,
         feed_state.directory,
         forwarder,
         watchdog,
     )
-    readiness.target = ReadinessApplication(process.is_ready, metrics.render_text)
+    readiness.target = StatusApplication(READY_PATH, process.is_ready, metrics.render_text)
     return process
 
 
@@ -254,5 +271,5 @@
 
 def _build_hosted_metrics(settings: HostedSettings, metrics: Metrics) -> HttpServer:
     process = settings.process
-    app = ReadinessApplication(lambda: True, metrics.render_text)
+    app = StatusApplication(READY_PATH, lambda: True, metrics.render_text)
     return HttpServer(app, process.address, process.metrics_port, HOSTED_STATUS_THREADS)
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -67,6 +67,14 @@
     """The connection to the upstream was lost after data had been sent."""
 
 
+class SendWithdrawn(UpstreamUnreachable):
+    """The request was withdrawn after the connection was open and before anything was sent."""
+
+
+class ResponseInvalid(UpstreamConnectionLost):
+    """The upstream sent bytes that are not a valid response to the request."""
+
+
 class AnswerCrossed(UpstreamConnectionLost):
     """The upstream's response does not identify this request and the expected weights."""
 
--- a/hibiscustray/feeds/__init__.py
+++ b/hibiscustray/feeds/__init__.py
@@ -6,6 +6,8 @@
     CatalogPublished,
     Change,
     ChangeRelay,
+    EntryReported,
+    EntryUnlisted,
     FeedPage,
     FeedSource,
     RelaySource,
@@ -16,7 +18,14 @@
     TargetVersionSet,
 )
 from hibiscustray.feeds.follower import FeedFollower, FeedListener
-from hibiscustray.feeds.listeners import OperatorListener, ReplicaListener
+from hibiscustray.feeds.formats import (
+    decode_copy,
+    decode_relay_row,
+    encode_copy,
+    find_relay_model,
+    make_relay_key,
+)
+from hibiscustray.feeds.listeners import EntryListener, OperatorListener, ReplicaListener
 from hibiscustray.feeds.relay import RelayReader, RelayReaderTuning, RelayWriter, RelayWriterTuning
 
 __all__ = [
@@ -25,6 +34,9 @@
     "CatalogPublished",
     "Change",
     "ChangeRelay",
+    "EntryListener",
+    "EntryReported",
+    "EntryUnlisted",
     "FeedFollower",
     "FeedListener",
     "FeedPage",
@@ -41,4 +53,9 @@
     "ReplicaUnlisted",
     "RowRejected",
     "TargetVersionSet",
+    "decode_copy",
+    "decode_relay_row",
+    "encode_copy",
+    "find_relay_model",
+    "make_relay_key",
 ]
--- a/hibiscustray/feeds/changes.py
+++ b/hibiscustray/feeds/changes.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from hibiscustray.catalog import Catalog, WeightsVersion
+from hibiscustray.quarantine import EntryReport
 from hibiscustray.replicas import ReplicaRecord
 
 
@@ -52,12 +53,29 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class EntryReported:
+    """An entry wrote its report."""
+
+    entry_id: str
+    report: EntryReport
+
+
+@dataclass(frozen=True)
+class EntryUnlisted:
+    """An entry's row was removed."""
+
+    entry_id: str
+
+
 Change = (
     CatalogPublished
     | CatalogAnnounced
     | TargetVersionSet
     | ReplicaListed
     | ReplicaUnlisted
+    | EntryReported
+    | EntryUnlisted
     | RowRejected
 )
 
--- /dev/null
+++ b/hibiscustray/feeds/formats.py
@@ -0,0 +1,63 @@
+"""Formats of the relay: its rows, and the object with a compressed copy of a table."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Mapping
+
+import msgspec
+
+from hibiscustray.catalog import WeightsVersion
+from hibiscustray.exceptions import RecordInvalid
+from hibiscustray.feeds.changes import CatalogAnnounced, Change, TargetVersionSet
+
+CATALOG_KEY = "catalog"
+VERSION_KEY_PREFIX = "version/"
+
+
+class CopiedRow(msgspec.Struct, frozen=True):
+    """One row of a copied table."""
+
+    key: str
+    value: bytes
+
+
+class TableCopy(msgspec.Struct, frozen=True):
+    """A table at one revision."""
+
+    revision: int
+    rows: tuple[CopiedRow, ...]
+
+
+def encode_copy(revision: int, values: Mapping[str, bytes]) -> bytes:
+    """Encode and compress a copy of the values by key."""
+    rows = tuple(CopiedRow(key, value) for key, value in values.items())
+    return zlib.compress(msgspec.msgpack.encode(TableCopy(revision, rows)))
+
+
+def decode_copy(body: bytes) -> TableCopy:
+    """Decode a copy; raise `RecordInvalid` if that is not possible."""
+    try:
+        return msgspec.msgpack.decode(zlib.decompress(body), type=TableCopy)
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise RecordInvalid(f"cannot decode copy of the table: {error}") from error
+
+
+def make_relay_key(model: str) -> str:
+    """Return the key of a model's row, or of the configuration's row for no model."""
+    return VERSION_KEY_PREFIX + model if model else CATALOG_KEY
+
+
+def find_relay_model(key: str) -> str:
+    """Return the model of a row, empty for the configuration's row."""
+    return key.removeprefix(VERSION_KEY_PREFIX) if key != CATALOG_KEY else ""
+
+
+def decode_relay_row(key: str, value: bytes | None) -> Change:
+    """Decode a row of the relay; raise `RecordInvalid` if that is not possible."""
+    try:
+        number = msgspec.json.decode(value or b"", type=int)
+    except msgspec.DecodeError as error:
+        raise RecordInvalid(f"{key}: {error}") from error
+    model = find_relay_model(key)
+    return TargetVersionSet(WeightsVersion(model, number)) if model else CatalogAnnounced(number)
--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -5,14 +5,18 @@
 from collections.abc import Callable
 
 from hibiscustray.catalog import CatalogHolder, TargetVersions
+from hibiscustray.clock import read_clock
 from hibiscustray.feeds.changes import (
     CatalogPublished,
     Change,
+    EntryReported,
+    EntryUnlisted,
     ReplicaListed,
     ReplicaUnlisted,
     RowRejected,
     TargetVersionSet,
 )
+from hibiscustray.quarantine import PartQuarantine
 from hibiscustray.replicas import ReplicaDirectory
 
 
@@ -85,3 +89,40 @@
     def record_recovery(self) -> None:
         """Give unlisted replicas time to be listed again."""
         self._directory.record_recovery()
+
+
+class EntryListener:
+    """Applies the reports of all entries."""
+
+    def __init__(self, quarantine: PartQuarantine, entry_id: str) -> None:
+        self._quarantine = quarantine
+        self._entry_id = entry_id
+        self._has_read_table = False
+
+    def replace(self, changes: tuple[Change, ...], earliest_at: float) -> None:
+        """Replace all reports; in the first read, those of unknown age count as just written."""
+        written_at = earliest_at if self._has_read_table else read_clock()
+        reports = {c.entry_id: c.report for c in changes if isinstance(c, EntryReported)}
+        own_report = reports.pop(self._entry_id, None)
+        if own_report is not None and not self._has_read_table:
+            self._quarantine.continue_blocks(own_report, written_at)
+        self._has_read_table = True
+        for entry_id in self._quarantine.list_reported_entries():
+            if entry_id not in reports:
+                self._quarantine.forget_report(entry_id)
+        for entry_id, report in reports.items():
+            self._quarantine.record_report(entry_id, report, written_at)
+
+    def apply(self, change: Change, earliest_at: float) -> None:
+        """Apply the change of one entry's row."""
+        match change:
+            case EntryReported(entry_id=entry_id, report=report):
+                self._quarantine.record_report(entry_id, report, earliest_at)
+            case EntryUnlisted(entry_id=entry_id) | RowRejected(key=entry_id):
+                self._quarantine.forget_report(entry_id)
+
+    def record_outage(self) -> None:
+        """Keep the reports; own observations alone lead to decisions."""
+
+    def record_recovery(self) -> None:
+        """Keep the reports until newer ones arrive."""
--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hibiscustray.catalog import TargetVersions
+from hibiscustray.clock import read_clock
 from hibiscustray.entry.watchdog import Watch, Watchdog
-from hibiscustray.exceptions import UpstreamConnectionLost, UpstreamUnreachable
+from hibiscustray.exceptions import (
+    ResponseInvalid,
+    SendWithdrawn,
+    UpstreamConnectionLost,
+    UpstreamUnreachable,
+)
 from hibiscustray.gateway.context import RequestContext
 from hibiscustray.gateway.interface import (
     InboundResponse,
@@ -25,6 +32,7 @@
 )
 from hibiscustray.gateway.reporter import RequestReporter
 from hibiscustray.placement import Placement, Placer, Refusal, RefusalReason, WeightsConstraint
+from hibiscustray.quarantine import PartQuarantine
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.telemetry import Metrics
 
@@ -71,6 +79,7 @@
         self,
         versions: TargetVersions,
         placer: Placer,
+        quarantine: PartQuarantine,
         client: ReplicaClient,
         budgets: RetryBudgets,
         watchdog: Watchdog,
@@ -79,6 +88,7 @@
         limits: VersionLimits,
     ) -> None:
         self.placer = placer
+        self.quarantine = quarantine
         self.reporter = reporter
         self.limits = limits
         self._versions = versions
@@ -89,7 +99,10 @@
         self._random = random.Random()
 
     def place(self, context: RequestContext) -> Placement | Refusal:
-        """Choose a replica for the next attempt."""
+        """Choose a replica for the next attempt, or refuse it because of its prompt or the load."""
+        retry_after_s = self._find_quarantine_refusal(context)
+        if retry_after_s is not None:
+            return Refusal(RefusalReason.QUARANTINED, retry_after_s)
         placement = self.placer.place(
             context.service,
             context.current_demand(),
@@ -139,7 +152,13 @@
         context.attempts_sent += 1
         context.excluded.add(placement.replica.id)
         try:
-            response = self._client.open(outbound, CONNECT_TIMEOUT_S, watch.set_cancel)
+            response = self._client.open(
+                outbound, CONNECT_TIMEOUT_S, lambda cancel: self._confirm(context, watch, cancel)
+            )
+        except SendWithdrawn as error:
+            self.placer.release(placement)
+            context.record_attempt(placement, "withdrawn")
+            return NotSent(str(error))
         except UpstreamUnreachable as error:
             self.placer.record_failure(placement, is_silent=True)
             context.record_attempt(placement, "unreachable")
@@ -152,15 +171,25 @@
             response.close()
             raise
 
-    def classify_loss(self, context: RequestContext, watch: Watch, detail: str) -> Outcome:
-        """Return the outcome of an attempt whose response was lost."""
+    def classify_loss(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        watch: Watch,
+        error: UpstreamConnectionLost,
+    ) -> Outcome:
+        """Record an attempt whose response was lost and return its outcome."""
         if context.inbound.is_disconnected():
             return CallerDisconnected()
         if watch.is_silent():
             return MaybeRun("silent", is_silent=True)
         if watch.is_cancelled() or context.time_left() <= 0:
             return OutOfTime()
-        return MaybeRun(detail)
+        if not isinstance(error, ResponseInvalid):
+            self.quarantine.record_loss(
+                placement.replica.boot, context.inbound.prompt_parts, context.sent_at
+            )
+        return MaybeRun(str(error))
 
     def handle_outcome(self, context: RequestContext, outcome: Outcome) -> InboundResponse | None:
         """Record the outcome of an attempt; return the final response if it cannot be retried."""
@@ -209,6 +238,16 @@
             retry_after_s = SWAP_RETRY_AFTER_S * self._random.uniform(1.0, 1.0 + SWAP_RETRY_JITTER)
         return self.reporter.refuse(context, refusal.reason.value, retry_after_s, refusal)
 
+    def _find_quarantine_refusal(self, context: RequestContext) -> float | None:
+        return self.quarantine.find_refusal(context.inbound.prompt_parts, context.inbound.id)
+
+    def _confirm(self, context: RequestContext, watch: Watch, cancel: Callable[[], None]) -> None:
+        """Check once more, with the connection open, that a request may be sent."""
+        watch.set_cancel(cancel)
+        if self._find_quarantine_refusal(context) is not None:
+            raise SendWithdrawn("a part of the prompt has been blocked")
+        context.sent_at = read_clock()
+
     def _find_constraint(self, context: RequestContext) -> WeightsConstraint:
         if not context.model:
             return WeightsConstraint()
@@ -232,7 +271,7 @@
         if response.load is not None:
             self.placer.record_load(placement.replica, response.load)
         if response.request_id and response.request_id != context.inbound.id:
-            raise UpstreamConnectionLost("the response is for another request")
+            raise ResponseInvalid("the response is for another request")
         if response.is_not_run or response.is_misdirected:
             response.close()
             if response.is_misdirected:
@@ -243,9 +282,10 @@
             self._metrics.count("attempts_refused_total", {"service": context.service.name})
             return NotRun(response.status, response.is_misdirected)
         if 200 <= response.status < 300 and not response.is_authentic:
-            raise UpstreamConnectionLost("the response does not authenticate its replica")
+            raise ResponseInvalid("the response does not authenticate its replica")
         if response.version:
             context.answered_version = response.version
             self.placer.record_version(placement.replica, response.version)
         self.placer.record_response_start(placement)
+        self.quarantine.record_life_sign(placement.replica.boot)
         return response
--- a/hibiscustray/gateway/buffered.py
+++ b/hibiscustray/gateway/buffered.py
@@ -70,7 +70,7 @@
             if watch.is_cancelled():
                 raise UpstreamConnectionLost("the attempt was cancelled")
         except UpstreamConnectionLost as error:
-            outcome = self._attempts.classify_loss(context, watch, str(error))
+            outcome = self._attempts.classify_loss(context, placement, watch, error)
             is_silent = isinstance(outcome, MaybeRun) and outcome.is_silent
             self._attempts.placer.record_failure(placement, is_silent)
             return outcome
@@ -95,3 +95,5 @@
             self._attempts.placer.record_failure(placement)
         else:
             self._attempts.placer.record_success(placement, context.service)
+            if response.status < 300:
+                self._attempts.quarantine.record_success(context.inbound.prompt_parts)
--- a/hibiscustray/gateway/context.py
+++ b/hibiscustray/gateway/context.py
@@ -16,7 +16,8 @@
 
     `attempts_sent` counts attempts, `uncertain_attempts` those after which the request may have
     run, and `trail` lists each replica tried with the result. `answered_version` is the version of
-    the weights that the last response named, 0 if it named none.
+    the weights that the last response named, 0 if it named none. `sent_at` is the time at which the
+    last attempt was sent.
     """
 
     inbound: InboundRequest
@@ -32,6 +33,7 @@
     trail: list[str] = field(default_factory=list)
     last_placement: Placement | None = None
     answered_version: int = 0
+    sent_at: float = 0.0
 
     @property
     def model(self) -> str:
--- a/hibiscustray/gateway/events.py
+++ b/hibiscustray/gateway/events.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterator
 
+from hibiscustray.exceptions import ResponseInvalid
+
 EVENT_DELIMITER = b"\n\n"
 ID_FIELD = b"id:"
 MAX_EVENT_B = 1 << 20
@@ -28,7 +30,7 @@
             del self._buffer[: end + len(EVENT_DELIMITER)]
             yield event
         if len(self._buffer) > MAX_EVENT_B:
-            raise ValueError(f"an event exceeds {MAX_EVENT_B} bytes")
+            raise ResponseInvalid(f"an event exceeds {MAX_EVENT_B} bytes")
 
 
 def read_event_id(event: bytes) -> str:
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -93,6 +93,7 @@
     `is_not_run` is set if the replica states that it did not run the request, `is_misdirected` if
     the address serves another replica or another version. `request_id` is the request id in the
     response, and `is_authentic` is set if the response proves that it comes from the replica.
+    `is_delimited` is set if the end of the body differs from the end of the connection.
     """
 
     status: int
@@ -100,6 +101,7 @@
     is_not_run: bool
     is_misdirected: bool
     is_authentic: bool
+    is_delimited: bool
     request_id: str
     load: LoadReport | None
     version: int
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -10,6 +10,7 @@
 from hibiscustray.feeds import FeedFollower
 from hibiscustray.gateway.attempts import VersionLimits
 from hibiscustray.gateway.forwarder import RequestForwarder
+from hibiscustray.quarantine import ReportPublisher
 from hibiscustray.replicas import ReplicaDirectory
 from hibiscustray.settings import HostedSettings
 from hibiscustray.web import HttpServer
@@ -37,6 +38,7 @@
         readiness: HttpServer,
         metrics: HttpServer,
         followers: tuple[FeedFollower, ...],
+        publisher: ReportPublisher,
         catalogs: CatalogHolder,
         directory: ReplicaDirectory,
         forwarder: RequestForwarder,
@@ -46,6 +48,7 @@
         self._readiness = readiness
         self._metrics = metrics
         self._followers = followers
+        self._publisher = publisher
         self._catalogs = catalogs
         self._directory = directory
         self._forwarder = forwarder
@@ -64,6 +67,7 @@
         self._watchdog.start()
         for follower in self._followers:
             follower.start()
+        self._publisher.start()
         for server in (self._readiness, self._metrics, self._caller_server):
             server.start()
         log.info("entry started", extra={"callers": self._caller_server.url})
@@ -94,6 +98,7 @@
         self._is_stopped = True
         for follower in self._followers:
             follower.stop()
+        self._publisher.stop()
         self._caller_server.stop()
         self._readiness.stop()
         self._metrics.stop()
--- a/hibiscustray/gateway/streams.py
+++ b/hibiscustray/gateway/streams.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import UpstreamConnectionLost
 from hibiscustray.gateway.attempts import AttemptController
 from hibiscustray.gateway.body import TrackedBody
@@ -15,6 +16,8 @@
 
 STREAM_SILENCE_TIMEOUT_S = 1.2
 """Silence after which a stream is resumed from another replica; callers time out after 2 s."""
+SOUND_STREAM_S = 1.0
+"""Time after its first event at which a stream shows that its prompt is not what ends replicas."""
 
 
 class StreamForwarder:
@@ -134,6 +137,8 @@
         self._splitter = EventSplitter()
         self._watch = attempts.watch(context, attempts.find_first_byte_timeout(context, placement))
         self._is_released = False
+        self._first_event_at: float | None = None
+        self._is_sound = False
 
     def open(self) -> ReplicaResponse | Outcome:
         """Send the attempt and return the response with its body unread."""
@@ -142,7 +147,7 @@
                 self.context, self._placement, self._watch, self._resume_after
             )
         except UpstreamConnectionLost as error:
-            return self._handle_loss(str(error))
+            return self._handle_loss(error)
         if isinstance(response, Outcome):
             self._is_released = True
             self.close()
@@ -170,7 +175,7 @@
             if self._watch.is_cancelled():
                 raise UpstreamConnectionLost("the attempt was cancelled")
         except UpstreamConnectionLost as error:
-            return self._handle_loss(str(error))
+            return self._handle_loss(error)
         self._fail(is_silent=False)
         self.context.record_attempt(self._placement, str(response.status))
         self._attempts.reporter.record_response(self.context, response.status)
@@ -196,16 +201,20 @@
             if self._watch.is_cancelled():
                 raise UpstreamConnectionLost("the attempt was cancelled")
             events = list(self._splitter.add(block))
-        except (UpstreamConnectionLost, ValueError) as error:
-            return self._handle_loss(str(error))
+        except UpstreamConnectionLost as error:
+            return self._handle_loss(error)
         self._watch.pause()
         if block:
             return events
         if self._splitter.has_partial_event:
-            return self._handle_loss("the stream ended within an event")
+            return self._handle_loss(UpstreamConnectionLost("the stream ended within an event"))
+        if not self._response.is_delimited and not events and self._first_event_at is None:
+            return self._handle_loss(UpstreamConnectionLost("the stream ended before an event"))
         self.is_complete = True
         self._is_released = True
         self._attempts.placer.record_success(self._placement, self.context.service)
+        if self._response.is_delimited:
+            self._attempts.quarantine.record_success(self.context.inbound.prompt_parts)
         return events
 
     def continue_from(self, broken: StreamAttempt) -> None:
@@ -216,8 +225,18 @@
         """Record an event that is about to be forwarded."""
         self._watch.set_silence_limit(STREAM_SILENCE_TIMEOUT_S)
         self.event_count += 1
+        self._record_progress()
         self.last_event_id = read_event_id(event) or self.last_event_id
 
+    def _record_progress(self) -> None:
+        now = read_clock()
+        if self._first_event_at is None:
+            self._first_event_at = now
+        self._attempts.quarantine.record_life_sign(self._placement.replica.boot)
+        if not self._is_sound and now - self._first_event_at >= SOUND_STREAM_S:
+            self._is_sound = True
+            self._attempts.quarantine.record_success(self.context.inbound.prompt_parts)
+
     def close(self) -> None:
         """Close the watch and the connection, and release the placement if it is still held."""
         self._watch.close()
@@ -233,8 +252,8 @@
             self._attempts.placer.record_failure(self._placement, is_silent)
         self.close()
 
-    def _handle_loss(self, detail: str) -> Outcome:
-        outcome = self._attempts.classify_loss(self.context, self._watch, detail)
+    def _handle_loss(self, error: UpstreamConnectionLost) -> Outcome:
+        outcome = self._attempts.classify_loss(self.context, self._placement, self._watch, error)
         match outcome:
             case MaybeRun(is_silent=is_silent):
                 self._fail(is_silent)
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -63,13 +63,14 @@
 class RefusalReason(Enum):
     """Why a request was refused without an attempt.
 
-    There is no usable replica, none can begin it within its objective, or none can begin it before
-    its deadline.
+    There is no usable replica, none can begin it within its objective, none can begin it before its
+    deadline, or replicas end under a part of its prompt.
     """
 
     NO_REPLICA = "no-replica"
     FULL = "full"
     DEADLINE_TOO_SHORT = "hopeless"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/platform/__init__.py
+++ b/hibiscustray/platform/__init__.py
@@ -4,22 +4,24 @@
 from hibiscustray.platform.origin import PlatformOrigin
 from hibiscustray.platform.replica import PlatformReplicaClient
 from hibiscustray.platform.store import (
+    EntryFeed,
     OperatorFeed,
     PlatformStore,
     RelayedOperatorFeed,
     ReplicaFeed,
 )
-from hibiscustray.platform.wire import find_settings_path
-from hibiscustray.platform.wsgi import GatewayApplication, ReadinessApplication
+from hibiscustray.platform.wire import READY_PATH, find_settings_path
+from hibiscustray.platform.wsgi import GatewayApplication
 
 __all__ = [
+    "READY_PATH",
+    "EntryFeed",
     "GatewayApplication",
     "OperatorFeed",
     "PlatformEngine",
     "PlatformOrigin",
     "PlatformReplicaClient",
     "PlatformStore",
-    "ReadinessApplication",
     "RelayedOperatorFeed",
     "ReplicaFeed",
     "find_settings_path",
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -36,6 +36,7 @@
         self.is_misdirected = stream.status == MISDIRECTED_REQUEST
         self.is_not_run = NOT_RUN.lower() in headers
         self.is_authentic = SERVER_SEAL.lower() in headers
+        self.is_delimited = stream.is_delimited
         self.request_id = headers.get(ATTEMPT_ID.lower(), "")
         self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
         self.version = _read_integer(headers.get(WEIGHT_VERSIONS.lower(), ""))
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -5,13 +5,11 @@
 import base64
 import binascii
 import logging
-import zlib
 from collections.abc import Callable
 from urllib.parse import urlencode
 
 import msgspec
 
-from hibiscustray.catalog import WeightsVersion
 from hibiscustray.exceptions import (
     HistoryLost,
     RecordInvalid,
@@ -24,17 +22,24 @@
     CatalogAnnounced,
     CatalogPublished,
     Change,
+    EntryReported,
+    EntryUnlisted,
     FeedPage,
     RelayState,
     ReplicaListed,
     ReplicaUnlisted,
     RowRejected,
     TargetVersionSet,
+    decode_copy,
+    decode_relay_row,
+    encode_copy,
+    find_relay_model,
+    make_relay_key,
 )
 from hibiscustray.platform.records import decode_catalog, decode_replica, decode_target_version
 from hibiscustray.platform.wire import (
-    CATALOG_KEY,
     CONFIGURATION_KEY,
+    ENTRY_TABLE,
     MS_PER_S,
     OBJECT_GET_PATH,
     OBJECT_PUT_PATH,
@@ -46,6 +51,7 @@
     ROWS_TX_PATH,
     VERSION_KEY_PREFIX,
 )
+from hibiscustray.quarantine import EntryReport, decode_report, encode_report
 from hibiscustray.web import HttpClient, HttpStream
 
 log = logging.getLogger(__name__)
@@ -87,18 +93,6 @@
     size_b: int = 0
 
 
-class _CopiedRow(msgspec.Struct, frozen=True):
-    key: str
-    value: bytes
-
-
-class _TableCopy(msgspec.Struct, frozen=True):
-    """Copy of a table at one revision, which is stored compressed in one object."""
-
-    revision: int
-    rows: tuple[_CopiedRow, ...]
-
-
 class PlatformStore:
     """Reads and writes tables and objects of the platform's store."""
 
@@ -141,8 +135,22 @@
             row_id = {"table": table, "part": "", "key": key}
             conditions.append(row_id | {"revision": revision})
             puts.append(row_id | {"value": base64.b64encode(value).decode()})
-        body = msgspec.json.encode({"precondition": conditions, "puts": puts, "remove": []})
-        response, current = self._call("POST", ROWS_TX_PATH, READ_TIMEOUT_S, body)
+        return self._change_rows(conditions, puts)
+
+    def put_row(self, table: str, key: str, value: bytes) -> None:
+        """Write a row, or remove it if `value` is empty; raise `StoreUnavailable`."""
+        row_id = {"table": table, "part": "", "key": key}
+        if value:
+            self._change_rows([], [row_id | {"value": base64.b64encode(value).decode()}])
+        else:
+            self._change_rows([], [], [row_id])
+
+    def _change_rows(
+        self, conditions: list[dict], puts: list[dict], removals: list[dict] | None = None
+    ) -> tuple[_Row, ...]:
+        body = {"precondition": conditions, "puts": puts, "remove": removals or []}
+        encoded = msgspec.json.encode(body)
+        response, current = self._call("POST", ROWS_TX_PATH, READ_TIMEOUT_S, encoded)
         if response.status == OK:
             return ()
         if response.status != PRECONDITION_FAILED:
@@ -245,17 +253,15 @@
 
     def write_copy(self) -> None:
         """Write a compressed copy of the table as it was last read."""
-        current = self._rows.values()
-        rows = tuple(_CopiedRow(row.key, base64.b64decode(row.value)) for row in current)
-        body = msgspec.msgpack.encode(_TableCopy(self._revision, rows))
-        self._store.write_object(COPY_OBJECT_NAME, zlib.compress(body))
+        values = {row.key: base64.b64decode(row.value) for row in self._rows.values()}
+        self._store.write_object(COPY_OBJECT_NAME, encode_copy(self._revision, values))
 
     def write_announcements(
         self, announcements: tuple[Announcement, ...]
     ) -> tuple[Announcement, ...]:
         """Write rows of the relay table; return the current rows if others changed them first."""
         rows = {
-            _make_relay_key(a.model): (msgspec.json.encode(a.number), a.row_revision)
+            make_relay_key(a.model): (msgspec.json.encode(a.number), a.row_revision)
             for a in announcements
         }
         current = self._store.write_rows(RELAY_TABLE, rows)
@@ -273,7 +279,7 @@
     """Feed of the relay table, with access to the operator's table and its copy."""
 
     def __init__(self, store: PlatformStore) -> None:
-        super().__init__(store, RELAY_TABLE, _read_relay_row)
+        super().__init__(store, RELAY_TABLE, decode_relay_row)
 
     def read_table(self) -> FeedPage:
         """Return all rows of the operator's table."""
@@ -288,10 +294,7 @@
         body = self._store.read_object(COPY_OBJECT_NAME)
         if body is None:
             return None
-        try:
-            copy = msgspec.msgpack.decode(zlib.decompress(body), type=_TableCopy)
-        except (zlib.error, msgspec.DecodeError) as error:
-            raise RecordInvalid(f"cannot decode copy of the table: {error}") from error
+        copy = decode_copy(body)
         rows = tuple(_Row(row.key, base64.b64encode(row.value).decode()) for row in copy.rows)
         return _convert_page(_Page(rows, copy.revision), _read_operator_row)
 
@@ -307,6 +310,18 @@
         super().__init__(store, REPLICA_TABLE, _read_replica_row)
 
 
+class EntryFeed(_TableFeed):
+    """Feed of the entries' reports, which also writes them."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        super().__init__(store, ENTRY_TABLE, _read_entry_row)
+
+    def write_report(self, entry_id: str, report: EntryReport) -> None:
+        """Write an entry's row, or remove it if the report is empty."""
+        is_empty = report == EntryReport()
+        self._store.put_row(ENTRY_TABLE, entry_id, b"" if is_empty else encode_report(report))
+
+
 def _convert_page(page: _Page, read_row: Callable[[str, bytes | None], Change]) -> FeedPage:
     changes = tuple(_convert_row(row, read_row) for row in page.rows)
     store_time_s = page.server_time_ms / MS_PER_S
@@ -323,31 +338,16 @@
         return RowRejected(row.key, str(error)[:200])
 
 
-def _make_relay_key(model: str) -> str:
-    return VERSION_KEY_PREFIX + model if model else CATALOG_KEY
-
-
 def _read_announcement(row: _Row) -> Announcement:
     """Decode a row of the relay table; an invalid row gets number 0, so that it is overwritten."""
-    change = _convert_row(row, _read_relay_row)
+    change = _convert_row(row, decode_relay_row)
     match change:
         case CatalogAnnounced(revision=number):
             return Announcement("", number, row.revision)
         case TargetVersionSet(target=target):
             return Announcement(target.model, target.version, row.revision)
     log.warning("relay table row cannot be decoded", extra={"key": row.key, "change": str(change)})
-    model = row.key.removeprefix(VERSION_KEY_PREFIX) if row.key != CATALOG_KEY else ""
-    return Announcement(model, 0, row.revision)
-
-
-def _read_relay_row(key: str, value: bytes | None) -> Change:
-    try:
-        number = msgspec.json.decode(value or b"", type=int)
-    except msgspec.DecodeError as error:
-        raise RecordInvalid(f"{key}: {error}") from error
-    if key == CATALOG_KEY:
-        return CatalogAnnounced(number)
-    return TargetVersionSet(WeightsVersion(key.removeprefix(VERSION_KEY_PREFIX), number))
+    return Announcement(find_relay_model(row.key), 0, row.revision)
 
 
 def _read_operator_row(key: str, value: bytes | None) -> Change:
@@ -364,3 +364,7 @@
     if value is None:
         return ReplicaUnlisted(key)
     return ReplicaListed(decode_replica(key, value))
+
+
+def _read_entry_row(key: str, value: bytes | None) -> Change:
+    return EntryUnlisted(key) if value is None else EntryReported(key, decode_report(value))
--- a/hibiscustray/platform/wire.py
+++ b/hibiscustray/platform/wire.py
@@ -44,7 +44,7 @@
 OPERATOR_TABLE = "op"
 REPLICA_TABLE = "servers"
 RELAY_TABLE = "hibiscustray"
-CATALOG_KEY = "catalog"
+ENTRY_TABLE = "hibiscustray-entries"
 CONFIGURATION_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
 
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -1,9 +1,9 @@
-"""WSGI applications for callers' requests and for the readiness and metrics endpoints."""
+"""WSGI application for callers' requests."""
 
 from __future__ import annotations
 
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 from hibiscustray.gateway import (
@@ -24,14 +24,12 @@
     MODEL,
     MS_PER_S,
     PROMPT_PARTS,
-    READY_PATH,
     TEAM,
     TIME_LEFT_MS,
     TOKEN_COUNTS,
     URGENCY,
 )
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
-from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.server import REASON_PHRASES, RECEIVED_AT
 
 REPLACED_HEADERS = frozenset(
@@ -65,31 +63,6 @@
         return _write_response(response, start_response)
 
 
-class ReadinessApplication:
-    """Reports to the platform whether this process accepts new connections, and serves metrics."""
-
-    def __init__(
-        self, is_ready: Callable[[], bool], render_metrics: Callable[[], tuple[bytes, str]]
-    ) -> None:
-        self._is_ready = is_ready
-        self._render_metrics = render_metrics
-
-    def __call__(self, environ: dict[str, Any], start_response) -> Iterable[bytes]:
-        """Handle one WSGI request."""
-        path = environ["PATH_INFO"]
-        if path == READY_PATH:
-            status = 200 if self._is_ready() else 503
-            response = InboundResponse(status, (("Content-Type", "text/plain"),), b"")
-        elif path == "/metrics":
-            body, content_type = self._render_metrics()
-            response = InboundResponse(200, (("Content-Type", content_type),), body)
-        else:
-            response = InboundResponse(
-                404, (("Content-Type", PROBLEM_JSON),), make_problem(404, REASON_PHRASES[404])
-            )
-        return _write_response(response, start_response)
-
-
 def _read_request(environ: dict[str, Any]) -> InboundRequest:
     headers = {
         key[len(HEADER_PREFIX) :].replace("_", "-").lower(): value
--- /dev/null
+++ b/hibiscustray/quarantine/publisher.py
@@ -0,0 +1,88 @@
+"""A thread that decides blocks and writes this entry's report when it has changed."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+from typing import Protocol
+
+from hibiscustray.clock import read_clock
+from hibiscustray.exceptions import PlatformError
+from hibiscustray.quarantine.quarantine import PartQuarantine
+from hibiscustray.quarantine.report import EntryReport
+
+log = logging.getLogger(__name__)
+
+MIN_WRITE_INTERVAL_S = 0.3
+MAX_CHECK_INTERVAL_S = 5.0
+MIN_BACKOFF_S = 0.3
+MAX_BACKOFF_S = 5.0
+
+
+class ReportWriter(Protocol):
+    """Writes the entries' reports to a table that all entries follow."""
+
+    def write_report(self, entry_id: str, report: EntryReport) -> None:
+        """Write the row of an entry, or remove it if its report is empty.
+
+        Raises `PlatformError`.
+        """
+        ...
+
+
+class ReportPublisher:
+    """Writes the report at most once in `MIN_WRITE_INTERVAL_S`, and only if it has new items."""
+
+    def __init__(self, entry_id: str, quarantine: PartQuarantine, writer: ReportWriter) -> None:
+        self._entry_id = entry_id
+        self._quarantine = quarantine
+        self._writer = writer
+        self._written_revision = 0
+        self._written_at = float("-inf")
+        self._backoff_s = 0.0
+        self._changed = threading.Event()
+        self._is_stopping = False
+        self._thread = threading.Thread(target=self._run, name="report-publisher", daemon=True)
+        quarantine.on_change = self._changed.set
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; a running call is not interrupted."""
+        self._is_stopping = True
+        self._changed.set()
+
+    def _run(self) -> None:
+        while not self._is_stopping:
+            try:
+                wait_s = self._step()
+            except Exception:
+                # The thread must survive any failure, since it alone decides blocks.
+                log.exception("entry report failed")
+                wait_s = MAX_CHECK_INTERVAL_S
+            self._changed.wait(wait_s)
+            self._changed.clear()
+
+    def _step(self) -> float:
+        """Decide and publish; return the seconds until the next step if nothing changes."""
+        wait_s = min(MAX_CHECK_INTERVAL_S, self._quarantine.update())
+        revision = self._quarantine.revision
+        if revision == self._written_revision:
+            return wait_s
+        due_s = self._written_at + max(MIN_WRITE_INTERVAL_S, self._backoff_s) - read_clock()
+        if due_s > 0:
+            return min(wait_s, due_s)
+        self._written_at = read_clock()
+        try:
+            self._writer.write_report(self._entry_id, self._quarantine.make_report())
+        except PlatformError as error:
+            self._backoff_s = min(MAX_BACKOFF_S, max(MIN_BACKOFF_S, 2 * self._backoff_s))
+            self._backoff_s *= random.uniform(0.75, 1.0)
+            log.warning("entry report not written", extra={"reason": str(error)[:200]})
+            return min(wait_s, self._backoff_s)
+        self._backoff_s = 0.0
+        self._written_revision = revision
+        return wait_s
--- a/hibiscustray/replicas/record.py
+++ b/hibiscustray/replicas/record.py
@@ -50,6 +50,11 @@
         """Return the IP address of the replica's VM."""
         return self.address.rpartition(":")[0]
 
+    @property
+    def boot(self) -> str:
+        """Return a name for one start of the replica."""
+        return f"{self.id}/{self.born_ms}"
+
     def find_version(self, model: str) -> int:
         """Return the version of a model's weights that the replica has loaded, 0 for none."""
         return next((m.version for m in self.models if m.name == model), 0)
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -14,7 +14,11 @@
 from urllib.parse import urlsplit
 
 from hibiscustray.clock import read_clock
-from hibiscustray.exceptions import UpstreamConnectionLost, UpstreamUnreachable
+from hibiscustray.exceptions import (
+    SendWithdrawn,
+    UpstreamConnectionLost,
+    UpstreamUnreachable,
+)
 
 MAX_IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
@@ -165,8 +169,9 @@
 
         `is_fresh` opens a new connection, since the server may have closed an idle one.
         `on_connect` is passed a function that shuts the connection down, even while `open` waits
-        for the response. Raises `UpstreamUnreachable` if no connection could be opened, or
-        `UpstreamConnectionLost` if the connection fails after that.
+        for the response; if it raises `SendWithdrawn`, nothing is sent. Raises
+        `UpstreamUnreachable` if no connection could be opened, or `UpstreamConnectionLost` if the
+        connection fails after that.
         """
         timeout_s = timeout_s or self._timeout_s
         connect_timeout_s = connect_timeout_s or timeout_s
@@ -175,7 +180,11 @@
         else:
             connection = self._acquire(timeout_s, connect_timeout_s)
         if on_connect is not None:
-            on_connect(partial(_shut_down_socket, connection.sock))
+            try:
+                on_connect(partial(_shut_down_socket, connection.sock))
+            except SendWithdrawn:
+                connection.close()
+                raise
         # Kept, as `getresponse` clears `connection.sock` if the response ends the connection.
         sock = connection.sock
         try:
