Keeps the blocks of an entry whose row is removed

A block ended at all entries at once when the row of the entry that owns it was removed, and requests under which replicas end went on to the next one (BUDGET). The other entries take the block over and leave it to one of them. test_blocks_of_an_entry_that_leaves_stay_in_force failed before.

--- a/hibiscustray/quarantine/quarantine.py
+++ b/hibiscustray/quarantine/quarantine.py
@@ -225,9 +225,12 @@
                 self._add_block(Block(frozenset(block.parts), block.hold_s, held_at))
 
     def forget_report(self, entry_id: str) -> None:
-        """Forget the report of an entry whose row was removed."""
+        """Forget the report of an entry whose row was removed, and take over its blocks."""
         with self._lock:
-            self._others.pop(entry_id, None)
+            other = self._others.pop(entry_id, OtherEntry())
+            for block in other.blocks:
+                if not any(b.parts <= block.parts for b in self._list_blocks()):
+                    self._add_block(block)
         self.on_change()
 
     def list_reported_entries(self) -> list[str]:
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -139,6 +139,20 @@
     assert refused.count(False) == 1
 
 
+def test_blocks_of_an_entry_that_leaves_stay_in_force():
+    entries = Entries()
+    end_replicas(entries, 4, "bad")
+    owner = next(n for n, row in entries.rows.items() if decode_report(row[0]).blocks)
+    del entries.quarantines[owner]
+    for quarantine in entries.quarantines.values():
+        quarantine.forget_report(owner)
+    assert entries.is_blocked("bad") == [True, True]
+    del entries.rows[owner]
+    entries.exchange()
+    owners = [n for n, row in entries.rows.items() if decode_report(row[0]).blocks]
+    assert len(owners) == 1
+
+
 def test_only_one_request_of_all_entries_probes_a_block_after_its_hold():
     entries = Entries()
     end_replicas(entries, 4, "bad")
