Logs the limits that replicas name

Each response is now read for it in one place, which buffered, streamed and resumed requests pass: a line when a limit is named or ends, for one replica at most once a second while it changes, and one for a limit that cannot be read. Nothing acts on it yet.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -51,7 +51,7 @@
     ReplicaFeed,
 )
 from hibiscustray.quarantine import PartQuarantine, ReportPublisher
-from hibiscustray.replicas import ReplicaDirectory
+from hibiscustray.replicas import ReplicaDirectory, ReplicaNotices
 from hibiscustray.rollout import OrderGate
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.settings import HostedSettings
@@ -139,6 +139,7 @@
         feed_state.versions,
         placer,
         quarantine,
+        ReplicaNotices(metrics),
         PlatformReplicaClient(),
         budgets,
         watchdog,
--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -33,6 +33,7 @@
 from hibiscustray.gateway.reporter import RequestReporter
 from hibiscustray.placement import Placement, Placer, Refusal, RefusalReason, WeightsConstraint
 from hibiscustray.quarantine import PartQuarantine
+from hibiscustray.replicas import ReplicaNotices
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.telemetry import Metrics
 
@@ -80,6 +81,7 @@
         versions: TargetVersions,
         placer: Placer,
         quarantine: PartQuarantine,
+        notices: ReplicaNotices,
         client: ReplicaClient,
         budgets: RetryBudgets,
         watchdog: Watchdog,
@@ -92,6 +94,7 @@
         self.reporter = reporter
         self.limits = limits
         self._versions = versions
+        self._notices = notices
         self._client = client
         self._budgets = budgets
         self._watchdog = watchdog
@@ -268,6 +271,8 @@
         """Return a response after checking that it is the chosen replica's and for this request."""
         if watch.is_cancelled():
             raise UpstreamConnectionLost("the attempt was cancelled")
+        if not response.is_misdirected:
+            self._notices.record(placement.replica.boot, response.notice, context.sent_at)
         if response.load is not None:
             self.placer.record_load(placement.replica, response.load)
         if response.request_id and response.request_id != context.inbound.id:
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from hibiscustray.placement import LoadReport
-from hibiscustray.replicas import ReplicaRecord
+from hibiscustray.replicas import ReplicaNotice, ReplicaRecord
 
 Headers = tuple[tuple[str, str], ...]
 PART_DIGEST_B = 8
@@ -93,7 +93,8 @@
     `is_not_run` is set if the replica states that it did not run the request, `is_misdirected` if
     the address serves another replica or another version. `request_id` is the request id in the
     response, and `is_authentic` is set if the response proves that it comes from the replica.
-    `is_delimited` is set if the end of the body differs from the end of the connection.
+    `is_delimited` is set if the end of the body differs from the end of the connection,
+    and `notice` has what the replica says of itself.
     """
 
     status: int
@@ -102,6 +103,7 @@
     is_misdirected: bool
     is_authentic: bool
     is_delimited: bool
+    notice: ReplicaNotice
     request_id: str
     load: LoadReport | None
     version: int
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 from hibiscustray.gateway.interface import Headers, OutboundRequest
@@ -13,6 +14,7 @@
     LAST_EVENT_ID,
     MS_PER_S,
     NOT_RUN,
+    RATE_LIMIT,
     REPLICA_LOAD,
     SERVER_SEAL,
     TEAM,
@@ -20,6 +22,7 @@
     URGENCY,
     WEIGHT_VERSIONS,
 )
+from hibiscustray.replicas import ReplicaNotice
 from hibiscustray.web import HttpClient, HttpStream
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
 
@@ -38,6 +41,7 @@
         self.is_authentic = SERVER_SEAL.lower() in headers
         self.is_delimited = stream.is_delimited
         self.request_id = headers.get(ATTEMPT_ID.lower(), "")
+        self.notice = _read_notice(headers.get(RATE_LIMIT.lower()))
         self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
         self.version = _read_integer(headers.get(WEIGHT_VERSIONS.lower(), ""))
         self.headers: Headers = tuple(
@@ -108,5 +112,12 @@
     return LoadReport(running, waiting, slots)
 
 
+def _read_notice(limit: str | None) -> ReplicaNotice:
+    if limit is None:
+        return ReplicaNotice()
+    is_decimal = re.fullmatch(r"[0-9]{1,15}(\.[0-9]{1,15})?", limit.strip())
+    return ReplicaNotice(float(limit)) if is_decimal else ReplicaNotice(malformed=limit or "empty")
+
+
 def _read_integer(text: str) -> int:
     return int(text) if text.strip().isdigit() else 0
--- a/hibiscustray/replicas/__init__.py
+++ b/hibiscustray/replicas/__init__.py
@@ -1,6 +1,15 @@
 """The replicas of all services according to the platform's replica list."""
 
 from hibiscustray.replicas.directory import ReplicaDirectory
+from hibiscustray.replicas.notices import ReplicaNotice, ReplicaNotices
 from hibiscustray.replicas.record import LayerSpan, ReplicaRecord, ReplicaState, ServedModel
 
-__all__ = ["LayerSpan", "ReplicaDirectory", "ReplicaRecord", "ReplicaState", "ServedModel"]
+__all__ = [
+    "LayerSpan",
+    "ReplicaDirectory",
+    "ReplicaNotice",
+    "ReplicaNotices",
+    "ReplicaRecord",
+    "ReplicaState",
+    "ServedModel",
+]
