--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -15,11 +15,12 @@
 
 from hibiscustray.composition import build_hosted_entry
 from hibiscustray.platform.standins import (
+    ATTEMPT_ID,
     MODEL_HEADERS,
+    SERVER_SEAL,
     ReplicaStandIn,
     StoreStandIn,
     make_configuration,
-    stream_tokens,
 )
 from hibiscustray.settings import (
     HostedBounds,
@@ -40,7 +41,8 @@
 class FragileServer:
     """A replica that ends when it begins a request with a harmful part, and starts again.
 
-    All its connections are reset when it ends. The next replica has a new id and address.
+    All its connections are reset when it ends. The next replica has a new id and address. `limit`
+    is the limit that its responses name, and `arrivals` has the monotonic times of all requests.
     """
 
     def __init__(self, fleet: Fleet, name: str) -> None:
@@ -49,6 +51,8 @@
         self._starts = itertools.count()
         self._connections: set[socket.socket] = set()
         self._lock = threading.Lock()
+        self.limit = ""
+        self.arrivals: list[float] = []
         self.start()
 
     def start(self) -> None:
@@ -78,6 +82,7 @@
 
     def _serve(self, request, connection: socket.socket) -> None:
         replica = self.replica
+        self.arrivals.append(time.monotonic())
         with self._lock:
             self._connections.add(connection)
         try:
@@ -89,12 +94,24 @@
                     self._fleet.ended_at.append(time.monotonic())
                     self.end(self._fleet.restart_s)
                 return
-            stream_tokens(1, 6, pause_s=0.03)(request, connection)
+            _stream(request, connection, self.limit)
         finally:
             with self._lock:
                 self._connections.discard(connection)
 
 
+def _stream(request, connection: socket.socket, limit: str) -> None:
+    """Send a stream of six events, or those after the last one that the caller received."""
+    lines = [f"{ATTEMPT_ID}: {request.id}", f"{SERVER_SEAL}: seal-1", "Transfer-Encoding: chunked"]
+    lines += [f"Server-Limit: {limit}"] if limit else []
+    connection.sendall(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
+    for number in range(request.resume_after + 1, 7):
+        time.sleep(0.03)
+        event = f"id: {number}\ndata: token-{number}\n\n".encode()
+        connection.sendall(f"{len(event):X}\r\n".encode() + event + b"\r\n")
+    connection.sendall(b"0\r\n\r\n")
+
+
 @dataclass
 class Fleet:
     """Entries on one store, the replicas that serve them and what the replicas received.
