Keeps the limits that replicas name, all entries together

Cause: no entry read the limit, and nothing told an entry how many others send to the same replica.

Change: one place has what a replica says of itself; it is asked when a replica is chosen and, for requests chosen before the limit was known, once more with the connection open. That covers first attempts, repeats and resumed streams, buffered and streamed. Each entry has one row in the table of entries and divides a limit by the number of rows, so that entries need no messages for it: it may send once in each period of its own, at a random time and only at the period's beginning, so that callers who come to all entries at once do not use all shares at once. Rows are written at the start, renewed every few minutes, removed at the end of a drain, and by others after 15 minutes without a change; until then a dead entry's share stays unused. Without the table, twelve entries are assumed. A limit ends with a response that names none to a request sent after the limit was named, or with the start of a new replica. Zero lets one request a minute through, of all entries, to learn of its end. A value that is no decimal number changes nothing and is logged once. What may not go there goes to another replica, or is refused at once as limited.

--- a/hibiscustray/benchmarks/placement.py
+++ b/hibiscustray/benchmarks/placement.py
@@ -15,10 +15,12 @@
 from hibiscustray.replicas import (
     LayerSpan,
     ReplicaDirectory,
+    ReplicaNotices,
     ReplicaRecord,
     ReplicaState,
     ServedModel,
 )
+from hibiscustray.telemetry import Metrics
 
 OBJECTIVE_S = 0.5
 LOG_MEDIAN_PROMPT_TOKENS, MAX_PROMPT_TOKENS = 6.5, 3880.0
@@ -162,7 +164,13 @@
     def __init__(self, entries: int) -> None:
         self._directories = [ReplicaDirectory() for _ in range(entries)]
         self._placers = [
-            Placer(directory, "z", {"z": "r"}, seed=str(number))
+            Placer(
+                directory,
+                ReplicaNotices(Metrics(f"entry-{number}")),
+                "z",
+                {"z": "r"},
+                seed=str(number),
+            )
             for number, directory in enumerate(self._directories)
         ]
         self._in_flight: list[list[tuple[Placement, SimulatedRequest]]] = [
--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -31,6 +31,7 @@
     VersionLimits,
 )
 from hibiscustray.membership import MemberView
+from hibiscustray.membership.roster import EntryRoster
 from hibiscustray.peers import MemberRecord, PeerPool, PeerServer
 from hibiscustray.peers.codec import (
     CHUNK,
@@ -117,7 +118,8 @@
     assert settings.entry is not None
     feed_state = _build_feed_state(settings, metrics, _build_relay_writer)
     zone = settings.process.availability_zone
-    placer = Placer(feed_state.directory, zone, settings.regions, settings.process.id)
+    notices = ReplicaNotices(metrics)
+    placer = Placer(feed_state.directory, notices, zone, settings.regions, settings.process.id)
     bounds = settings.bounds
     budgets = RetryBudgets(
         bounds.retry_share * RETRY_BUDGET_SHARE,
@@ -126,11 +128,14 @@
     pauses = PauseDetector(metrics, HOSTED_WATCHDOG_INTERVAL_S)
     watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check, read_clock)
     reporter = RequestReporter(metrics)
-    quarantine = PartQuarantine(settings.process.address, metrics)
+    # The address stays the same across restarts, so the number of rows stays bounded.
+    entry_id = settings.process.address
+    quarantine = PartQuarantine(entry_id, metrics)
+    roster = EntryRoster(entry_id, notices.share_among)
     reports = EntryFeed(PlatformStore(settings.store.address))
     entries = FeedFollower(
         reports,
-        EntryListener(quarantine, settings.process.address),
+        EntryListener(quarantine, roster, entry_id),
         settings.store.wait_s,
         metrics,
         REPORT_PAUSE_S,
@@ -139,7 +144,7 @@
         feed_state.versions,
         placer,
         quarantine,
-        ReplicaNotices(metrics),
+        notices,
         PlatformReplicaClient(),
         budgets,
         watchdog,
@@ -155,7 +160,7 @@
         _build_hosted_http(entry.readiness, readiness, HOSTED_STATUS_THREADS),
         _build_hosted_metrics(settings, metrics),
         (*feed_state.followers, entries),
-        ReportPublisher(settings.process.address, quarantine, reports),
+        ReportPublisher(entry_id, quarantine, roster, reports),
         feed_state.catalogs,
         feed_state.directory,
         forwarder,
--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -16,6 +16,7 @@
     RowRejected,
     TargetVersionSet,
 )
+from hibiscustray.membership.roster import EntryRoster
 from hibiscustray.quarantine import PartQuarantine
 from hibiscustray.replicas import ReplicaDirectory
 
@@ -92,10 +93,11 @@
 
 
 class EntryListener:
-    """Applies the reports of all entries."""
+    """Applies the rows of all entries: who they are, and their reports."""
 
-    def __init__(self, quarantine: PartQuarantine, entry_id: str) -> None:
+    def __init__(self, quarantine: PartQuarantine, roster: EntryRoster, entry_id: str) -> None:
         self._quarantine = quarantine
+        self._roster = roster
         self._entry_id = entry_id
         self._has_read_table = False
 
@@ -103,6 +105,7 @@
         """Replace all reports; in the first read, those of unknown age count as just written."""
         written_at = earliest_at if self._has_read_table else read_clock()
         reports = {c.entry_id: c.report for c in changes if isinstance(c, EntryReported)}
+        self._roster.replace(reports)
         own_report = reports.pop(self._entry_id, None)
         if own_report is not None and not self._has_read_table:
             self._quarantine.continue_blocks(own_report, written_at)
@@ -117,8 +120,10 @@
         """Apply the change of one entry's row."""
         match change:
             case EntryReported(entry_id=entry_id, report=report):
+                self._roster.record(entry_id)
                 self._quarantine.record_report(entry_id, report, earliest_at)
             case EntryUnlisted(entry_id=entry_id) | RowRejected(key=entry_id):
+                self._roster.remove(entry_id)
                 self._quarantine.forget_report(entry_id)
 
     def record_outage(self) -> None:
--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -156,7 +156,9 @@
         context.excluded.add(placement.replica.id)
         try:
             response = self._client.open(
-                outbound, CONNECT_TIMEOUT_S, lambda cancel: self._confirm(context, watch, cancel)
+                outbound,
+                CONNECT_TIMEOUT_S,
+                lambda cancel: self._confirm(context, placement, watch, cancel),
             )
         except SendWithdrawn as error:
             self.placer.release(placement)
@@ -244,11 +246,19 @@
     def _find_quarantine_refusal(self, context: RequestContext) -> float | None:
         return self.quarantine.find_refusal(context.inbound.prompt_parts, context.inbound.id)
 
-    def _confirm(self, context: RequestContext, watch: Watch, cancel: Callable[[], None]) -> None:
+    def _confirm(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        watch: Watch,
+        cancel: Callable[[], None],
+    ) -> None:
         """Check once more, with the connection open, that a request may be sent."""
         watch.set_cancel(cancel)
         if self._find_quarantine_refusal(context) is not None:
             raise SendWithdrawn("a part of the prompt has been blocked")
+        if not placement.is_counted and not self._notices.take(placement.replica.boot):
+            raise SendWithdrawn("the replica has named a limit that is used up")
         context.sent_at = read_clock()
 
     def _find_constraint(self, context: RequestContext) -> WeightsConstraint:
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -98,8 +98,8 @@
         self._is_stopped = True
         for follower in self._followers:
             follower.stop()
-        self._publisher.stop()
         self._caller_server.stop()
+        self._publisher.stop()
         self._readiness.stop()
         self._metrics.stop()
         self._watchdog.stop()
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -20,7 +20,7 @@
 from hibiscustray.placement.load import NO_EXTERNAL_LOAD, STALE_RECORD_S, ExternalLoad, ReplicaLoad
 from hibiscustray.placement.prediction import predict_latency
 from hibiscustray.placement.workload import Demand, InFlightRequest, LoadReport
-from hibiscustray.replicas import ReplicaDirectory, ReplicaRecord
+from hibiscustray.replicas import ReplicaDirectory, ReplicaNotices, ReplicaRecord
 
 log = logging.getLogger(__name__)
 
@@ -64,12 +64,14 @@
     """Why a request was refused without an attempt.
 
     There is no usable replica, none can begin it within its objective, none can begin it before its
-    deadline, or replicas end under a part of its prompt.
+    deadline, all usable replicas have named limits that are used up, or replicas end under a part
+    of its prompt.
     """
 
     NO_REPLICA = "no-replica"
     FULL = "full"
     DEADLINE_TOO_SHORT = "hopeless"
+    LIMITED = "limited"
     QUARANTINED = "quarantined"
 
 
@@ -105,7 +107,8 @@
     """The replica chosen for a request, and the load data that the choice is based on.
 
     `version` is the version of the replica's weights for the requested model, 0 if unknown, and
-    `required_version` the oldest one that the request may begin on, 0 for any.
+    `required_version` the oldest one that the request may begin on, 0 for any. `is_counted` is set
+    if the request has been counted against a limit that the replica has named.
     """
 
     replica: ReplicaRecord
@@ -115,6 +118,7 @@
     candidates: int
     version: int = 0
     required_version: int = 0
+    is_counted: bool = False
 
 
 @dataclass(frozen=True)
@@ -145,11 +149,13 @@
     def __init__(
         self,
         directory: ReplicaDirectory,
+        notices: ReplicaNotices,
         availability_zone: str,
         regions: dict[str, str],
         seed: str,
     ) -> None:
         self._directory = directory
+        self._notices = notices
         self._zone = availability_zone
         self._regions = regions
         self._random = random.Random(seed)
@@ -168,13 +174,24 @@
         """Choose the replica with the lowest cost for a request, or refuse the request."""
         now = time.monotonic()
         with self._lock:
-            candidates = self._list_candidates(service, demand, weights, excluded, now)
-            if not candidates:
+            usable = self._list_usable(service, weights, excluded, now)
+            if not usable:
                 return Refusal(RefusalReason.NO_REPLICA, NO_REPLICA_RETRY_AFTER_S)
+            waits_s = {replica.boot: self._notices.find_wait(replica.boot) for replica in usable}
+            open_replicas = [replica for replica in usable if waits_s[replica.boot] <= 0]
+            if not open_replicas:
+                return self._refuse_limited(min(waits_s.values()), len(usable))
+            average = self._average_external_load(usable, now)
+            candidates = [self._score(r, service, demand, now, average) for r in open_replicas]
             best = min(candidates, key=lambda candidate: candidate.cost_s)
             reason = _find_refusal_reason(best, demand, service.engine)
             if reason is not None:
                 return self._refuse(reason, best, demand, candidates)
+            is_counted = self._notices.is_limited(best.replica.boot)
+            if is_counted and not self._notices.take(best.replica.boot):
+                # Another request, chosen before the limit was known, was sent in between.
+                wait_s = self._notices.find_wait(best.replica.boot)
+                return self._refuse_limited(wait_s, len(candidates))
             in_flight = InFlightRequest(best.replica.id, demand, now, best.first_event_s)
             best.load.in_flight_requests.append(in_flight)
             version = self._find_version(best.replica, weights.model)
@@ -186,6 +203,7 @@
             len(candidates),
             version,
             weights.required,
+            is_counted,
         )
 
     def record_load(self, replica: ReplicaRecord, report: LoadReport) -> None:
@@ -257,14 +275,13 @@
                 },
             )
 
-    def _list_candidates(
+    def _list_usable(
         self,
         service: ServiceEntry,
-        demand: Demand,
         weights: WeightsConstraint,
         excluded: Collection[str],
         now: float,
-    ) -> list[_Candidate]:
+    ) -> list[ReplicaRecord]:
         replicas = [
             replica
             for replica in self._directory.list_ready(service.name)
@@ -275,8 +292,7 @@
         usable = [r for r in current if self._is_usable(r, now)]
         if weights.time_left_s < FIRST_WAVE_LEAD_S:
             usable = [r for r in usable if not self._is_in_first_swap_wave(r, weights)] or usable
-        average = self._average_external_load(usable, now)
-        return [self._score(replica, service, demand, now, average) for replica in usable]
+        return usable
 
     def _average_external_load(self, replicas: list[ReplicaRecord], now: float) -> ExternalLoad:
         """Return the mean external load that replicas reported, weighted by confidence.
@@ -374,6 +390,11 @@
         retry_after_s *= self._random.uniform(1.0, 2.0)
         return Refusal(reason, retry_after_s, best.first_event_s, len(candidates))
 
+    def _refuse_limited(self, wait_s: float, candidates: int) -> Refusal:
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        retry_after_s *= self._random.uniform(1.0, 2.0)
+        return Refusal(RefusalReason.LIMITED, retry_after_s, candidates=candidates)
+
     def _get_load(self, replica: ReplicaRecord) -> ReplicaLoad:
         key = (replica.id, replica.born_ms)
         load = self._loads.get(key)
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -317,9 +317,12 @@
         super().__init__(store, ENTRY_TABLE, _read_entry_row)
 
     def write_report(self, entry_id: str, report: EntryReport) -> None:
-        """Write an entry's row, or remove it if the report is empty."""
-        is_empty = report == EntryReport()
-        self._store.put_row(ENTRY_TABLE, entry_id, b"" if is_empty else encode_report(report))
+        """Write an entry's row."""
+        self._store.put_row(ENTRY_TABLE, entry_id, encode_report(report))
+
+    def remove_report(self, entry_id: str) -> None:
+        """Remove an entry's row."""
+        self._store.put_row(ENTRY_TABLE, entry_id, b"")
 
 
 def _convert_page(page: _Page, read_row: Callable[[str, bytes | None], Change]) -> FeedPage:
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -20,10 +20,12 @@
 from hibiscustray.replicas import (
     LayerSpan,
     ReplicaDirectory,
+    ReplicaNotices,
     ReplicaRecord,
     ReplicaState,
     ServedModel,
 )
+from hibiscustray.telemetry import Metrics
 
 SERVICE = ServiceEntry("guide", engine=PROFILE)
 PLAIN = ServiceEntry("booking")
@@ -55,7 +57,9 @@
 def make_placer(*records: ReplicaRecord) -> Placer:
     directory = ReplicaDirectory()
     directory.replace(records)
-    return Placer(directory, "z", {"z": "r", "y": "r", "x": "q"}, seed="test")
+    return Placer(
+        directory, ReplicaNotices(Metrics("test")), "z", {"z": "r", "y": "r", "x": "q"}, seed="test"
+    )
 
 
 def place(placer: Placer, **changes):
@@ -120,7 +124,7 @@
 def test_a_replica_with_a_stale_record_is_not_chosen_until_the_record_changes():
     directory = ReplicaDirectory()
     directory.replace([make_record(1)])
-    placer = Placer(directory, "z", {"z": "r"}, seed="test")
+    placer = Placer(directory, ReplicaNotices(Metrics("test")), "z", {"z": "r"}, seed="test")
     placer.mark_stale(place(placer))
     CLOCK["now"] += 2.0
     directory.update(make_record(1, warmup_left_s=0.5))
