Names an entry's row by the id of its process

Entries of one machine share an address, so that they overwrote each other's rows and counted as one: with the tests' entries at one address, test_replica_gets_no_more_than_its_limit_from_all_entries_together failed. The platform gives each process an id, which is the same after a restart.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -128,8 +128,8 @@
     pauses = PauseDetector(metrics, HOSTED_WATCHDOG_INTERVAL_S)
     watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check, read_clock)
     reporter = RequestReporter(metrics)
-    # The address stays the same across restarts, so the number of rows stays bounded.
-    entry_id = settings.process.address
+    # The id stays the same across restarts, so the number of rows stays bounded.
+    entry_id = settings.process.id
     quarantine = PartQuarantine(entry_id, metrics)
     roster = EntryRoster(entry_id, notices.share_among)
     reports = EntryFeed(PlatformStore(settings.store.address))
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -134,7 +134,7 @@
         """Start an entry on the store, or on another address of a store."""
         number = len(self.entries)
         settings = HostedSettings(
-            process=HostedProcess(f"edge-{number}", "z1", "r1", f"127.0.1.{number + 1}", 0, 0),
+            process=HostedProcess(f"edge-{number}", "z1", "r1", "127.0.0.1", 0, 0),
             store=HostedStore(store_address or self.store.address, wait_s=1.0),
             regions={"z1": "r1"},
             entry=HostedEntry(
