Bounds every read of a response in time and memory, and resets abandoned connections

Cause: http.client bounds a line, not a head, and reads a whole body into memory. Cancelling an attempt shut the socket down, which does not end reading while the peer sends faster than it is read: the reader never finds the receive buffer empty. A connection that was shut down and then closed with an empty buffer left its sender waiting for the receive window for up to a minute.

Buffered responses end at 4 MiB each and 16 MiB together, in pages that go back to the system; an event ends at 256 KiB, and its delimiter is searched only in what is new. Bytes that complete no event do not count as activity. Connections with an unfinished response are closed with a reset. All clients have the limits of heads, lines (1 MiB), bodies (64 MiB) and of the time for a body.

test_an_event_over_the_size_limit_raises expects the type ResponseInvalid, which also tells a response that is no answer from a replica that ended; the check is as strict as before.

--- a/hibiscustray/entry/watchdog.py
+++ b/hibiscustray/entry/watchdog.py
@@ -48,6 +48,11 @@
         """Suspend the silence limit until the next activity, while received data is passed on."""
         self._last_activity_at = None
 
+    def resume(self) -> None:
+        """Restart the silence limit if it is suspended, and let it go on otherwise."""
+        if self._last_activity_at is None:
+            self.record_activity()
+
     def is_silent(self) -> bool:
         """Return whether the call was cancelled because of silence."""
         return self._is_silent
--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -22,6 +22,7 @@
     ReplicaClient,
     ReplicaResponse,
 )
+from hibiscustray.gateway.memory import ResponseMemory
 from hibiscustray.gateway.outcome import (
     CallerDisconnected,
     MaybeRun,
@@ -91,6 +92,7 @@
     ) -> None:
         self.placer = placer
         self.quarantine = quarantine
+        self.memory = ResponseMemory()
         self.reporter = reporter
         self.limits = limits
         self._versions = versions
--- a/hibiscustray/gateway/buffered.py
+++ b/hibiscustray/gateway/buffered.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hibiscustray.catalog import RouteKind
+from hibiscustray.entry.watchdog import Watch
 from hibiscustray.exceptions import UpstreamConnectionLost
 from hibiscustray.gateway.attempts import FIRST_BYTE_TIMEOUT_S, AttemptController
 from hibiscustray.gateway.context import RequestContext
@@ -66,7 +67,7 @@
             response = self._attempts.open(context, placement, watch)
             if isinstance(response, Outcome):
                 return response
-            body = self._read(response)
+            body = self._read(response, watch)
             if watch.is_cancelled():
                 raise UpstreamConnectionLost("the attempt was cancelled")
         except UpstreamConnectionLost as error:
@@ -79,10 +80,9 @@
         self._record_result(context, placement, response)
         return InboundResponse(response.status, response.headers, body)
 
-    @staticmethod
-    def _read(response: ReplicaResponse) -> bytes:
+    def _read(self, response: ReplicaResponse, watch: Watch) -> bytes:
         try:
-            return response.read_all()
+            return self._attempts.memory.read(response, watch)
         finally:
             response.close()
 
--- a/hibiscustray/gateway/events.py
+++ b/hibiscustray/gateway/events.py
@@ -8,7 +8,8 @@
 
 EVENT_DELIMITER = b"\n\n"
 ID_FIELD = b"id:"
-MAX_EVENT_B = 1 << 20
+MAX_EVENT_B = 256 * 1024
+"""Longest event; one of each running stream may be buffered."""
 
 
 class EventSplitter:
@@ -24,10 +25,13 @@
 
     def add(self, block: bytes) -> Iterator[bytes]:
         """Append bytes and yield the events that are now complete."""
+        # What was searched before has no delimiter, except that its last byte may begin one.
+        start = max(0, len(self._buffer) - len(EVENT_DELIMITER) + 1)
         self._buffer += block
-        while (end := self._buffer.find(EVENT_DELIMITER)) >= 0:
+        while (end := self._buffer.find(EVENT_DELIMITER, start)) >= 0:
             event = bytes(self._buffer[: end + len(EVENT_DELIMITER)])
             del self._buffer[: end + len(EVENT_DELIMITER)]
+            start = 0
             yield event
         if len(self._buffer) > MAX_EVENT_B:
             raise ResponseInvalid(f"an event exceeds {MAX_EVENT_B} bytes")
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -112,10 +112,6 @@
         """Return the next bytes, empty at the end of the body; raise `UpstreamConnectionLost`."""
         ...
 
-    def read_all(self) -> bytes:
-        """Return the rest of the body; raise `UpstreamConnectionLost`."""
-        ...
-
     def close(self) -> None:
         """Close the connection."""
         ...
--- /dev/null
+++ b/hibiscustray/gateway/memory.py
@@ -0,0 +1,84 @@
+"""Bounds the memory that buffered responses of replicas occupy."""
+
+from __future__ import annotations
+
+import mmap
+import threading
+
+from hibiscustray.entry.watchdog import Watch
+from hibiscustray.exceptions import ResponseInvalid, UpstreamConnectionLost
+from hibiscustray.gateway.interface import ReplicaResponse
+
+MAX_RESPONSE_B = 4 * 1024 * 1024
+"""Longest response that is buffered, the default limit of callers' bodies."""
+MAX_TOTAL_B = 16 * 1024 * 1024
+"""Bytes of all responses that are being read at the same time."""
+MAX_HEAP_B = 64 * 1024
+"""Bytes of a response that are buffered on the heap. Freed heap memory stays with the arena of its
+thread, so that long responses read by many threads would add up."""
+
+
+class ResponseMemory:
+    """Reads whole responses within limits for each and for all together; thread-safe."""
+
+    def __init__(self) -> None:
+        self._left_b = MAX_TOTAL_B
+        self._lock = threading.Lock()
+
+    def read(self, response: ReplicaResponse, watch: Watch) -> bytes:
+        """Return the rest of a body.
+
+        Raises `ResponseInvalid` if it is too long, or `UpstreamConnectionLost` if it is truncated
+        or the watch has cancelled the attempt.
+        """
+        with _Buffer() as buffer:
+            try:
+                while block := response.read_block():
+                    if watch.is_cancelled():
+                        raise UpstreamConnectionLost("the attempt was cancelled")
+                    if buffer.size_b + len(block) > MAX_RESPONSE_B:
+                        raise ResponseInvalid(f"the response exceeds {MAX_RESPONSE_B} bytes")
+                    self._reserve(len(block))
+                    buffer.add(block)
+                return buffer.copy()
+            finally:
+                self._reserve(-buffer.size_b)
+
+    def _reserve(self, size_b: int) -> None:
+        with self._lock:
+            if size_b > self._left_b:
+                raise ResponseInvalid("the responses being read exceed their memory")
+            self._left_b -= size_b
+
+
+class _Buffer:
+    """Collects bytes, on the heap while they are few and otherwise in pages of its own."""
+
+    def __init__(self) -> None:
+        self.size_b = 0
+        self._heap = bytearray()
+        self._pages: mmap.mmap | None = None
+
+    def __enter__(self) -> _Buffer:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self._pages is not None:
+            self._pages.close()
+
+    def add(self, block: bytes) -> None:
+        """Append bytes; the caller keeps the total within `MAX_RESPONSE_B`."""
+        self.size_b += len(block)
+        if self._pages is None and self.size_b <= MAX_HEAP_B:
+            self._heap += block
+            return
+        if self._pages is None:
+            # Pages that are never written take no memory.
+            self._pages = mmap.mmap(-1, MAX_RESPONSE_B, flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS)
+            self._pages.write(self._heap)
+            self._heap.clear()
+        self._pages.write(block)
+
+    def copy(self) -> bytes:
+        """Return all bytes."""
+        return bytes(self._heap) if self._pages is None else self._pages[: self.size_b]
--- a/hibiscustray/gateway/streams.py
+++ b/hibiscustray/gateway/streams.py
@@ -171,7 +171,7 @@
         response = self._response
         assert response is not None
         try:
-            body = response.read_all()
+            body = self._attempts.memory.read(response, self._watch)
             if self._watch.is_cancelled():
                 raise UpstreamConnectionLost("the attempt was cancelled")
         except UpstreamConnectionLost as error:
@@ -195,7 +195,7 @@
     def read_events(self) -> list[bytes] | Outcome:
         """Return the events completed by the next block; an empty list does not mean the end."""
         assert self._response is not None
-        self._watch.record_activity()
+        self._watch.resume()
         try:
             block = self._response.read_block()
             if self._watch.is_cancelled():
@@ -203,7 +203,8 @@
             events = list(self._splitter.add(block))
         except UpstreamConnectionLost as error:
             return self._handle_loss(error)
-        self._watch.pause()
+        if events or not block:
+            self._watch.pause()
         if block:
             return events
         if self._splitter.has_partial_event:
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -52,10 +52,6 @@
         """Return the next bytes of the body, empty at its end."""
         return self._stream.read_block()
 
-    def read_all(self) -> bytes:
-        """Return all remaining bytes of the body."""
-        return self._stream.read_all()
-
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import ssl
+import struct
 import threading
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
@@ -15,13 +16,21 @@
 
 from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import (
+    ResponseInvalid,
     SendWithdrawn,
     UpstreamConnectionLost,
     UpstreamUnreachable,
 )
+from hibiscustray.web.bounded import GuardedResponse, ReadGuard
 
 MAX_IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+MAX_LINE_B = 1024 * 1024
+MAX_BODY_B = 64 * 1024 * 1024
+"""Limits of lines and of bodies that are read as a whole."""
+BODY_TIMEOUT_S = 60.0
+"""Time for a body that is read as a whole, several times that of the largest object."""
 TCP_USER_TIMEOUT_MS = 2000
 """The kernel closes a connection whose sent data stays unacknowledged for this time."""
 TCP_KEEP_ALIVE_IDLE_S = 1
@@ -43,9 +52,16 @@
     """An HTTP response whose body is read line by line or in blocks."""
 
     def __init__(
-        self, client: HttpClient, connection, response, sock: socket.socket, sent_at: float
+        self,
+        client: HttpClient,
+        connection,
+        response,
+        sock: socket.socket,
+        sent_at: float,
+        guard: ReadGuard,
     ) -> None:
         self._client = client
+        self._guard = guard
         # Kept, as http.client clears `connection.sock` if the response ends the connection.
         self._sock = sock
         self._connection = connection
@@ -64,14 +80,19 @@
         return self._response.chunked or "content-length" in self.headers
 
     def read_lines(self) -> Iterator[bytes]:
-        """Yield body lines as they arrive; raise `UpstreamConnectionLost` on truncation."""
+        """Yield body lines as they arrive.
+
+        Raises `UpstreamConnectionLost` on truncation, `ResponseInvalid` if a line is too long.
+        """
         while True:
             try:
-                line = self._response.readline()
+                line = self._response.readline(MAX_LINE_B)
             except (OSError, http.client.HTTPException, ValueError) as error:
                 raise UpstreamConnectionLost(str(error)) from error
             if not line:
                 return
+            if len(line) == MAX_LINE_B and not line.endswith(b"\n"):
+                raise ResponseInvalid(f"a line exceeds {MAX_LINE_B} bytes")
             yield line
 
     def read_block(self) -> bytes:
@@ -87,12 +108,19 @@
             raise UpstreamConnectionLost(f"{self._response.length} bytes of the body are missing")
         return block
 
-    def read_all(self) -> bytes:
-        """Return the rest of the body."""
-        try:
-            return self._response.read()
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            raise UpstreamConnectionLost(str(error)) from error
+    def read_all(self, timeout_s: float = BODY_TIMEOUT_S) -> bytes:
+        """Return the rest of the body, which must arrive within a time in seconds.
+
+        Raises `UpstreamConnectionLost` if the body is truncated or late, or `ResponseInvalid` if it
+        is too long.
+        """
+        self._guard.limit_time(timeout_s)
+        body = bytearray()
+        while block := self.read_block():
+            body += block
+            if len(body) > MAX_BODY_B:
+                raise ResponseInvalid(f"the body exceeds {MAX_BODY_B} bytes")
+        return bytes(body)
 
     def set_timeout(self, seconds: float) -> None:
         """Set the timeout for receiving the next bytes."""
@@ -102,7 +130,7 @@
         """Shut the connection down, which wakes a blocked reader; may be called from any thread."""
         with self._lock:
             if not self._is_closed:
-                _shut_down_socket(self._sock)
+                _cancel(self._sock, self._guard)
 
     def close(self) -> None:
         """Return the connection to the pool if the response was read to the end, else close it."""
@@ -113,6 +141,7 @@
         if self._response.isclosed() and not self._response.will_close:
             self._client.release(self._connection)
         else:
+            _reset_on_close(self._sock)
             self._response.close()
             self._connection.close()
 
@@ -167,11 +196,11 @@
     ) -> HttpStream:
         """Send a request and return its response with the body unread.
 
-        `is_fresh` opens a new connection, since the server may have closed an idle one.
-        `on_connect` is passed a function that shuts the connection down, even while `open` waits
-        for the response; if it raises `SendWithdrawn`, nothing is sent. Raises
-        `UpstreamUnreachable` if no connection could be opened, or `UpstreamConnectionLost` if the
-        connection fails after that.
+        `timeout_s` limits the time for the whole head and for each wait in the body. `is_fresh`
+        opens a new connection, since the server may have closed an idle one. `on_connect` is passed
+        a function that ends reading and shuts the connection down, even while `open` waits for the
+        response; if it raises `SendWithdrawn`, nothing is sent. Raises `UpstreamUnreachable` if no
+        connection could be opened, or `UpstreamConnectionLost` if the connection fails after that.
         """
         timeout_s = timeout_s or self._timeout_s
         connect_timeout_s = connect_timeout_s or timeout_s
@@ -179,9 +208,11 @@
             connection = self._connect(timeout_s, connect_timeout_s)
         else:
             connection = self._acquire(timeout_s, connect_timeout_s)
+        guard = ReadGuard(timeout_s)
+        connection.response_class = partial(GuardedResponse, guard=guard)
         if on_connect is not None:
             try:
-                on_connect(partial(_shut_down_socket, connection.sock))
+                on_connect(partial(_cancel, connection.sock, guard))
             except SendWithdrawn:
                 connection.close()
                 raise
@@ -192,9 +223,10 @@
             sent_at = read_clock()
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
+            _reset_on_close(sock)
             connection.close()
             raise UpstreamConnectionLost(f"{self.base_url}: {error}") from error
-        return HttpStream(self, connection, response, sock, sent_at)
+        return HttpStream(self, connection, response, sock, sent_at, guard)
 
     def release(self, connection: http.client.HTTPConnection) -> None:
         """Return a connection to the pool, or close it if the pool is full."""
@@ -268,11 +300,23 @@
             raise
 
 
-def _shut_down_socket(sock: socket.socket) -> None:
+def _cancel(sock: socket.socket, guard: ReadGuard) -> None:
+    """End reading and wake a blocked reader."""
+    guard.cancel()
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_RDWR)
 
 
+def _reset_on_close(sock: socket.socket) -> None:
+    """Let closing reset the connection.
+
+    Otherwise a server that sends without end, to a client that has shut its side down and closed,
+    may wait for the full receive window until the kernel forgets the connection.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def _is_usable(connection: http.client.HTTPConnection) -> bool:
     """Return whether an idle connection is open and has no unread data."""
     if connection.sock is None:
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hibiscustray.exceptions import ResponseInvalid
 from hibiscustray.gateway.events import MAX_EVENT_B, EventSplitter, read_event_id
 
 EVENTS = st.lists(st.integers(1, 999), max_size=6).map(
@@ -37,5 +38,12 @@
 
 
 def test_an_event_over_the_size_limit_raises():
-    with pytest.raises(ValueError, match="an event exceeds"):
+    with pytest.raises(ResponseInvalid, match="an event exceeds"):
         list(EventSplitter().add(b"x" * (MAX_EVENT_B + 1)))
+
+
+def test_a_delimiter_that_arrives_in_two_blocks_ends_an_event():
+    splitter = EventSplitter()
+    assert list(splitter.add(b"id: 1\ndata: a\n")) == []
+    assert list(splitter.add(b"\nid: 2")) == [b"id: 1\ndata: a\n\n"]
+    assert splitter.has_partial_event
