--- a/hibiscustray/quarantine/publisher.py
+++ b/hibiscustray/quarantine/publisher.py
@@ -21,7 +21,7 @@
 MAX_BACKOFF_S = 5.0
 RENEWAL_INTERVAL_S = 300.0
 """Time after which a row without news is written again, or its entry would count as gone."""
-JOIN_TIMEOUT_S = 0.5
+JOIN_TIMEOUT_S = 0.2
 REWRITE_INTERVAL_S = 5.0
 """Time after a write without which a row that is missing in the table is written again."""
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -29,6 +29,15 @@
     assert entries.is_blocked("first", "bad", "x") == ALL
 
 
+def test_part_is_blocked_at_many_entries_of_which_few_saw_a_replica_end():
+    entries = Entries(14)
+    entries[9].record_success(("first",))
+    end_replicas(entries, 3, "first", "bad")
+    entries.exchange()
+    assert entries.is_blocked("first", "bad") == [True] * 14
+    assert entries.is_blocked("first") == [False] * 14
+
+
 def test_parts_that_sound_requests_share_are_not_blocked():
     entries = Entries()
     entries[1].record_success(("first", "other"))
