Keeps the key of a running request until it has finished

Running requests have no end of life now; the lifetime counts from the finish. The found sequence is a test of its own, which failed before. test_record_expires_exactly_after_its_lifetime let an unfinished request's key expire, which is the fault; it finishes the request first now, and a new test covers the unfinished one.

--- a/hibiscustray/requests/ledger.py
+++ b/hibiscustray/requests/ledger.py
@@ -74,7 +74,8 @@
 class Ledger:
     """A bounded store of keys; a key is only released if its request did not run.
 
-    No record is evicted before `RECORD_TTL_S`: when the ledger is full, new keys are refused.
+    No record is evicted before `RECORD_TTL_S` after its request finished: when the ledger is full,
+    new keys are refused.
     """
 
     def __init__(
@@ -83,12 +84,14 @@
         self._records: TTLCache[str, Record] = TTLCache(
             capacity_b, RECORD_TTL_S, timer, _measure_record
         )
+        # Body digests of running requests, which have no end of life.
+        self._running: dict[str, str] = {}
         self._changed = threading.Condition()
 
     def begin(self, key: str, body_digest: str) -> NewKey | Outcome | BodyMismatch | LedgerFull:
         """Add a key, or return the outcome of the first request with it."""
         with self._changed:
-            record = self._records.get(key)
+            record = self._find(key)
             if record is None:
                 return self._add_key(key, body_digest)
             if record.body_digest != body_digest:
@@ -98,15 +101,16 @@
     def finish(self, key: str, outcome: RecordedResponse | Uncertain) -> None:
         """Store the outcome of a request for repeats with the same key."""
         with self._changed:
-            record = self._records.get(key)
-            if record is None:
+            body_digest = self._running.pop(key, None)
+            if body_digest is None:
                 return
-            self._records[key] = Record(record.body_digest, self._limit_size(outcome))
+            self._records[key] = Record(body_digest, self._limit_size(outcome))
             self._changed.notify_all()
 
     def release(self, key: str) -> None:
         """Remove a key whose request certainly did not run."""
         with self._changed:
+            self._running.pop(key, None)
             self._records.pop(key, None)
             self._changed.notify_all()
 
@@ -114,34 +118,37 @@
         """Wait for the first request to finish and return its outcome, None if it did not run."""
         with self._changed:
             self._changed.wait_for(lambda: not self._is_running(key), timeout_s)
-            record = self._records.get(key)
+            record = self._find(key)
             return record.outcome if record else None
 
     def list_finished(self) -> list[tuple[str, Record]]:
         """Return the records of finished requests."""
         with self._changed:
-            return [
-                (key, record)
-                for key, record in self._records.items()
-                if not isinstance(record.outcome, InProgress)
-            ]
+            return list(self._records.items())
+
+    def _find(self, key: str) -> Record | None:
+        if key in self._running:
+            return Record(self._running[key], InProgress())
+        return self._records.get(key)
 
     def _is_running(self, key: str) -> bool:
-        record = self._records.get(key)
-        return record is not None and isinstance(record.outcome, InProgress)
+        return key in self._running
 
     def _add_key(self, key: str, body_digest: str) -> NewKey | LedgerFull:
         self._records.expire()
-        if self._records.currsize + RECORD_OVERHEAD_B > self._records.maxsize:
+        if self._measure() + RECORD_OVERHEAD_B > self._records.maxsize:
             return LedgerFull()
-        self._records[key] = Record(body_digest, InProgress())
+        self._running[key] = body_digest
         return NewKey()
 
+    def _measure(self) -> int:
+        return self._records.currsize + len(self._running) * RECORD_OVERHEAD_B
+
     def _limit_size(self, outcome: RecordedResponse | Uncertain) -> RecordedResponse | Uncertain:
         if isinstance(outcome, Uncertain):
             return outcome
         is_small = outcome.size <= MAX_RESPONSE_B
-        if is_small and self._records.currsize + outcome.size <= self._records.maxsize:
+        if is_small and self._measure() + RECORD_OVERHEAD_B + outcome.size <= self._records.maxsize:
             return outcome
         return Uncertain("the request ran, but its response is too large to be stored")
 
--- a/tests/requests/test_at_most_once.py
+++ b/tests/requests/test_at_most_once.py
@@ -366,3 +366,14 @@
 
 TestKeyedMachine = KeyedMachine.TestCase
 TestKeyedMachine.settings = settings(max_examples=150, stateful_step_count=50)
+
+
+def test_attempt_that_starts_long_after_it_was_accepted_runs_at_most_once():
+    machine = KeyedMachine()
+    machine.send(index=0, name="a", steps=1)
+    machine.advance_clock(seconds=920.0)
+    machine.lose_connection(index=0)
+    machine.advance(index=0, is_complete=False, steps=2)
+    machine.retry(index=0, name="a", steps=3)
+    machine.each_key_runs_at_most_once()
+    machine.results_are_correct()
--- a/tests/requests/test_ledger.py
+++ b/tests/requests/test_ledger.py
@@ -39,12 +39,24 @@
     now = [0.0]
     ledger = Ledger(timer=lambda: now[0])
     ledger.begin("k", "d")
+    ledger.finish("k", RESPONSE)
     now[0] = RECORD_TTL_S - 1
-    assert ledger.begin("k", "d") == InProgress()
+    assert ledger.begin("k", "d") == RESPONSE
     now[0] = RECORD_TTL_S + 1
     assert ledger.begin("k", "d") == NewKey()
 
 
+def test_key_of_a_request_that_runs_for_longer_than_the_lifetime_is_not_new_again():
+    now = [0.0]
+    ledger = Ledger(timer=lambda: now[0])
+    ledger.begin("k", "d")
+    now[0] = 2 * RECORD_TTL_S
+    assert ledger.begin("k", "d") == InProgress()
+    ledger.finish("k", RESPONSE)
+    now[0] = 3 * RECORD_TTL_S - 1
+    assert ledger.begin("k", "d") == RESPONSE
+
+
 def test_response_too_large_to_store_is_recorded_as_uncertain():
     ledger = Ledger()
     ledger.begin("k", "d")
