Leaves the whole timeout for each wait in a body after a slow head

The guard of a response shortened the socket's timeout while the head was read and left it short: after a head that took 2.9 s of 3 s, a pause of 0.1 s in the body ended the call. Found by reading the change; test_slow_head_leaves_the_whole_timeout_for_each_wait_in_the_body failed before.

--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -84,13 +84,16 @@
 
     def __init__(self, sock: socket.socket, *args, guard: ReadGuard, **options) -> None:
         super().__init__(_GuardedSocket(sock, guard), *args, **options)
+        self._sock = sock
         self._guard = guard
 
     def begin(self) -> None:
-        """Read the head."""
+        """Read the head; the timeout of the socket applies to each wait in the body again."""
+        timeout_s = self._sock.gettimeout()
         super().begin()
         self._guard.bytes_left = None
         self._guard.limit_time(None)
+        self._sock.settimeout(timeout_s)
 
 
 class _GuardedSocket:
