Counts an entry whose row cannot be read

During a change of releases, an entry whose row another release cannot read was not counted, so that the others' shares of a replica's limit were too large. test_entry_of_another_release_whose_row_cannot_be_read_counts failed before.

--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -105,7 +105,9 @@
         """Replace all reports; in the first read, those of unknown age count as just written."""
         written_at = earliest_at if self._has_read_table else read_clock()
         reports = {c.entry_id: c.report for c in changes if isinstance(c, EntryReported)}
-        self._roster.replace(reports)
+        # A row that cannot be read is that of an entry of another release.
+        unread = [c.key for c in changes if isinstance(c, RowRejected)]
+        self._roster.replace([*reports, *unread])
         own_report = reports.pop(self._entry_id, None)
         if own_report is not None and not self._has_read_table:
             self._quarantine.continue_blocks(own_report, written_at)
@@ -122,7 +124,10 @@
             case EntryReported(entry_id=entry_id, report=report):
                 self._roster.record(entry_id)
                 self._quarantine.record_report(entry_id, report, earliest_at)
-            case EntryUnlisted(entry_id=entry_id) | RowRejected(key=entry_id):
+            case RowRejected(key=entry_id):
+                self._roster.record(entry_id)
+                self._quarantine.forget_report(entry_id)
+            case EntryUnlisted(entry_id=entry_id):
                 self._roster.remove(entry_id)
                 self._quarantine.forget_report(entry_id)
 
