Withdraws a reported loss at once when its replica responds

A loss that had been reported stayed in the other entries' evidence for up to 5 s after its replica had shown a sign of life. test_life_sign_after_a_loss_was_reported_withdraws_it failed before.

--- a/hibiscustray/quarantine/quarantine.py
+++ b/hibiscustray/quarantine/quarantine.py
@@ -171,6 +171,7 @@
                 if self._losses[key].lost_at <= newest_at:
                     del self._losses[key]
             self._change_losses()
+        self.on_change()
 
     def record_success(self, parts: Sequence[str]) -> None:
         """Record that a replica completed a request, or did not end long after it had begun it."""
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -95,6 +95,18 @@
     assert not decode_report(entries.rows["e0"][0]).losses
 
 
+def test_life_sign_after_a_loss_was_reported_withdraws_it():
+    entries = Entries()
+    entries.lose("r", (0, ("part",)))
+    entries.exchange()
+    changes = []
+    entries[0].on_change = lambda: changes.append(True)
+    entries[0].record_life_sign("r")
+    assert changes
+    entries.exchange()
+    assert not decode_report(entries.rows["e0"][0]).losses
+
+
 def test_part_that_was_sound_before_is_blocked_after_a_longer_sequence():
     entries = Entries()
     entries[0].record_success(("part",))
