--- a/hibiscustray/quarantine/quarantine.py
+++ b/hibiscustray/quarantine/quarantine.py
@@ -195,10 +195,7 @@
             self.on_change()
 
     def record_report(self, entry_id: str, report: EntryReport, written_at: float) -> None:
-        """Record the report of an entry, written at a time of `read_clock`.
-
-        An entry that has restarted continues the blocks that it had reported before.
-        """
+        """Record the report of another entry, written at a time of `read_clock`."""
         blocks = [
             Block(frozenset(b.parts), b.hold_s, written_at - b.age_s)
             for b in report.blocks
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
 
 from hibiscustray.composition import build_hosted_entry
 from hibiscustray.platform.standins import (
@@ -29,12 +31,13 @@
     HostedSettings,
     HostedStore,
 )
-from hibiscustray.soak.programs import find_free_port
+from hibiscustray.soak.programs import EntryProgram, find_free_port
 from hibiscustray.telemetry import Metrics
 from tests.platform.site import HostedSite
 from tests.waiting import wait_until
 
 PROMPT_PARTS = "X-Hibiscustray-Prompt-Prefix"
+START_TIMEOUT_S = 20.0
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -124,6 +127,7 @@
     restart_s: float = 1.0
     begin_s: float = 0.05
     entries: list[HostedSite] = field(default_factory=list)
+    programs: list[EntryProgram] = field(default_factory=list)
     servers: list[FragileServer] = field(default_factory=list)
     harmful_arrivals: list[float] = field(default_factory=list)
     ended_at: list[float] = field(default_factory=list)
@@ -149,6 +153,17 @@
         self.entries.append(entry)
         return entry
 
+    def add_entry_program(self, folder: Path) -> EntryProgram:
+        """Start an entry as a process of its own and wait until it serves; return the process."""
+        program = EntryProgram(len(self.entries), self.store.address, folder)
+        program.start()
+        self.programs.append(program)
+        addresses = SimpleNamespace(callers=program.callers_address)
+        entry = HostedSite(self.store, SimpleNamespace(entry=addresses), None)
+        wait_until(lambda: self.request(entry, "first") == 200, START_TIMEOUT_S)
+        self.entries.append(entry)
+        return program
+
     def wait_until_ready(self) -> None:
         """Wait until every entry knows the configuration and all replicas."""
         ids = [server.replica.id for server in self.servers]
@@ -173,8 +188,11 @@
     def close(self) -> None:
         """Stop everything."""
         self.is_closed = True
+        for program in self.programs:
+            program.kill()
         for entry in self.entries:
-            entry.process.stop()
+            if entry.process is not None:
+                entry.process.stop()
         self.store.close()
         for server in self.servers:
             server.replica.close()
--- a/tests/platform/test_harmful_parts.py
+++ b/tests/platform/test_harmful_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import time
 
 import pytest
@@ -72,6 +74,19 @@
         assert len(fleet.harmful_arrivals) == arrivals
 
 
+def test_entry_that_was_frozen_refuses_what_the_others_blocked_meanwhile(tmp_path):
+    with run_fleet(entries=2, harmful={"bad"}, restart_s=0.3) as fleet:
+        program = fleet.add_entry_program(tmp_path)
+        frozen = fleet.entries.pop()
+        os.kill(program.pid, signal.SIGSTOP)
+        block_part(fleet)
+        arrivals = len(fleet.harmful_arrivals)
+        os.kill(program.pid, signal.SIGCONT)
+        time.sleep(1.0)
+        assert fleet.request(frozen, "bad") == 503
+        assert len(fleet.harmful_arrivals) == arrivals
+
+
 def test_entry_that_loses_the_store_keeps_the_blocks_that_it_knows():
     with run_fleet(harmful={"bad"}, restart_s=0.3) as fleet:
         block_part(fleet)
