--- a/tests/platform/test_replica_limits.py
+++ b/tests/platform/test_replica_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import time
 
 import pytest
@@ -64,6 +66,21 @@
     assert most <= compute_bound(1)
 
 
+def test_limit_holds_while_an_entry_is_frozen_and_goes_on(tmp_path):
+    with run_fleet(entries=2, servers=3) as fleet:
+        program = fleet.add_entry_program(tmp_path)
+        with Load(fleet, 40, "first", threads=16):
+            fleet.servers[0].limit = "1"
+            named_at = time.monotonic()
+            time.sleep(CONTACT_S)
+            os.kill(program.pid, signal.SIGSTOP)
+            time.sleep(3.0)
+            os.kill(program.pid, signal.SIGCONT)
+            time.sleep(WINDOW_S)
+        most = count_most(fleet.servers[0], named_at + CONTACT_S)
+    assert most <= compute_bound(1)
+
+
 def test_limit_ends_at_every_entry_when_it_is_no_longer_named():
     with run_fleet(servers=1) as fleet:
         fleet.servers[0].limit = "2"
