Logs the parts of a quarantined request

From the id of a refused request an operator could not find the decision that blocked it: its line named no part.

--- a/hibiscustray/gateway/reporter.py
+++ b/hibiscustray/gateway/reporter.py
@@ -60,6 +60,8 @@
         if refusal is not None:
             details["predicted_s"] = round(refusal.predicted_s, 3)
             details["candidates"] = refusal.candidates
+            if refusal.reason is RefusalReason.QUARANTINED:
+                details["prompt_parts"] = list(context.inbound.prompt_parts[:MAX_LOGGED_PARTS])
         self._log(
             context, "refused", reason=reason, retry_after_s=round(retry_after_s, 3), **details
         )
--- a/tests/platform/test_harmful_parts.py
+++ b/tests/platform/test_harmful_parts.py
@@ -48,7 +48,8 @@
     return entry.process._forwarder._attempts._metrics.read("prompt_part_blocks")
 
 
-def test_blocked_request_is_refused_at_once_as_not_run_and_sound_ones_go_on():
+def test_blocked_request_is_refused_at_once_as_not_run_and_sound_ones_go_on(caplog):
+    caplog.set_level("INFO")
     with run_fleet(harmful={"bad"}, restart_s=0.3) as fleet:
         block_part(fleet)
         arrivals = len(fleet.harmful_arrivals)
@@ -61,6 +62,9 @@
             assert float(response.headers["Retry-After"]) > 0
             assert fleet.request(entry, "first", "other") == 200
         assert len(fleet.harmful_arrivals) == arrivals
+    blocked = next(r for r in caplog.records if r.message == "prompt part blocked")
+    refused = [r for r in caplog.records if getattr(r, "reason", "") == "quarantined"]
+    assert all(set(blocked.parts) <= set(line.prompt_parts) for line in refused)
 
 
 def test_entry_that_has_just_started_refuses_a_part_that_the_others_block():
