Logs the time for which a replica that turns a request away wants none

The adapter now reads Retry-After of a 503, and each start of a replica logs "replica pushback" with the request that was turned away and the seconds, at most once a second. Values that are no seconds are logged once for each start of a replica.

Nothing is decided by it yet. The parsing of what a response says of its replica moves out of the adapter.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -427,7 +427,9 @@
             raise UpstreamConnectionLost("the attempt was cancelled")
         watch.record_activity()
         if not response.is_misdirected:
-            self._notices.record(placement.replica.boot, response.notice, context.sent_at)
+            self._notices.record(
+                placement.replica.boot, response.notice, context.sent_at, context.inbound.id
+            )
         if response.load is not None:
             self.placer.record_load(placement.replica, response.load)
         if response.request_id and response.request_id != context.inbound.id:
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Callable
 
 from hibiscustray.gateway.interface import Headers, OutboundRequest
@@ -16,17 +15,18 @@
     NOT_RUN,
     RATE_LIMIT,
     REPLICA_LOAD,
+    RETRY_AFTER,
     SERVER_SEAL,
     TEAM,
     TIME_LEFT_MS,
     URGENCY,
     WEIGHT_VERSIONS,
 )
-from hibiscustray.replicas import ReplicaNotice
+from hibiscustray.replicas import read_notice
 from hibiscustray.web import HttpClient, HttpStream
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
 
-MISDIRECTED_REQUEST = 421
+MISDIRECTED_REQUEST, SERVICE_UNAVAILABLE = 421, 503
 
 
 class PlatformReplicaResponse:
@@ -41,7 +41,9 @@
         self.is_authentic = SERVER_SEAL.lower() in headers
         self.is_delimited = stream.is_delimited
         self.request_id = headers.get(ATTEMPT_ID.lower(), "")
-        self.notice = _read_notice(headers.get(RATE_LIMIT.lower()))
+        is_unavailable = stream.status == SERVICE_UNAVAILABLE
+        pushback = headers.get(RETRY_AFTER.lower()) if is_unavailable else None
+        self.notice = read_notice(headers.get(RATE_LIMIT.lower()), pushback)
         self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
         self.version = _read_integer(headers.get(WEIGHT_VERSIONS.lower(), ""))
         self.headers: Headers = tuple(
@@ -108,12 +110,5 @@
     return LoadReport(running, waiting, slots)
 
 
-def _read_notice(limit: str | None) -> ReplicaNotice:
-    if limit is None:
-        return ReplicaNotice()
-    is_decimal = re.fullmatch(r"[0-9]{1,15}(\.[0-9]{1,15})?", limit.strip())
-    return ReplicaNotice(float(limit)) if is_decimal else ReplicaNotice(malformed=limit or "empty")
-
-
 def _read_integer(text: str) -> int:
     return int(text) if text.strip().isdigit() else 0
--- a/hibiscustray/replicas/__init__.py
+++ b/hibiscustray/replicas/__init__.py
@@ -1,7 +1,8 @@
 """The replicas of all services according to the platform's replica list."""
 
 from hibiscustray.replicas.directory import ReplicaDirectory
-from hibiscustray.replicas.notices import ReplicaNotice, ReplicaNotices
+from hibiscustray.replicas.notice import ReplicaNotice, read_notice
+from hibiscustray.replicas.notices import ReplicaNotices
 from hibiscustray.replicas.record import LayerSpan, ReplicaRecord, ReplicaState, ServedModel
 
 __all__ = [
@@ -12,4 +13,5 @@
     "ReplicaRecord",
     "ReplicaState",
     "ServedModel",
+    "read_notice",
 ]
--- a/hibiscustray/replicas/notices.py
+++ b/hibiscustray/replicas/notices.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 
 from hibiscustray.clock import read_clock
+from hibiscustray.replicas.notice import ReplicaNotice
 from hibiscustray.replicas.pacing import Pace
 from hibiscustray.telemetry import Metrics
 
@@ -18,19 +19,7 @@
 MAX_REPLICAS = 4096
 """Replicas whose statements are kept; the one that responded least recently is forgotten first."""
 MIN_LOG_INTERVAL_S = 1.0
-"""Time between two lines on the limits of one replica."""
-
-
-@dataclass(frozen=True)
-class ReplicaNotice:
-    """The statements in one response.
-
-    `limit_per_s` is the number of requests per second that the replica takes from all entries
-    together, None if it names no limit. `malformed` is the text of a limit that cannot be read.
-    """
-
-    limit_per_s: float | None = None
-    malformed: str = ""
+"""Time between two lines on the limits, or on the pushbacks, of one replica."""
 
 
 @dataclass(frozen=True)
@@ -46,6 +35,8 @@
     named_at: float = float("-inf")
     logged_at: float = float("-inf")
     has_malformed: bool = False
+    pushback_logged_at: float = float("-inf")
+    has_malformed_pushback: bool = False
 
 
 class ReplicaNotices:
@@ -94,7 +85,9 @@
             state = self._states.get(boot)
             return state is not None and state.limit_per_s is not None
 
-    def record(self, boot: str, notice: ReplicaNotice, sent_at: float) -> None:
+    def record(
+        self, boot: str, notice: ReplicaNotice, sent_at: float, request_id: str = ""
+    ) -> None:
         """Record the statements in the response to a request that was sent at `sent_at`.
 
         A limit ends with a response that names none, if its request was sent after the limit had
@@ -102,33 +95,51 @@
         nothing.
         """
         with self._lock:
-            state = self._states.get(boot)
-            if state is None and notice == ReplicaNotice():
+            previous = self._states.get(boot)
+            if previous is None and notice == ReplicaNotice():
                 return
             now = self._clock()
-            previous = state or _State()
-            if notice.malformed:
-                state = replace(previous, has_malformed=True)
-                if not previous.has_malformed:
-                    log.warning(
-                        "replica limit unreadable",
-                        extra={"replica": boot, "value": notice.malformed[:40]},
-                    )
-            elif notice.limit_per_s is not None:
-                state = replace(previous, limit_per_s=notice.limit_per_s, named_at=now)
-                if previous.limit_per_s is None:
-                    state = replace(state, phase=self._draw_phase(), sent_at=now)
-            elif sent_at > previous.named_at:
-                state = replace(previous, limit_per_s=None)
-            else:
-                return
-            if state.limit_per_s != previous.limit_per_s:
-                state = self._log_change(boot, state, previous, now)
+            state = self._apply_limit(boot, previous or _State(), notice, sent_at, now)
+            state = self._apply_pushback(boot, state, notice, request_id, now)
             self._states[boot] = state
             self._states.move_to_end(boot)
             if len(self._states) > MAX_REPLICAS:
                 self._states.popitem(last=False)
 
+    def _apply_limit(
+        self, boot: str, previous: _State, notice: ReplicaNotice, sent_at: float, now: float
+    ) -> _State:
+        if notice.malformed:
+            if not previous.has_malformed:
+                _log_malformed("replica limit unreadable", boot, notice.malformed)
+            return replace(previous, has_malformed=True)
+        if notice.limit_per_s is not None:
+            state = replace(previous, limit_per_s=notice.limit_per_s, named_at=now)
+            if previous.limit_per_s is None:
+                state = replace(state, phase=self._draw_phase(), sent_at=now)
+        elif sent_at > previous.named_at:
+            state = replace(previous, limit_per_s=None)
+        else:
+            return previous
+        if state.limit_per_s != previous.limit_per_s:
+            return self._log_change(boot, state, previous, now)
+        return state
+
+    def _apply_pushback(
+        self, boot: str, previous: _State, notice: ReplicaNotice, request_id: str, now: float
+    ) -> _State:
+        if notice.malformed_pushback:
+            if not previous.has_malformed_pushback:
+                _log_malformed("replica pushback unreadable", boot, notice.malformed_pushback)
+            return replace(previous, has_malformed_pushback=True)
+        if notice.pushback_s is None or now - previous.pushback_logged_at < MIN_LOG_INTERVAL_S:
+            return previous
+        log.info(
+            "replica pushback",
+            extra={"replica": boot, "request": request_id, "pushback_s": notice.pushback_s},
+        )
+        return replace(previous, pushback_logged_at=now)
+
     def _find_wait(self, boot: str, now: float) -> float:
         state = self._states.get(boot)
         if state is None or state.limit_per_s is None:
@@ -146,3 +157,7 @@
             extra={"replica": boot, "limit_per_s": limit},
         )
         return replace(state, logged_at=now)
+
+
+def _log_malformed(message: str, boot: str, value: str) -> None:
+    log.warning(message, extra={"replica": boot, "value": value[:40]})
--- a/tests/replicas/test_notices.py
+++ b/tests/replicas/test_notices.py
@@ -163,3 +163,15 @@
         now[0] += 0.05
         notices.record(BOOT, ReplicaNotice(1.0 + number), now[0])
     assert len(caplog.records) <= 6
+
+
+def test_pushback_is_logged_with_its_request_at_most_once_a_second(caplog):
+    caplog.set_level("INFO")
+    now = [10.0]
+    notices = ReplicaNotices(Metrics("e"), lambda: now[0])
+    for number in range(40):
+        now[0] += 0.05
+        notices.record(BOOT, ReplicaNotice(pushback_s=3.0), now[0], f"r{number}")
+    lines = [r for r in caplog.records if r.message == "replica pushback"]
+    assert [(r.replica, r.request, r.pushback_s) for r in lines[:1]] == [(BOOT, "r0", 3.0)]
+    assert len(lines) == 2
