Adds failing tests of replicas that want no requests for some time

Callers that were refused while all replicas had asked for none were told 0.5 s or 1.6 s to 2.1 s, with 2.5 s left.

--- /dev/null
+++ b/tests/platform/test_replica_pushback.py
@@ -0,0 +1,170 @@
+"""Tests of replicas that turn requests away with the time for which they want none."""
+
+from __future__ import annotations
+
+import time
+from functools import partial
+
+from hibiscustray.replicas import ReplicaNotice
+from tests.platform.pushback import (
+    GRACE_S,
+    MAX_UNWANTED,
+    Callers,
+    PushbackScript,
+    add_pushback,
+    ask,
+)
+from tests.platform.quiet import KINDS, STREAM, split_stream
+from tests.platform.test_quiet_replicas import run_checks, run_quiet_site
+
+PUSHBACK_S = 2.5
+REFUSAL_S = 0.2
+"""Time in which a request that cannot be served is refused."""
+
+
+def check_arrivals(script: PushbackScript) -> list[str]:
+    count = script.count_unwanted()
+    return [] if count <= MAX_UNWANTED else [f"{count} requests arrived in the time of a pushback"]
+
+
+def check_all_whole(results: list[str]) -> list[str]:
+    failed = [result for result in results if result != "whole"]
+    return [f"{len(failed)} of {len(results)} calls: {failed[0]}"] if failed else []
+
+
+# One replica pushes back, another one falls silent
+
+
+def send_beside_pushback(kind: str) -> list[str]:
+    """Send requests while one of three replicas pushes back and another is silent at times."""
+    with run_quiet_site() as site:
+        resting, quiet, _ = (add_pushback(site, kind) for _ in range(3))
+        with Callers([site], kind, threads=12, per_s=50) as callers:
+            time.sleep(0.3)
+            resting.push_back_once(PUSHBACK_S)
+            for _ in range(2):
+                quiet.silence_s = 1.5
+                time.sleep(0.3)
+                quiet.silence_s = 0.0
+                time.sleep(1.2)
+        results = callers.list_results()
+    return check_arrivals(resting) + check_all_whole(results)
+
+
+def test_replica_that_pushed_back_gets_no_requests_on_a_day_with_silent_replicas():
+    run_checks({kind: partial(send_beside_pushback, kind) for kind in KINDS})
+
+
+def back_up_beside_pushback(kind: str) -> list[str]:
+    """Let the only other replica fall silent, so that backups are due in the pushback."""
+    with run_quiet_site() as site:
+        resting, quiet = add_pushback(site, kind, "6"), add_pushback(site, kind)
+        while not resting.arrivals:
+            ask(site, kind)
+        quiet.silence_s = 1.9
+        seen = ask(site, kind).seen
+    problems = [] if seen.result == "whole" else [seen.result]
+    return problems + ([] if len(resting.arrivals) == 1 else [f"got {len(resting.arrivals)}"])
+
+
+def test_backup_of_a_silent_attempt_does_not_go_to_a_replica_that_pushed_back():
+    run_checks(
+        {kind: partial(back_up_beside_pushback, kind) for kind in ("resumable", "idempotent")}
+    )
+
+
+def test_stream_is_not_resumed_at_a_replica_that_pushed_back():
+    with run_quiet_site() as site:
+        resting = add_pushback(site, "resumable", "6")
+
+        def break_off(request, connection):
+            for position, data in split_stream(request):
+                if position == "within an event" and not request.resume_after:
+                    return
+                connection.sendall(data)
+
+        while not resting.arrivals:
+            ask(site, "resumable")
+        time.sleep(GRACE_S)
+        site.add_replica(STREAM, break_off)
+        ask(site, "resumable")
+        assert len(resting.arrivals) == 1
+
+
+def test_pushback_in_the_answer_to_a_superseded_attempt_is_kept():
+    with run_quiet_site() as site:
+        resting = add_pushback(site, "resumable", "6")
+        attempts = site.process._forwarder._attempts
+        check_response = attempts._check_response
+
+        def supersede_first(context, placement, watch, response):
+            watch.supersede()
+            return check_response(context, placement, watch, response)
+
+        attempts._check_response = supersede_first
+        ask(site, "resumable")
+        attempts._check_response = check_response
+        time.sleep(GRACE_S)
+        for _ in range(5):
+            ask(site, "resumable")
+            time.sleep(0.1)
+        assert len(resting.arrivals) == 1
+
+
+def test_request_chosen_before_the_pushback_was_known_is_not_sent():
+    with run_quiet_site() as site:
+        script = add_pushback(site, "resumable")
+        attempts = site.process._forwarder._attempts
+        boot = f"{site.replicas[0].id}/1"
+        find_required = attempts._find_required
+
+        def push_back_after_placement(context):
+            attempts._notices.record(boot, ReplicaNotice(pushback_s=6.0), time.monotonic())
+            return find_required(context)
+
+        # The version is asked for between the choice of the replica and the connection.
+        attempts._find_required = push_back_after_placement
+        answer = ask(site, "resumable")
+        assert answer.seen.result == "status 503"
+        assert not script.arrivals
+
+
+# All replicas push back
+
+
+def refuse_in_pushback(kind: str) -> list[str]:
+    """Let all replicas push back, then send requests."""
+    with run_quiet_site() as site:
+        scripts = [add_pushback(site, kind, "6"), add_pushback(site, kind, "3")]
+        while not all(script.arrivals for script in scripts):
+            ask(site, kind)
+            time.sleep(0.02)
+        time.sleep(GRACE_S)
+        counts = [len(script.arrivals) for script in scripts]
+        first_back_at = min(at + seconds for s in scripts for at, _, seconds in s.answers[:1])
+        problems, returns_at = [], []
+        for _ in range(20):
+            left_s = first_back_at - time.monotonic()
+            answer = ask(site, kind)
+            returns_at.append(time.monotonic() + answer.retry_after_s)
+            if answer.seen.result != "status 503" or answer.took_s > REFUSAL_S:
+                problems.append(f"{answer.seen.result} after {answer.took_s:.2f} s")
+            if not left_s - 0.1 <= answer.retry_after_s <= 2 * left_s + 0.5:
+                problems.append(f"told {answer.retry_after_s} s, {left_s:.2f} s were left")
+        if max(returns_at) - min(returns_at) < 0.3:
+            problems.append("the callers return together")
+        if [len(script.arrivals) for script in scripts] != counts:
+            problems.append("requests arrived")
+    return problems
+
+
+def test_requests_are_refused_at_once_with_the_time_to_come_back_while_all_replicas_push_back():
+    run_checks({kind: partial(refuse_in_pushback, kind) for kind in KINDS})
+
+
+def test_caller_that_the_only_replica_turned_away_is_told_its_time():
+    with run_quiet_site() as site:
+        add_pushback(site, "idempotent", "4")
+        answer = ask(site, "idempotent")
+        assert answer.seen.result == "status 503"
+        assert 3.5 <= answer.retry_after_s <= 8.5
