Adds failing tests of two replicas that turn all requests away

On the code as it is, 6 to 12 requests of one entry arrived in the time that it had been asked for (allowed: 2), and of the callers, who had four sound replicas, 39 of 327 (resumable streams), 32 of 315 (plain streams), 16 of 402 (idempotent) and 16 of 380 (non-idempotent) were refused.

--- /dev/null
+++ b/tests/platform/test_pushback_of_two_replicas.py
@@ -0,0 +1,76 @@
+"""Tests of two of six replicas that turn every request away for seconds, beside four sound ones."""
+
+from __future__ import annotations
+
+import time
+from functools import partial
+
+from hibiscustray.platform.standins import make_configuration
+from tests.platform.fleet import Fleet, run_fleet
+from tests.platform.pushback import MAX_UNWANTED, Callers, PushbackScript
+from tests.platform.quiet import KINDS, STREAM, make_routes
+from tests.platform.test_quiet_replicas import run_checks
+from tests.waiting import wait_until
+
+PUSHBACK = "3"
+TURNING_AWAY_S = 7.0
+RATE_PER_S = 45.0
+WORK_S = 0.02
+"""Time for each part of a response."""
+
+
+def add_scripts(fleet: Fleet, kind: str, count: int) -> list[PushbackScript]:
+    """Add replicas that all entries know, and return their scripts."""
+    service = KINDS[kind][2]
+    scripts = [PushbackScript(service == STREAM, work_s=WORK_S) for _ in range(count)]
+    for script in scripts:
+        replica = fleet.entries[0].add_replica(service, script)
+        for entry in fleet.entries:
+            wait_until(lambda e=entry, r=replica: e.process._directory.get(r.id) is not None)
+    return scripts
+
+
+def turn_away(kind: str) -> tuple[list[int], list[str], list[bool]]:
+    """Send requests to three entries while two of six replicas turn all away.
+
+    Return the unwanted requests at each of the two, the results of the callers, and whether each of
+    the two got requests afterwards.
+    """
+    with run_fleet(entries=3, servers=0) as fleet:
+        fleet.store.put("op", "config", make_configuration(2, routes=make_routes()))
+        scripts = add_scripts(fleet, kind, 6)
+        with Callers(fleet.entries, kind, threads=24, per_s=RATE_PER_S) as callers:
+            time.sleep(0.5)
+            for script in scripts[:2]:
+                script.pushback = PUSHBACK
+            time.sleep(TURNING_AWAY_S)
+            for script in scripts[:2]:
+                script.accept()
+            accepted_at = time.monotonic()
+            time.sleep(float(PUSHBACK) + 1.0)
+        is_used = [any(at > accepted_at for at, _ in script.arrivals) for script in scripts[:2]]
+        return (
+            [script.count_unwanted() for script in scripts[:2]],
+            callers.list_results(),
+            is_used,
+        )
+
+
+def check_arrivals(kind: str) -> list[str]:
+    unwanted, _, is_used = turn_away(kind)
+    problems = [f"{n} requests of an entry arrived" for n in unwanted if n > MAX_UNWANTED]
+    return problems + ([] if all(is_used) else ["a replica got no requests afterwards"])
+
+
+def check_results(kind: str) -> list[str]:
+    _, results, _ = turn_away(kind)
+    failed = [result for result in results if result != "whole"]
+    return [f"{len(failed)} of {len(results)} calls: {failed[0]}"] if failed else []
+
+
+def test_entries_that_two_replicas_turned_away_send_them_nothing_for_the_time_named():
+    run_checks({kind: partial(check_arrivals, kind) for kind in KINDS})
+
+
+def test_callers_are_not_refused_for_two_replicas_that_turn_requests_away_beside_four_sound_ones():
+    run_checks({kind: partial(check_results, kind) for kind in KINDS})
