Sends a replica no requests for the time that it names with a 503

What callers saw: nothing yet, but their requests went to replicas that had asked the entry for none, were turned away again and cost a retry each. Cause: Retry-After of a replica's 503 was read by no one; a rejection kept a replica out for 0.06 s, doubled up to 0.5 s, whatever it had named. Evidence: bookings, which have neither backups nor resumptions, arrived 14 times in 2.5 s, as did requests of each other kind (8 to 14; two are allowed), so it was not one way alone; requests chosen before the answer was read, backups and resumed streams went there as well.

The time is now kept for each start of a replica, by the entry that was asked alone, on the clock that goes on while a VM is suspended, from when the answer is read. The latest end counts; no other response ends it, the next start of the replica does. It is no failure: the rejection backoff applies only if the replica named less than its longest (0.5 s), and a replica's failure rate is unchanged. Values that are no seconds, and 0, ask for nothing; numbers beyond any float last until the next start.

--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -17,7 +17,13 @@
 from enum import Enum
 
 from hibiscustray.catalog import EngineProfile, ServiceEntry
-from hibiscustray.placement.load import NO_EXTERNAL_LOAD, STALE_RECORD_S, ExternalLoad, ReplicaLoad
+from hibiscustray.placement.load import (
+    MAX_REJECTION_BACKOFF_S,
+    NO_EXTERNAL_LOAD,
+    STALE_RECORD_S,
+    ExternalLoad,
+    ReplicaLoad,
+)
 from hibiscustray.placement.prediction import predict_latency
 from hibiscustray.placement.workload import Demand, InFlightRequest, LoadReport
 from hibiscustray.replicas import ReplicaDirectory, ReplicaNotices, ReplicaRecord, ReplicaState
@@ -268,11 +274,15 @@
             self._remove(self._get_load(placement.replica), placement.in_flight)
 
     def record_rejection(self, placement: Placement) -> None:
-        """Record that a replica rejected a request."""
+        """Record that a replica rejected a request.
+
+        It is left alone for a backoff, unless it has named a longer time itself.
+        """
         now = time.monotonic()
         with self._lock:
             load = self._get_load(placement.replica)
-            load.record_rejection(now)
+            if self._notices.find_pushback(placement.replica.boot) < MAX_REJECTION_BACKOFF_S:
+                load.record_rejection(now)
             self._remove(load, placement.in_flight)
 
     def mark_stale(self, placement: Placement) -> None:
@@ -331,6 +341,8 @@
 
     def _is_usable(self, replica: ReplicaRecord, now: float) -> bool:
         load = self._get_load(replica)
+        if self._notices.find_pushback(replica.boot) > 0:
+            return False
         return not load.is_backing_off(now) and not load.is_stale(replica, now)
 
     def _is_in_first_swap_wave(self, replica: ReplicaRecord, weights: WeightsConstraint) -> bool:
--- a/hibiscustray/replicas/notices.py
+++ b/hibiscustray/replicas/notices.py
@@ -20,13 +20,16 @@
 """Replicas whose statements are kept; the one that responded least recently is forgotten first."""
 MIN_LOG_INTERVAL_S = 1.0
 """Time between two lines on the limits, or on the pushbacks, of one replica."""
+MAX_REPORTED_PUSHBACK_S = 86400.0
+"""Longest time of a pushback in the log and in the metrics, which cannot be infinite."""
 
 
 @dataclass(frozen=True)
 class _State:
     """The last statement of a replica; times are of `read_clock`.
 
-    `phase` is the start of this entry's periods, and `sent_at` the time of its last request.
+    `phase` is the start of this entry's periods, and `sent_at` the time of its last request. The
+    replica wants no requests from this entry until `pushback_until`.
     """
 
     phase: float = 0.0
@@ -35,6 +38,7 @@
     named_at: float = float("-inf")
     logged_at: float = float("-inf")
     has_malformed: bool = False
+    pushback_until: float = float("-inf")
     pushback_logged_at: float = float("-inf")
     has_malformed_pushback: bool = False
 
@@ -42,7 +46,8 @@
 class ReplicaNotices:
     """The last statements of each start of a replica, and when a request may be sent; thread-safe.
 
-    Until an entry has a response with a limit, it sends without one.
+    Until an entry has a response with a limit, it sends without one. A pushback concerns this entry
+    alone, and lasts until its time is over: other responses neither shorten nor end it.
     """
 
     def __init__(
@@ -64,10 +69,16 @@
             self._entries = entries
 
     def find_wait(self, boot: str) -> float:
-        """Return the seconds until a request may be sent to a replica, 0 for now."""
+        """Return the seconds until a limit lets a request be sent to a replica, 0 for now."""
         with self._lock:
             return self._find_wait(boot, self._clock())
 
+    def find_pushback(self, boot: str) -> float:
+        """Return the seconds for which a replica wants no more requests, 0 if it takes them."""
+        with self._lock:
+            state = self._states.get(boot)
+            return max(0.0, state.pushback_until - self._clock()) if state is not None else 0.0
+
     def take(self, boot: str) -> bool:
         """Count a request that is about to be sent; return False if it must not be sent now."""
         with self._lock:
@@ -91,8 +102,8 @@
         """Record the statements in the response to a request that was sent at `sent_at`.
 
         A limit ends with a response that names none, if its request was sent after the limit had
-        been named, since responses can overtake each other. One that cannot be read changes
-        nothing.
+        been named, since responses can overtake each other. For the same reason, the latest end of
+        several pushbacks counts. A value that cannot be read changes nothing.
         """
         with self._lock:
             previous = self._states.get(boot)
@@ -132,13 +143,23 @@
             if not previous.has_malformed_pushback:
                 _log_malformed("replica pushback unreadable", boot, notice.malformed_pushback)
             return replace(previous, has_malformed_pushback=True)
-        if notice.pushback_s is None or now - previous.pushback_logged_at < MIN_LOG_INTERVAL_S:
+        until = now + (notice.pushback_s or 0.0)
+        if until <= max(now, previous.pushback_until):
             return previous
+        state = replace(previous, pushback_until=until)
+        self._metrics.count("replica_pushbacks_total")
+        added_s = until - max(now, previous.pushback_until)
+        self._metrics.count(
+            "replica_pushback_seconds_total", amount=min(added_s, MAX_REPORTED_PUSHBACK_S)
+        )
+        if now - previous.pushback_logged_at < MIN_LOG_INTERVAL_S:
+            return state
+        left_s = min(until - now, MAX_REPORTED_PUSHBACK_S)
         log.info(
             "replica pushback",
-            extra={"replica": boot, "request": request_id, "pushback_s": notice.pushback_s},
+            extra={"replica": boot, "request": request_id, "pushback_s": round(left_s, 3)},
         )
-        return replace(previous, pushback_logged_at=now)
+        return replace(state, pushback_logged_at=now)
 
     def _find_wait(self, boot: str, now: float) -> float:
         state = self._states.get(boot)
--- a/tests/platform/test_replica_pushback.py
+++ b/tests/platform/test_replica_pushback.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import time
 from functools import partial
 
+import pytest
+
+from hibiscustray.platform.standins import reject, respond_with_body
 from hibiscustray.replicas import ReplicaNotice
+from tests.platform.fleet import run_fleet
 from tests.platform.pushback import (
     GRACE_S,
     MAX_UNWANTED,
@@ -15,7 +21,9 @@
     ask,
 )
 from tests.platform.quiet import KINDS, STREAM, split_stream
+from tests.platform.site import run_hosted_site
 from tests.platform.test_quiet_replicas import run_checks, run_quiet_site
+from tests.waiting import wait_until
 
 PUSHBACK_S = 2.5
 REFUSAL_S = 0.2
@@ -129,6 +137,125 @@
         assert not script.arrivals
 
 
+# What counts as a pushback
+
+
+def send_after_answer(script, seconds: float = 2.0, count: int = 10) -> int:
+    """Return the requests that the only replica gets in a time."""
+    with run_hosted_site() as site:
+        site.add_replica("booking", script)
+        for _ in range(count):
+            site.call("POST", "/book/1", b"x")
+            time.sleep(seconds / count)
+        return len(site.replicas[0].received)
+
+
+@pytest.mark.parametrize("value", ["0", "", "-5", "1, 5", "soon", "Fri, 04 Dec 2099 16:00:00 GMT"])
+def test_value_that_names_no_time_keeps_no_requests_away(value, caplog):
+    assert send_after_answer(reject(503, Retry_After=value)) > 3
+    lines = [r for r in caplog.records if r.message == "replica pushback unreadable"]
+    assert len(lines) == (value != "0")
+
+
+@pytest.mark.parametrize("value", ["5.5", "86400", "9" * 400])
+def test_long_time_is_kept(value):
+    assert send_after_answer(reject(503, Retry_After=value)) == 1
+
+
+def test_time_in_a_response_that_is_no_503_keeps_no_requests_away():
+    assert send_after_answer(respond_with_body(Retry_After="9"), 0.1) == 10
+    assert send_after_answer(reject(429, Retry_After="9")) > 3
+
+
+def test_503_that_may_have_run_is_forwarded_and_its_time_is_kept():
+    with run_hosted_site() as site:
+        site.add_replica("booking", respond_with_body(503, Retry_After="9"))
+        response, _ = site.call("POST", "/book/1", b"x")
+        assert (response.status, response.headers["Retry-After"]) == (503, "9")
+        assert "X-Hibiscustray-Server-Seal" in response.headers
+        site.call("POST", "/book/1", b"x")
+        assert len(site.replicas[0].received) == 1
+
+
+def test_answer_of_another_replica_at_the_address_keeps_no_requests_away():
+    with run_hosted_site() as site:
+        site.add_replica("booking", reject(421, Retry_After="9"))
+        site.call("POST", "/book/1", b"x")
+        # The record is stale until it changes.
+        site.update_replica(site.replicas[0], slots=17, born=2)
+        replica = site.replicas[0]
+        replica.script = respond_with_body()
+        wait_until(lambda: site.call("POST", "/book/1", b"x")[0].status == 200)
+
+
+def test_next_start_under_the_same_id_gets_requests_in_the_time_of_the_last_one():
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", reject(503, Retry_After="9" * 400))
+        site.call("POST", "/book/1", b"x")
+        replica.script = respond_with_body()
+        site.update_replica(replica, slots=17)
+        assert site.call("POST", "/book/1", b"x")[0].status == 503
+        site.update_replica(replica, born=2)
+        assert site.call("POST", "/book/1", b"x")[0].status == 200
+
+
+def test_other_replica_at_the_same_address_gets_requests_in_the_time_of_the_last_one():
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", reject(503, Retry_After="9"))
+        site.call("POST", "/book/1", b"x")
+        replica.script = respond_with_body()
+        site.store.remove("servers", replica.id)
+        site.store.put("servers", "i-next", replica.make_row())
+        wait_until(lambda: site.process._directory.get("i-next") is not None)
+        assert site.call("POST", "/book/1", b"x")[0].status == 200
+
+
+def test_pushback_is_kept_by_an_entry_that_is_frozen_in_it(tmp_path):
+    with run_fleet(entries=0, servers=2) as fleet:
+        program = fleet.add_entry_program(tmp_path)
+        script = PushbackScript(True, "4")
+        replica = fleet.servers[0].replica
+        replica.script = script
+        while not script.arrivals:
+            fleet.request(fleet.entries[0], "first")
+        os.kill(program.pid, signal.SIGSTOP)
+        time.sleep(1.0)
+        os.kill(program.pid, signal.SIGCONT)
+        begin = script.arrivals[0][0]
+        while time.monotonic() < begin + 3.9:
+            assert fleet.request(fleet.entries[0], "first") == 200
+            time.sleep(0.05)
+        assert len(script.arrivals) == 1
+        fleet.servers[1].end()
+        wait_until(lambda: fleet.request(fleet.entries[0], "first") and len(script.arrivals) > 1)
+
+
+# Beside other reasons to send nothing
+
+
+def test_limit_and_pushback_of_a_replica_both_count():
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", reject(503, Retry_After="1", Server_Limit="0.05"))
+        site.call("POST", "/book/1", b"x")
+        replica.script = respond_with_body(Server_Limit="0.05")
+        begin = time.monotonic()
+        while time.monotonic() < begin + 2.0:
+            response, _ = site.call("POST", "/book/1", b"x")
+            time.sleep(0.05)
+        assert len(replica.received) == 1
+        assert b"limited" in site.call("POST", "/book/1", b"x")[1]
+
+
+def test_trial_of_a_blocked_request_is_not_sent_to_a_replica_that_pushed_back():
+    with run_hosted_site() as site:
+        site.add_replica("booking", reject(503, Retry_After="9"))
+        site.call("POST", "/book/1", b"x")
+        used = []
+        site.process._forwarder._attempts.quarantine.use_trial = lambda *a: used.append(a) or True
+        assert site.call("POST", "/book/1", b"x")[0].status == 503
+        assert (used, len(site.replicas[0].received)) == ([], 1)
+
+
 # All replicas push back
 
 
--- a/tests/replicas/test_notices.py
+++ b/tests/replicas/test_notices.py
@@ -165,6 +165,69 @@
     assert len(caplog.records) <= 6
 
 
+class Clock:
+    """A clock that tests move, and the notices of an entry that reads it."""
+
+    def __init__(self) -> None:
+        self.now = 10.0
+        self.metrics = Metrics("e")
+        self.notices = ReplicaNotices(self.metrics, lambda: self.now)
+
+    def push_back(self, seconds: float, boot: str = BOOT) -> None:
+        self.notices.record(boot, ReplicaNotice(pushback_s=seconds), self.now - 0.1)
+
+
+def test_pushback_lasts_for_its_time_from_when_it_was_read():
+    clock = Clock()
+    clock.push_back(3.0)
+    clock.now += 2.99
+    assert clock.notices.find_pushback(BOOT) == pytest.approx(0.01)
+    clock.now += 0.01
+    assert clock.notices.find_pushback(BOOT) == 0
+
+
+@pytest.mark.parametrize(("first_s", "second_s"), [(5.0, 1.0), (1.0, 5.0), (5.0, 0.0)])
+def test_shorter_pushback_does_not_end_a_longer_one_whatever_their_order(first_s, second_s):
+    clock = Clock()
+    clock.push_back(first_s)
+    clock.push_back(second_s)
+    assert clock.notices.find_pushback(BOOT) == 5.0
+
+
+def test_pushback_does_not_end_with_the_response_to_another_request():
+    clock = Clock()
+    clock.push_back(3.0)
+    for sent_at in (clock.now - 1.0, clock.now + 0.1):
+        clock.notices.record(BOOT, ReplicaNotice(), sent_at)
+        clock.notices.record(BOOT, ReplicaNotice(1.0), sent_at)
+    assert clock.notices.find_pushback(BOOT) == 3.0
+
+
+def test_pushback_concerns_neither_the_next_start_nor_another_replica():
+    clock = Clock()
+    clock.push_back(float("inf"))
+    assert clock.notices.find_pushback(BOOT) == float("inf")
+    assert clock.notices.find_pushback("i-1/2") == 0
+    assert clock.notices.find_pushback("i-2/1") == 0
+
+
+def test_pushback_of_zero_or_that_cannot_be_read_asks_for_nothing():
+    clock = Clock()
+    clock.push_back(0.0)
+    clock.notices.record(BOOT, ReplicaNotice(malformed_pushback="soon"), clock.now)
+    assert clock.notices.find_pushback(BOOT) == 0
+
+
+def test_time_of_overlapping_pushbacks_is_counted_once():
+    clock = Clock()
+    clock.push_back(3.0)
+    clock.now += 1.0
+    clock.push_back(3.0)
+    clock.push_back(float("inf"), "i-2/1")
+    assert clock.metrics.read("replica_pushback_seconds_total") == 4.0 + 86400.0
+    assert clock.metrics.read("replica_pushbacks_total") == 3
+
+
 def test_pushback_is_logged_with_its_request_at_most_once_a_second(caplog):
     caplog.set_level("INFO")
     now = [10.0]
