Keeps the pushback in an answer to an attempt that has been superseded

Cause: an attempt that was cancelled (superseded, its caller gone, its deadline over) was given up before the statements in its response were recorded. Evidence: with the attempt superseded once its response had been read, four requests reached the replica in the 6 s that it had named.

The statements are recorded first.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -425,13 +425,13 @@
         self, context: RequestContext, placement: Placement, watch: Watch, response: ReplicaResponse
     ) -> ReplicaResponse | Outcome:
         """Return a response after checking that it is the chosen replica's and for this request."""
-        if watch.is_cancelled():
-            raise UpstreamConnectionLost("the attempt was cancelled")
-        watch.record_activity()
         if not response.is_misdirected:
             self._notices.record(
                 placement.replica.boot, response.notice, context.sent_at, context.inbound.id
             )
+        if watch.is_cancelled():
+            raise UpstreamConnectionLost("the attempt was cancelled")
+        watch.record_activity()
         if response.load is not None:
             self.placer.record_load(placement.replica, response.load)
         if response.request_id and response.request_id != context.inbound.id:
