Tells callers when the first replica is back while all push back

What callers saw: refused while all replicas had asked for no requests, they were told 0.5 s, or 1.6 s to 2.1 s for streams, with 2.5 s left, and were refused again; a caller that the only replica had turned away for 4 s was told 0.5 s. Cause: the time of a return was a constant for each reason, as no replica used to name one.

A request is refused at once as "pushback" if no replica may be sent to now and at least one of them pushes back. The time is that of the first return, of a pushback or a backoff, counting replicas at which the request has been tried, with up to 1 s more so that callers do not return together; sooner if other replicas load the required weights. A request whose retries are used up is told the same, and one that only limits and pushbacks keep away the sooner of both.

Before: told 0.5 s or 1.6 s to 2.1 s with 2.47 s left. After: within 1 s of the first return.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -287,17 +287,25 @@
         """Return the response to a request that may not be retried."""
         if context.tally.uncertain:
             return self.reporter.fail(context, 502, "lost")
-        return self.reporter.refuse(context, "not-taken", REJECTED_RETRY_AFTER_S)
+        refusal = self.placer.find_pushback_refusal(context.service, self._find_constraint(context))
+        retry_after_s = REJECTED_RETRY_AFTER_S
+        if refusal is not None:
+            retry_after_s = max(retry_after_s, self._find_retry_after(context, refusal))
+        return self.reporter.refuse(context, "not-taken", retry_after_s)
 
     def refuse(self, context: RequestContext, refusal: Refusal) -> InboundResponse:
         """Return the response to a request that could not be placed."""
         if context.tally.uncertain:
             return self.reporter.fail(context, 502, "lost")
-        retry_after_s = refusal.retry_after_s
-        if refusal.reason is RefusalReason.NO_REPLICA and context.service.engine is not None:
-            retry_after_s = SWAP_RETRY_AFTER_S * self._random.uniform(1.0, 1.0 + SWAP_RETRY_JITTER)
+        retry_after_s = self._find_retry_after(context, refusal)
         return self.reporter.refuse(context, refusal.reason.value, retry_after_s, refusal)
 
+    def _find_retry_after(self, context: RequestContext, refusal: Refusal) -> float:
+        swap_s = SWAP_RETRY_AFTER_S * self._random.uniform(1.0, 1.0 + SWAP_RETRY_JITTER)
+        if refusal.reason is RefusalReason.NO_REPLICA and context.service.engine is not None:
+            return swap_s
+        return min(refusal.retry_after_s, swap_s) if refusal.is_swapping else refusal.retry_after_s
+
     def _is_attempt_left(self, context: RequestContext) -> bool:
         tally, attempts = context.tally, context.route.attempts
         if tally.uncertain and not context.route.is_repeatable:
--- a/hibiscustray/placement/load.py
+++ b/hibiscustray/placement/load.py
@@ -142,6 +142,10 @@
         """Return whether the replica gets no requests because of a backoff."""
         return now < self._backoff_until
 
+    def find_backoff(self, now: float) -> float:
+        """Return the seconds until a backoff ends, 0 if there is none."""
+        return max(0.0, self._backoff_until - now)
+
     def mark_stale(self, record: ReplicaRecord, now: float) -> bool:
         """Mark a record that does not match its replica; return whether it was not marked yet."""
         is_new = not self.is_stale(record, now)
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -64,20 +64,25 @@
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 NO_REPLICA_RETRY_AFTER_S = 0.5
+MAX_PUSHBACK_RETRY_AFTER_S = 86400.0
+"""Longest time that a caller is told while all replicas push back; their times may be infinite."""
+PUSHBACK_SPREAD_S = 1.0
+"""Time after the first replica's return over which callers that were refused are spread."""
 
 
 class RefusalReason(Enum):
     """Why a request was refused without an attempt.
 
     There is no usable replica, none can begin it within its objective, none can begin it before its
-    deadline, all usable replicas have named limits that are used up, or replicas end under a part
-    of its prompt.
+    deadline, all usable replicas have named limits that are used up, all replicas want no requests
+    for some time or are in a backoff, or replicas end under a part of its prompt.
     """
 
     NO_REPLICA = "no-replica"
     FULL = "full"
     DEADLINE_TOO_SHORT = "hopeless"
     LIMITED = "limited"
+    PUSHED_BACK = "pushback"
     QUARANTINED = "quarantined"
 
 
@@ -100,12 +105,16 @@
 
 @dataclass(frozen=True)
 class Refusal:
-    """No replica can begin a request in time; capacity is expected after `retry_after_s`."""
+    """No replica can begin a request in time; capacity is expected after `retry_after_s`.
+
+    `is_swapping` is set if more replicas are expected once they have loaded newer weights.
+    """
 
     reason: RefusalReason
     retry_after_s: float
     predicted_s: float = 0.0
     candidates: int = 0
+    is_swapping: bool = False
 
 
 @dataclass(frozen=True)
@@ -182,11 +191,14 @@
         with self._lock:
             usable = self._list_usable(service, weights, excluded, now)
             if not usable:
-                return Refusal(RefusalReason.NO_REPLICA, NO_REPLICA_RETRY_AFTER_S)
+                return self._find_pushback_refusal(service, weights, now) or Refusal(
+                    RefusalReason.NO_REPLICA, NO_REPLICA_RETRY_AFTER_S
+                )
             waits_s = {replica.boot: self._notices.find_wait(replica.boot) for replica in usable}
             open_replicas = [replica for replica in usable if waits_s[replica.boot] <= 0]
             if not open_replicas:
-                return self._refuse_limited(min(waits_s.values()), len(usable))
+                later_s = [s for s in self._find_returns(service, weights, now) if s > 0]
+                return self._refuse_limited(min(*waits_s.values(), *later_s), len(usable))
             average = self._average_external_load(usable, now)
             candidates = [self._score(r, service, demand, now, average) for r in open_replicas]
             best = min(candidates, key=lambda candidate: candidate.cost_s)
@@ -212,6 +224,13 @@
             is_counted,
         )
 
+    def find_pushback_refusal(
+        self, service: ServiceEntry, weights: WeightsConstraint = ANY_WEIGHTS
+    ) -> Refusal | None:
+        """Return a refusal with the time of the first return if all replicas push back."""
+        with self._lock:
+            return self._find_pushback_refusal(service, weights, time.monotonic())
+
     def record_load(self, replica: ReplicaRecord, report: LoadReport) -> None:
         """Record the load that a replica reported."""
         with self._lock:
@@ -310,18 +329,59 @@
         excluded: Collection[str],
         now: float,
     ) -> list[ReplicaRecord]:
-        replicas = [
-            replica
-            for replica in self._directory.list_ready(service.name)
-            if replica.id not in excluded and self._can_serve(replica, service, weights.model)
-        ]
         model = weights.model
+        replicas = [r for r in self._list_serving(service, model) if r.id not in excluded]
         current = [r for r in replicas if self._find_version(r, model) >= weights.required]
         usable = [r for r in current if self._is_usable(r, now)]
         if weights.time_left_s < FIRST_WAVE_LEAD_S:
             usable = [r for r in usable if not self._is_in_first_swap_wave(r, weights)] or usable
         return usable
 
+    def _list_serving(self, service: ServiceEntry, model: str) -> list[ReplicaRecord]:
+        """Return the replicas with any weights of a model."""
+        return [
+            replica
+            for replica in self._directory.list_ready(service.name)
+            if self._can_serve(replica, service, model)
+        ]
+
+    def _find_pushback_refusal(
+        self, service: ServiceEntry, weights: WeightsConstraint, now: float
+    ) -> Refusal | None:
+        """Return a refusal if a replica pushes back and no other one may be sent to now.
+
+        Replicas at which a request has been tried count, as its caller may come back to them.
+        """
+        serving = self._list_serving(service, weights.model)
+        current = [r for r in serving if self._find_version(r, weights.model) >= weights.required]
+        returns_s = self._find_returns(service, weights, now)
+        is_pushed_back = any(self._notices.find_pushback(r.boot) > 0 for r in current)
+        if not is_pushed_back or not returns_s or min(returns_s) <= 0:
+            return None
+        retry_after_s = min(MAX_PUSHBACK_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, min(returns_s)))
+        # Callers that return together would make the first replica push back again.
+        retry_after_s += self._random.uniform(0.0, PUSHBACK_SPREAD_S)
+        return Refusal(
+            RefusalReason.PUSHED_BACK,
+            retry_after_s,
+            candidates=len(returns_s),
+            is_swapping=len(current) < len(serving),
+        )
+
+    def _find_returns(
+        self, service: ServiceEntry, weights: WeightsConstraint, now: float
+    ) -> list[float]:
+        """Return the seconds until each replica with the required weights may be sent to."""
+        returns_s = []
+        for replica in self._list_serving(service, weights.model):
+            load = self._get_load(replica)
+            is_current = self._find_version(replica, weights.model) >= weights.required
+            if is_current and not load.is_stale(replica, now):
+                pushback_s = self._notices.find_pushback(replica.boot)
+                limit_s = self._notices.find_wait(replica.boot)
+                returns_s.append(max(pushback_s, limit_s, load.find_backoff(now)))
+        return returns_s
+
     def _average_external_load(self, replicas: list[ReplicaRecord], now: float) -> ExternalLoad:
         """Return the mean external load that replicas reported, weighted by confidence.
 
