Sends no requests to a replica that says it is draining

What callers saw: nothing yet, but requests went to replicas that were about to stop and had said so, until the list of replicas said it, too, or for as long as the store was away. Cause: the header Server-Leaving was not read.

What a replica says is kept for its start, beside limits and pushbacks: the placer leaves the replica out from the answer on, and each attempt asks again before it is sent. Running requests end. The next start of the replica and another one at its address are not concerned, a request that such a replica breaks off is no end of it, and only the value "1" counts.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -404,6 +404,8 @@
             raise SendWithdrawn("the attempt was cancelled before it was sent")
         if self._find_quarantine_refusal(context) is not None:
             raise SendWithdrawn("the request or a part of its prompt has been blocked")
+        if self._notices.is_draining(placement.replica.boot):
+            raise SendWithdrawn("the replica is draining")
         if self._notices.find_pushback(placement.replica.boot) > 0:
             raise SendWithdrawn("the replica wants no requests for some time")
         if not placement.is_counted and not self._notices.take(placement.replica.boot):
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -251,7 +251,8 @@
     def is_draining(self, placement: Placement) -> bool:
         """Return whether the replica of a placement is about to stop as planned."""
         record = self._directory.get(placement.replica.id)
-        return record is not None and record.state is ReplicaState.DRAINING
+        is_listed = record is not None and record.state is ReplicaState.DRAINING
+        return is_listed or self._notices.is_draining(placement.replica.boot)
 
     def record_success(self, placement: Placement, service: ServiceEntry) -> None:
         """Record a complete response."""
@@ -342,7 +343,8 @@
         return [
             replica
             for replica in self._directory.list_ready(service.name)
-            if self._can_serve(replica, service, model)
+            if not self._notices.is_draining(replica.boot)
+            and self._can_serve(replica, service, model)
         ]
 
     def _find_pushback_refusal(
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -16,6 +16,7 @@
     RATE_LIMIT,
     REPLICA_LOAD,
     RETRY_AFTER,
+    SERVER_LEAVING,
     SERVER_SEAL,
     TEAM,
     TIME_LEFT_MS,
@@ -43,7 +44,8 @@
         self.request_id = headers.get(ATTEMPT_ID.lower(), "")
         is_unavailable = stream.status == SERVICE_UNAVAILABLE
         pushback = headers.get(RETRY_AFTER.lower()) if is_unavailable else None
-        self.notice = read_notice(headers.get(RATE_LIMIT.lower()), pushback)
+        limit, draining = headers.get(RATE_LIMIT.lower()), headers.get(SERVER_LEAVING.lower())
+        self.notice = read_notice(limit, pushback, draining)
         self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
         self.version = _read_integer(headers.get(WEIGHT_VERSIONS.lower(), ""))
         self.headers: Headers = tuple(
--- a/hibiscustray/replicas/notice.py
+++ b/hibiscustray/replicas/notice.py
@@ -15,20 +15,24 @@
 
     `limit_per_s` is the number of requests per second that the replica takes from all entries
     together, None if it names no limit. `pushback_s` is the time in seconds for which it wants no
-    requests from this entry, None if it names none. `malformed` and `malformed_pushback` are the
-    texts of a limit and of a time that cannot be read.
+    requests from this entry, None if it names none. `is_draining` is set if it is about to stop as
+    planned. `malformed` and `malformed_pushback` are the texts of a limit and of a time that cannot
+    be read.
     """
 
     limit_per_s: float | None = None
     malformed: str = ""
     pushback_s: float | None = None
     malformed_pushback: str = ""
+    is_draining: bool = False
 
 
-def read_notice(limit: str | None, pushback: str | None) -> ReplicaNotice:
+def read_notice(
+    limit: str | None, pushback: str | None, draining: str | None = None
+) -> ReplicaNotice:
     """Parse the statements in a response, each None if it is absent.
 
-    A time may be longer than any float and is infinite then.
+    A time may be longer than any float and is infinite then. A replica is draining if it says "1".
     """
     limit_per_s = _read_decimal(limit, LIMIT_PATTERN)
     pushback_s = _read_decimal(pushback, SECONDS_PATTERN)
@@ -37,6 +41,7 @@
         "" if limit is None or limit_per_s is not None else limit or "empty",
         pushback_s,
         "" if pushback is None or pushback_s is not None else pushback or "empty",
+        draining is not None and draining.strip() == "1",
     )
 
 
--- a/hibiscustray/replicas/notices.py
+++ b/hibiscustray/replicas/notices.py
@@ -41,13 +41,15 @@
     pushback_until: float = float("-inf")
     pushback_logged_at: float = float("-inf")
     has_malformed_pushback: bool = False
+    is_draining: bool = False
 
 
 class ReplicaNotices:
     """The last statements of each start of a replica, and when a request may be sent; thread-safe.
 
     Until an entry has a response with a limit, it sends without one. A pushback concerns this entry
-    alone, and lasts until its time is over: other responses neither shorten nor end it.
+    alone, and lasts until its time is over: other responses neither shorten nor end it. A replica
+    that has said that it is draining does not take requests again before its next start.
     """
 
     def __init__(
@@ -79,6 +81,12 @@
             state = self._states.get(boot)
             return max(0.0, state.pushback_until - self._clock()) if state is not None else 0.0
 
+    def is_draining(self, boot: str) -> bool:
+        """Return whether a replica has said that it is draining."""
+        with self._lock:
+            state = self._states.get(boot)
+            return state is not None and state.is_draining
+
     def take(self, boot: str) -> bool:
         """Count a request that is about to be sent; return False if it must not be sent now."""
         with self._lock:
@@ -112,6 +120,10 @@
             now = self._clock()
             state = self._apply_limit(boot, previous or _State(), notice, sent_at, now)
             state = self._apply_pushback(boot, state, notice, request_id, now)
+            if notice.is_draining and not state.is_draining:
+                state = replace(state, is_draining=True)
+                self._metrics.count("replica_drains_total")
+                log.info("replica draining", extra={"replica": boot, "request": request_id})
             self._states[boot] = state
             self._states.move_to_end(boot)
             if len(self._states) > MAX_REPLICAS:
