Makes no calls to an engine for the time that it names with a 503

The client of the engine now makes no call of any kind in that time and raises UpstreamPushback; the stager pauses as after any failure and does not take the engine for absent. The time is kept until the agent stops.

--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -27,6 +27,7 @@
     OriginUnavailable,
     TransferOvertaken,
     UpstreamError,
+    UpstreamPushback,
 )
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights import ReplicaSelector, Transfer, TransferEnvironment, TransferRequest
@@ -188,9 +189,14 @@
                 self._load(model, version, manifest)
 
     def _read_report(self) -> EngineReport | None:
-        """Return the engine's report, None if the engine cannot be reached."""
+        """Return the engine's report, None if the engine cannot be reached.
+
+        Raises `UpstreamPushback` if the engine wants no calls for some time.
+        """
         try:
             report = self._engine.read_report()
+        except UpstreamPushback:
+            raise
         except UpstreamError as error:
             if self._is_present is not False:
                 log.info("engine absent", extra={"reason": str(error)[:200]})
--- a/hibiscustray/exceptions.py
+++ b/hibiscustray/exceptions.py
@@ -92,6 +92,14 @@
         self.detail = detail
 
 
+class UpstreamPushback(UpstreamError):
+    """The upstream has asked for no calls for some time, which is not over."""
+
+    def __init__(self, left_s: float) -> None:
+        super().__init__(f"the upstream wants no calls for {left_s:.1f} s more")
+        self.left_s = left_s
+
+
 class FencingRejected(UpstreamError):
     """The upstream rejected an order because it has received a higher fencing number."""
 
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -13,11 +13,13 @@
     OrderOutcome,
     OrderRejected,
 )
+from hibiscustray.agent.pushback import PushbackGate
 from hibiscustray.exceptions import ChunkMissing, RecordInvalid, UpstreamRejected
 from hibiscustray.platform.records import WireLayers, WireModel, decode, read_layers
 from hibiscustray.platform.wire import (
     ORDER_PATH,
     REPORT_PATH,
+    RETRY_AFTER,
     STAGE_GET_PATH,
     STAGE_PUT_PATH,
 )
@@ -50,6 +52,7 @@
 
     def __init__(self, address: str) -> None:
         self._http = HttpClient(f"http://{address}", CALL_TIMEOUT_S)
+        self._pushback = PushbackGate()
 
     def read_report(self) -> EngineReport:
         """Return the engine's state; raise `UpstreamError` if it cannot be read."""
@@ -110,7 +113,9 @@
     def _call(
         self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
     ) -> ClientResponse:
+        self._pushback.check()
         stream = self._http.open(method, path, body, headers, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._pushback.record(stream.status, stream.headers.get(RETRY_AFTER.lower()))
         try:
             return ClientResponse(stream.status, stream.headers, stream.read_all())
         finally:
