Draws replicas that push back or say that they leave in the soak

What the users' bench cannot play: replicas, one or up to all at once, that turn requests away for up to 5 s and name 0 s, 0.5 s to 4 s or no number, and replicas that say that they leave while they are listed as ready, beside all other faults. Two checks on what an entry was asked: PUSHBACK (more than two of its requests between half a second after the answer and the end of its time) and, under DRAIN, a request sent later than 2 s after the entry had passed on that the replica leaves.

--- a/hibiscustray/soak/guarantees.py
+++ b/hibiscustray/soak/guarantees.py
@@ -32,6 +32,7 @@
 from hibiscustray.soak.disturbances import DisturbanceLog
 from hibiscustray.soak.harm import HarmCheck
 from hibiscustray.soak.limits import LimitCheck
+from hibiscustray.soak.notices import NoticeCheck
 from hibiscustray.soak.quiet import QuietCheck, is_unanswered
 from hibiscustray.soak.records import (
     MAX_VERSION_AGE_S,
@@ -92,6 +93,7 @@
         self.quiet = QuietCheck(disturbances, self.replica_links)
         self._harm = HarmCheck(disturbances, self.replica_links)
         self._limits = LimitCheck(disturbances, self.replica_links)
+        self._notices = NoticeCheck(disturbances, self.replica_links, self.quiet.quiet)
         self.violations: list[Violation] = []
         self.checks: Counter[str] = Counter()
         self.outcomes: Counter[str] = Counter()
@@ -123,6 +125,7 @@
             reached_at = self.quiet.quiet.find_begin(replica, at - BOUND_SLACK_S, at)
             request = record.request
             self._limits.record_arrival(replica, request.entry, reached_at)
+            self._notices.record_arrival(replica, request.entry, request.sent_at, reached_at)
             if request.harm:
                 self._harm.record_arrival(request.harm, request.entry, replica, reached_at)
 
@@ -131,6 +134,24 @@
         with self._lock:
             self._limits.record_limit(replica, limit_per_s, at)
 
+    def record_pushback(self, request_id: str, replica: int, seconds: float, at: float) -> None:
+        """Record that a replica turns a request away and wants none from its entry for a time."""
+        with self._lock:
+            record = self._records.get(request_id)
+            if record is not None:
+                self._notices.record_pushback(replica, record.request.entry, seconds, at)
+
+    def record_leaving(self, request_id: str, replica: int) -> None:
+        """Record that a replica says in the response to a request that it leaves."""
+        with self._lock:
+            self._notices.record_leaving(request_id, replica)
+
+    def record_start(self, replica: int, at: float) -> None:
+        """Record that a replica starts again."""
+        with self._lock:
+            self._limits.record_limit(replica, None, at)
+            self._notices.record_start(replica, at)
+
     def record_end(self, replica: int, harm: str, begin: float, end: float) -> None:
         """Record that a replica ended under a harmful request, between two times."""
         self.quiet.ends.add(replica, begin, end)
@@ -185,6 +206,8 @@
             kind = f"harmful {request.kind}" if request.harm else request.kind
             self.outcomes[f"{kind} {outcome.status}"] += 1
             self._check_response(outcome, record)
+            if 200 <= outcome.status < 300 and outcome.is_ended:
+                self._notices.record_passed_on(request.id, request.entry, at)
             if outcome.status in NOT_RUN_STATUSES and request.kind == "book":
                 self.checks["REFUSED"] += 1
                 record.refusal_status = outcome.status
@@ -232,6 +255,12 @@
             self.checks["LIMIT"] += self._limits.count_windows()
             for at, detail in self._limits.find_excess():
                 self._add_violation("LIMIT", at, detail)
+            self.checks["PUSHBACK"] += self._notices.count_pushbacks()
+            for at, detail in self._notices.find_unwanted():
+                self._add_violation("PUSHBACK", at, detail)
+            self.checks["DRAIN"] += self._notices.count_left()
+            for at, detail in self._notices.find_late():
+                self._add_violation("DRAIN", at, detail)
             self.checks["HARM"] += self._harm.count_late(self._outcomes)
             for at, detail in self._harm.find_excess():
                 self._add_violation("HARM", at, detail)
--- a/hibiscustray/soak/replicas.py
+++ b/hibiscustray/soak/replicas.py
@@ -12,6 +12,7 @@
 from hibiscustray.soak.interface import StandIns, StoreStandIn
 from hibiscustray.soak.proxy import LoopbackProxy
 from hibiscustray.soak.records import make_body, make_event
+from hibiscustray.soak.schedule import READABLE_PUSHBACKS
 
 MIN_WORK_S, MAX_WORK_S = 0.005, 0.04
 """Processing time of a request: a booking takes some tens of milliseconds."""
@@ -29,7 +30,9 @@
 
     `fault` is one of `REPLICA_FAULTS` other than "drain" and "restart", or "" if the replica
     responds correctly. `on_end` is called with the replica, its `start_count` and the harm when it
-    begins a request that ends it. `limit` is the limit that its responses name, "" for none.
+    begins a request that ends it. `limit` is the limit that its responses name, "" for none. While
+    `pushback` is set, requests are turned away with it as Retry-After. `is_leaving` is set while
+    responses say that the replica leaves, whatever the list says.
     """
 
     def __init__(
@@ -54,7 +57,8 @@
         self._running = 0
         self._lock = threading.Lock()
         self._previous_request_id = ""
-        self.limit = ""
+        self.limit = self.pushback = ""
+        self.is_leaving = False
         self.on_end: Callable[[SoakReplica, int, str], None] = lambda *_: None
         self._standin = standins.ReplicaStandIn(f"i-{number}", service, self._respond)
         self.proxy = LoopbackProxy(self._standin.address)
@@ -74,8 +78,8 @@
         self.close()
         self.version = version
         self.start_count += 1
-        self.is_draining = self.is_ended = False
-        self.limit = ""
+        self.is_draining = self.is_ended = self.is_leaving = False
+        self.limit = self.pushback = ""
         self._standin = self._standins.ReplicaStandIn(
             f"i-{self.number}", self.service, self._respond
         )
@@ -100,7 +104,8 @@
 
     @property
     def _headers(self) -> dict[str, str]:
-        return {"Server_Limit": self.limit} if self.limit else {}
+        limit = {"Server_Limit": self.limit} if self.limit else {}
+        return limit | ({"Server_Leaving": "1"} if self.is_leaving else {})
 
     def _encode_head(self, length: int) -> bytes:
         """Return the head of a response without a seal."""
@@ -110,6 +115,10 @@
     def _respond(self, request, connection: socket.socket) -> None:
         start_count = self.start_count
         self._checker.record_arrival(request.id, self.number, time.monotonic())
+        pushback = self.pushback
+        if pushback:
+            self._push_back(request, connection, pushback)
+            return
         with self._lock:
             is_full = self._running >= SLOTS or self.fault == "full"
             self._running += not is_full
@@ -140,6 +149,13 @@
             with self._lock:
                 self._running -= 1
 
+    def _push_back(self, request, connection: socket.socket, pushback: str) -> None:
+        headers = self._headers | {"Retry_After": pushback}
+        if pushback in READABLE_PUSHBACKS:
+            at = time.monotonic()
+            self._checker.record_pushback(request.id, self.number, float(pushback), at)
+        self._standins.reject(**headers)(request, connection)
+
     def _respond_to_run(self, request, connection: socket.socket, version: int) -> None:
         """Respond to a request that was run, with the current fault."""
         is_stream = request.path.startswith(STREAM_PATH)
@@ -165,6 +181,8 @@
                 head = self._encode_head(len(body))
                 self._standins.respond_with_bytes(head + body)(request, connection)
             case fault:
+                if self.is_leaving:
+                    self._checker.record_leaving(request.id, self.number)
                 if is_stream:
                     events = [make_event(request.id, n) for n in range(1, EVENTS_PER_STREAM + 1)]
                     script = self._standins.respond_with_events(events, version, **self._headers)
--- a/hibiscustray/soak/runs.py
+++ b/hibiscustray/soak/runs.py
@@ -28,6 +28,7 @@
     OperatorAction,
     ReplicaFault,
     ReplicaLimit,
+    ReplicaPushback,
     Step,
     StoreFault,
     generate_schedule,
@@ -189,6 +190,9 @@
             case ReplicaLimit(replica=number):
                 self.faults["replica limit"] += 1
                 self._run_in_background(self._limit_replica, self.replicas[number], step)
+            case ReplicaPushback(replica=number):
+                self.faults["replica pushback"] += 1
+                self._run_in_background(self._push_back, self.replicas[number], step)
             case HarmfulRequest(kind=kind):
                 self.faults[f"harmful {kind}"] += 1
                 self._start_harmful_callers(step)
@@ -311,6 +315,8 @@
                 begin = time.monotonic()
                 self.checker.quiet.quiet.add(replica.number, begin, begin + duration_s)
                 replica.proxy.hold(duration_s)
+            case "leave":
+                self._leave(replica, duration_s)
             case "restart":
                 with self._lock:
                     if not replica.is_draining:
@@ -385,10 +391,34 @@
                 self.checker.record_limit(replica.number, None, time.monotonic())
                 replica.limit = ""
 
+    def _push_back(self, replica: SoakReplica, step: ReplicaPushback) -> None:
+        """Have a replica turn requests away for a time, unless it starts again before."""
+        with self._lock:
+            start_count = replica.start_count
+            if replica.is_ended:
+                return
+            replica.pushback = step.value
+        time.sleep(step.duration_s)
+        with self._lock:
+            if replica.start_count == start_count:
+                replica.pushback = ""
+
+    def _leave(self, replica: SoakReplica, duration_s: float) -> None:
+        """Have a replica say that it leaves, and start it again after a time."""
+        with self._lock:
+            start_count = replica.start_count
+            if replica.is_ended or replica.is_draining:
+                return
+            replica.is_leaving = True
+        time.sleep(duration_s)
+        with self._lock:
+            if replica.start_count == start_count and not replica.is_draining:
+                self._restart_replica(replica)
+
     def _restart_replica(self, replica: SoakReplica) -> None:
         begin = time.monotonic()
         replica.restart(self.version)
-        self.checker.record_limit(replica.number, None, begin)
+        self.checker.record_start(replica.number, begin)
         self.checker.quiet.ends.add(replica.number, begin, time.monotonic())
 
     def _swap_replicas(self, version: int) -> None:
--- a/hibiscustray/soak/schedule.py
+++ b/hibiscustray/soak/schedule.py
@@ -37,6 +37,17 @@
 MIN_LIMIT_S, MAX_LIMIT_S = 6.0, 14.0
 """Time for which a replica names a limit, longer than entries may take to keep it."""
 LIMITS_PER_S = (0.0, 0.4, 1.0, 2.0, 4.0)
+MEAN_PUSHBACK_GAP_S = 4.0
+"""Mean time between two groups of replicas that push back."""
+MIN_PUSHBACK_S, MAX_PUSHBACK_S = 0.3, 5.0
+"""Time for which a replica turns all requests away."""
+READABLE_PUSHBACKS = ("0.5", "1", "2.5", "4")
+PUSHBACKS = (*READABLE_PUSHBACKS, "0", "soon")
+"""Values that a replica names when it turns requests away."""
+MEAN_LEAVING_GAP_S = 10.0
+"""Mean time between two replicas that say that they leave."""
+MIN_LEAVING_S, MAX_LEAVING_S = 3.0, 6.0
+"""Time from that until the replica starts again, longer than entries may still send to it."""
 MAX_HARMFUL_REQUESTS = 2
 """Largest number of harmful requests of a soak, of different kinds."""
 QUIET_START_S = 1.0
@@ -87,9 +98,9 @@
 
 @dataclass(frozen=True)
 class ReplicaFault:
-    """A replica responds incorrectly, restarts, drains, or is quiet.
+    """A replica responds incorrectly, restarts, drains, is quiet, or says that it leaves.
 
-    `replica` is the index of the replica, `kind` one of `REPLICA_FAULTS` or "quiet".
+    `replica` is the index of the replica, `kind` one of `REPLICA_FAULTS`, "quiet" or "leave".
     """
 
     at_s: float
@@ -119,6 +130,16 @@
     limit_per_s: float
 
 
+@dataclass(frozen=True)
+class ReplicaPushback:
+    """A replica turns requests away for a time and names in each answer how long it wants none."""
+
+    at_s: float
+    duration_s: float
+    replica: int
+    value: str
+
+
 @dataclass(frozen=True)
 class HarmfulRequest:
     """Callers send a request that ends each replica that begins it, until the end of the soak.
@@ -135,6 +156,7 @@
 Step = (
     HarmfulRequest
     | ReplicaLimit
+    | ReplicaPushback
     | EntryFault
     | LinkFault
     | StoreFault
@@ -166,7 +188,7 @@
 OPERATOR_ACTIONS = ("configure", "revoke", "name")
 HARMFUL_KINDS = ("book", "look", "draft", "part")
 """Kinds of harmful requests: those of the callers, and streams with a harmful part."""
-GROUPS = ("quiet", "harm", "limit")
+GROUPS = ("quiet", "harm", "limit", "pushback")
 """Groups of steps that a run may leave out; each has a generator of its own."""
 
 
@@ -202,6 +224,8 @@
         steps += _generate_quiet_replicas(seed, length_s, replicas)
     if "limit" not in without:
         steps += _generate_limits(seed, length_s, replicas)
+    if "pushback" not in without:
+        steps += _generate_pushbacks(seed, length_s, replicas)
     if "harm" not in without:
         rng = random.Random(f"harm-{seed}")
         kinds = rng.sample(HARMFUL_KINDS, rng.randint(1, MAX_HARMFUL_REQUESTS))
@@ -268,6 +292,29 @@
     return steps
 
 
+def _generate_pushbacks(seed: int, length_s: float, replicas: int) -> list[Step]:
+    """Return replicas that push back, one or up to all at once, and some that leave."""
+    rng = random.Random(f"pushback-{seed}")
+    steps: list[Step] = []
+    end_s = length_s - QUIET_END_S
+    accepting_at_s = [0.0] * replicas
+    at_s = QUIET_START_S + rng.expovariate(1 / MEAN_PUSHBACK_GAP_S)
+    while at_s < end_s - MIN_PUSHBACK_S:
+        for replica in rng.sample(range(replicas), rng.choice((1, rng.randint(1, replicas)))):
+            duration_s = rng.uniform(MIN_PUSHBACK_S, min(MAX_PUSHBACK_S, end_s - at_s))
+            value = rng.choice(PUSHBACKS)
+            if at_s >= accepting_at_s[replica]:
+                steps.append(ReplicaPushback(at_s, duration_s, replica, value))
+                accepting_at_s[replica] = at_s + duration_s
+        at_s += rng.expovariate(1 / MEAN_PUSHBACK_GAP_S)
+    at_s = QUIET_START_S + rng.expovariate(1 / MEAN_LEAVING_GAP_S)
+    while at_s < end_s - MAX_LEAVING_S:
+        duration_s = rng.uniform(MIN_LEAVING_S, MAX_LEAVING_S)
+        steps.append(ReplicaFault(at_s, duration_s, rng.randrange(replicas), "leave"))
+        at_s += rng.expovariate(1 / MEAN_LEAVING_GAP_S)
+    return steps
+
+
 def _generate_step(
     rng: random.Random, kind: str, at_s: float, duration_s: float, entries: int, replicas: int
 ) -> Step:
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -10,6 +10,7 @@
     OperatorAction,
     ReplicaFault,
     ReplicaLimit,
+    ReplicaPushback,
     generate_schedule,
 )
 
@@ -38,6 +39,7 @@
         "ReplicaFault",
         "OperatorAction",
         "ReplicaLimit",
+        "ReplicaPushback",
     }
     assert {s.kind for s in steps if isinstance(s, EntryFault)} == {"stop", "kill", "pause"}
     faults = [s for s in generate_schedule(3, LENGTH_S, 3, 6) if hasattr(s, "duration_s")]
@@ -69,6 +71,21 @@
         assert all(6.0 <= s.duration_s <= 14.0 for s in limits)
 
 
+def test_pushbacks_do_not_change_the_other_steps_of_a_seed_and_come_alone_and_together():
+    counts, values = set(), set()
+    for seed in range(20):
+        steps = generate_schedule(seed, LENGTH_S, 3, 6)
+        plain = generate_schedule(seed, LENGTH_S, 3, 6, without={"pushback"})
+        added = set(steps) - set(plain)
+        assert set(plain) < set(steps)
+        assert {getattr(s, "kind", "pushback") for s in added} <= {"pushback", "leave"}
+        pushbacks = [s for s in steps if isinstance(s, ReplicaPushback)]
+        counts |= {sum(s.at_s == other.at_s for other in pushbacks) for s in pushbacks}
+        values |= {s.value for s in pushbacks}
+    assert {1, 6} <= counts
+    assert {"0", "soon", "4"} <= values
+
+
 def test_quiet_replicas_do_not_change_the_other_steps_of_a_seed():
     for seed in range(10):
         steps = generate_schedule(seed, LENGTH_S, 3, 6)
