Names the first replica to be back in the log line of a refused request

"request ended" has first_back, the start of the replica that is back first; "replica pushback" of that start has the time that it asked for and the request that it turned away. Before: the new test failed, as there was no such field. After: it passes.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -291,7 +291,7 @@
         retry_after_s = REJECTED_RETRY_AFTER_S
         if refusal is not None:
             retry_after_s = max(retry_after_s, self._find_retry_after(context, refusal))
-        return self.reporter.refuse(context, "not-taken", retry_after_s)
+        return self.reporter.refuse(context, "not-taken", retry_after_s, refusal)
 
     def refuse(self, context: RequestContext, refusal: Refusal) -> InboundResponse:
         """Return the response to a request that could not be placed."""
--- a/hibiscustray/gateway/reporter.py
+++ b/hibiscustray/gateway/reporter.py
@@ -60,6 +60,8 @@
         if refusal is not None:
             details["predicted_s"] = round(refusal.predicted_s, 3)
             details["candidates"] = refusal.candidates
+            if refusal.first_back:
+                details["first_back"] = refusal.first_back
             if refusal.reason is RefusalReason.QUARANTINED:
                 details["digest"] = context.digest
                 details["prompt_parts"] = list(context.inbound.prompt_parts[:MAX_LOGGED_PARTS])
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -107,6 +107,7 @@
 class Refusal:
     """No replica can begin a request in time; capacity is expected after `retry_after_s`.
 
+    `first_back` names the start of the replica that is back first, if a replica has pushed back.
     `is_swapping` is set if more replicas are expected once they have loaded newer weights.
     """
 
@@ -114,6 +115,7 @@
     retry_after_s: float
     predicted_s: float = 0.0
     candidates: int = 0
+    first_back: str = ""
     is_swapping: bool = False
 
 
@@ -197,8 +199,9 @@
             waits_s = {replica.boot: self._notices.find_wait(replica.boot) for replica in usable}
             open_replicas = [replica for replica in usable if waits_s[replica.boot] <= 0]
             if not open_replicas:
-                later_s = [s for s in self._find_returns(service, weights, now) if s > 0]
-                return self._refuse_limited(min(*waits_s.values(), *later_s), len(usable))
+                returns_s = self._find_returns(service, weights, now).values()
+                wait_s = min(*waits_s.values(), *(s for s in returns_s if s > 0))
+                return self._refuse_limited(wait_s, len(usable))
             average = self._average_external_load(usable, now)
             candidates = [self._score(r, service, demand, now, average) for r in open_replicas]
             best = min(candidates, key=lambda candidate: candidate.cost_s)
@@ -358,30 +361,33 @@
         current = [r for r in serving if self._find_version(r, weights.model) >= weights.required]
         returns_s = self._find_returns(service, weights, now)
         is_pushed_back = any(self._notices.find_pushback(r.boot) > 0 for r in current)
-        if not is_pushed_back or not returns_s or min(returns_s) <= 0:
+        if not is_pushed_back or not returns_s or min(returns_s.values()) <= 0:
             return None
-        retry_after_s = min(MAX_PUSHBACK_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, min(returns_s)))
+        first_back = min(returns_s, key=returns_s.__getitem__)
+        wait_s = max(MIN_RETRY_AFTER_S, returns_s[first_back])
+        retry_after_s = min(MAX_PUSHBACK_RETRY_AFTER_S, wait_s)
         # Callers that return together would make the first replica push back again.
         retry_after_s += self._random.uniform(0.0, PUSHBACK_SPREAD_S)
         return Refusal(
             RefusalReason.PUSHED_BACK,
             retry_after_s,
             candidates=len(returns_s),
+            first_back=first_back,
             is_swapping=len(current) < len(serving),
         )
 
     def _find_returns(
         self, service: ServiceEntry, weights: WeightsConstraint, now: float
-    ) -> list[float]:
-        """Return the seconds until each replica with the required weights may be sent to."""
-        returns_s = []
+    ) -> dict[str, float]:
+        """Return the seconds until each start of a replica with the required weights is back."""
+        returns_s = {}
         for replica in self._list_serving(service, weights.model):
             load = self._get_load(replica)
             is_current = self._find_version(replica, weights.model) >= weights.required
             if is_current and not load.is_stale(replica, now):
                 pushback_s = self._notices.find_pushback(replica.boot)
                 limit_s = self._notices.find_wait(replica.boot)
-                returns_s.append(max(pushback_s, limit_s, load.find_backoff(now)))
+                returns_s[replica.boot] = max(pushback_s, limit_s, load.find_backoff(now))
         return returns_s
 
     def _average_external_load(self, replicas: list[ReplicaRecord], now: float) -> ExternalLoad:
--- a/tests/placement/test_pushback.py
+++ b/tests/placement/test_pushback.py
@@ -67,6 +67,7 @@
     site.now += 1.0
     refusals = [site.place() for _ in range(50)]
     assert {refusal.reason for refusal in refusals} == {RefusalReason.PUSHED_BACK}
+    assert {refusal.first_back for refusal in refusals} == {site.records[1].boot}
     times_s = sorted(refusal.retry_after_s for refusal in refusals)
     assert 3.0 <= times_s[0] < times_s[-1] <= 3.0 + PUSHBACK_SPREAD_S
     assert times_s[-1] - times_s[0] > 0.8 * PUSHBACK_SPREAD_S
--- a/tests/platform/test_replica_pushback.py
+++ b/tests/platform/test_replica_pushback.py
@@ -295,3 +295,21 @@
         answer = ask(site, "idempotent")
         assert answer.seen.result == "status 503"
         assert 3.5 <= answer.retry_after_s <= 8.5
+
+
+def test_refused_request_leads_to_the_replica_and_the_request_that_it_turned_away(caplog):
+    caplog.set_level("INFO")
+    with run_hosted_site() as site:
+        site.add_replica("booking", reject(503, Retry_After="4"))
+        site.call("POST", "/book/1", b"x")
+        site.call("POST", "/book/1", b"x")
+        turned_away = site.replicas[0].received[0].id
+    (pushback,) = (r for r in caplog.records if r.message == "replica pushback")
+    first, second = (r for r in caplog.records if r.message == "request ended")
+    assert (first.request, first.reason, first.trail) == (
+        turned_away,
+        "pushback",
+        ["i-0:refused-503"],
+    )
+    assert (second.reason, second.trail, second.first_back) == ("pushback", [], pushback.replica)
+    assert (pushback.request, pushback.pushback_s) == (turned_away, 4.0)
