Moves refusals and their retry times out of the placer

What a refusal tells the caller is a module of its own. No behaviour changes; tests/placement and the tests of pushbacks pass.

--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -14,7 +14,6 @@
 import time
 from collections.abc import Collection
 from dataclasses import dataclass, replace
-from enum import Enum
 
 from hibiscustray.catalog import EngineProfile, ServiceEntry
 from hibiscustray.placement.load import (
@@ -25,6 +24,12 @@
     ReplicaLoad,
 )
 from hibiscustray.placement.prediction import predict_latency
+from hibiscustray.placement.refusal import (
+    NO_REPLICA_RETRY_AFTER_S,
+    Refusal,
+    RefusalFactory,
+    RefusalReason,
+)
 from hibiscustray.placement.workload import Demand, InFlightRequest, LoadReport
 from hibiscustray.replicas import ReplicaDirectory, ReplicaNotices, ReplicaRecord, ReplicaState
 
@@ -61,29 +66,6 @@
 MAX_PLAIN_DURATION_AGE_S = 3.0
 """Time without a success after which the measured duration is dropped. If it exceeded all
 deadlines, all requests would be refused and it would never be measured again."""
-MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 2.0
-NO_REPLICA_RETRY_AFTER_S = 0.5
-MAX_PUSHBACK_RETRY_AFTER_S = 86400.0
-"""Longest time that a caller is told while all replicas push back; their times may be infinite."""
-PUSHBACK_SPREAD_S = 1.0
-"""Time after the first replica's return over which callers that were refused are spread."""
-
-
-class RefusalReason(Enum):
-    """Why a request was refused without an attempt.
-
-    There is no usable replica, none can begin it within its objective, none can begin it before its
-    deadline, all usable replicas have named limits that are used up, all replicas want no requests
-    for some time or are in a backoff, or replicas end under a part of its prompt.
-    """
-
-    NO_REPLICA = "no-replica"
-    FULL = "full"
-    DEADLINE_TOO_SHORT = "hopeless"
-    LIMITED = "limited"
-    PUSHED_BACK = "pushback"
-    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
@@ -103,22 +85,6 @@
 ANY_WEIGHTS = WeightsConstraint()
 
 
-@dataclass(frozen=True)
-class Refusal:
-    """No replica can begin a request in time; capacity is expected after `retry_after_s`.
-
-    `first_back` names the start of the replica that is back first, if a replica has pushed back.
-    `is_swapping` is set if more replicas are expected once they have loaded newer weights.
-    """
-
-    reason: RefusalReason
-    retry_after_s: float
-    predicted_s: float = 0.0
-    candidates: int = 0
-    first_back: str = ""
-    is_swapping: bool = False
-
-
 @dataclass(frozen=True)
 class Placement:
     """The replica chosen for a request, and the load data that the choice is based on.
@@ -176,6 +142,7 @@
         self._zone = availability_zone
         self._regions = regions
         self._random = random.Random(seed)
+        self._refusals = RefusalFactory(self._random)
         self._loads: dict[tuple[str, int], ReplicaLoad] = {}
         # Smoothed duration, and the time of the last success.
         self._plain_durations_s: dict[str, tuple[float, float]] = {}
@@ -201,18 +168,21 @@
             if not open_replicas:
                 returns_s = self._find_returns(service, weights, now).values()
                 wait_s = min(*waits_s.values(), *(s for s in returns_s if s > 0))
-                return self._refuse_limited(wait_s, len(usable))
+                return self._refusals.refuse_limited(wait_s, len(usable))
             average = self._average_external_load(usable, now)
             candidates = [self._score(r, service, demand, now, average) for r in open_replicas]
             best = min(candidates, key=lambda candidate: candidate.cost_s)
             reason = _find_refusal_reason(best, demand, service.engine)
             if reason is not None:
-                return self._refuse(reason, best, demand, candidates)
+                overrun_s = best.admission_s - demand.objective_s * (1 - OBJECTIVE_MARGIN)
+                return self._refusals.refuse_overload(
+                    reason, overrun_s, best.first_event_s, len(candidates)
+                )
             is_counted = self._notices.is_limited(best.replica.boot)
             if is_counted and not self._notices.take(best.replica.boot):
                 # Another request, chosen before the limit was known, was sent in between.
                 wait_s = self._notices.find_wait(best.replica.boot)
-                return self._refuse_limited(wait_s, len(candidates))
+                return self._refusals.refuse_limited(wait_s, len(candidates))
             in_flight = InFlightRequest(best.replica.id, demand, now, best.first_event_s)
             best.load.in_flight_requests.append(in_flight)
             version = self._find_version(best.replica, weights.model)
@@ -363,18 +333,7 @@
         is_pushed_back = any(self._notices.find_pushback(r.boot) > 0 for r in current)
         if not is_pushed_back or not returns_s or min(returns_s.values()) <= 0:
             return None
-        first_back = min(returns_s, key=returns_s.__getitem__)
-        wait_s = max(MIN_RETRY_AFTER_S, returns_s[first_back])
-        retry_after_s = min(MAX_PUSHBACK_RETRY_AFTER_S, wait_s)
-        # Callers that return together would make the first replica push back again.
-        retry_after_s += self._random.uniform(0.0, PUSHBACK_SPREAD_S)
-        return Refusal(
-            RefusalReason.PUSHED_BACK,
-            retry_after_s,
-            candidates=len(returns_s),
-            first_back=first_back,
-            is_swapping=len(current) < len(serving),
-        )
+        return self._refusals.refuse_pushed_back(returns_s, len(current) < len(serving))
 
     def _find_returns(
         self, service: ServiceEntry, weights: WeightsConstraint, now: float
@@ -479,20 +438,6 @@
         own, other = self._regions.get(self._zone), self._regions.get(replica.availability_zone)
         return OTHER_ZONE_COST_S if own == other else OTHER_REGION_COST_S
 
-    def _refuse(
-        self, reason: RefusalReason, best: _Candidate, demand: Demand, candidates: list[_Candidate]
-    ) -> Refusal:
-        overrun_s = best.admission_s - demand.objective_s * (1 - OBJECTIVE_MARGIN)
-        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, overrun_s))
-        # Jitter keeps callers that were refused at the same time from retrying at the same time.
-        retry_after_s *= self._random.uniform(1.0, 2.0)
-        return Refusal(reason, retry_after_s, best.first_event_s, len(candidates))
-
-    def _refuse_limited(self, wait_s: float, candidates: int) -> Refusal:
-        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        retry_after_s *= self._random.uniform(1.0, 2.0)
-        return Refusal(RefusalReason.LIMITED, retry_after_s, candidates=candidates)
-
     def _get_load(self, replica: ReplicaRecord) -> ReplicaLoad:
         key = (replica.id, replica.born_ms)
         load = self._loads.get(key)
--- a/tests/placement/test_pushback.py
+++ b/tests/placement/test_pushback.py
@@ -15,7 +15,7 @@
     WeightsConstraint,
 )
 from hibiscustray.placement import placer as placer_module
-from hibiscustray.placement.placer import MAX_PUSHBACK_RETRY_AFTER_S, PUSHBACK_SPREAD_S
+from hibiscustray.placement.refusal import MAX_PUSHBACK_RETRY_AFTER_S, PUSHBACK_SPREAD_S
 from hibiscustray.replicas import ReplicaDirectory, ReplicaNotice, ReplicaNotices, ServedModel
 from hibiscustray.telemetry import Metrics
 from tests.placement.test_placer import make_record
