Plays pushbacks of some and of all replicas in the placement bench

Answers whether callers are served worse when entries keep the time that a replica names, and whether those that return together drive the first replica back into it. Two loads: two of six replicas reject all requests for 1.5 s and 3 s; all six do, the first back after 0.5 s, the last after 3 s. Simulated time, three entries.

--- a/hibiscustray/benchmarks/names.py
+++ b/hibiscustray/benchmarks/names.py
@@ -30,4 +30,6 @@
     "slow-replica",
     "scale-out",
     "release",
+    "pushback",
+    "pushback-of-all",
 )
--- a/hibiscustray/benchmarks/placement.py
+++ b/hibiscustray/benchmarks/placement.py
@@ -15,6 +15,7 @@
 from hibiscustray.replicas import (
     LayerSpan,
     ReplicaDirectory,
+    ReplicaNotice,
     ReplicaNotices,
     ReplicaRecord,
     ReplicaState,
@@ -35,6 +36,11 @@
 MAX_EAGER_RETRIES = 3
 """Retries of an eager caller, which ignores the retry time of a refusal."""
 EAGER_RETRY_DELAY_S = 0.02
+REJECTION_DELAY_S = 0.004
+"""Time that a rejection by a replica takes, after which an entry tries another one."""
+MAX_TRIES = 3
+"""Replicas that an entry tries before it refuses a request that they rejected."""
+REJECTED_RETRY_AFTER_S = 0.5
 FINISH_TIME_S = 30.0
 """Time after the end of the arrivals in which all engines finish their requests."""
 SERVICE = ServiceEntry("guide", engine=PROFILE)
@@ -47,8 +53,11 @@
 
     `peak_factor` multiplies the rate from one third to two thirds of the run, and the replicas of
     `added_replicas` are added after one third. Each replica in turn gets no new requests for
-    `drain_s`, 0 for never. `eager_share` is the share of callers that retry immediately after a
-    refusal; with `retries_once`, all others retry once after the time that the refusal states.
+    `drain_s`, 0 for never. From one third of the run on, the first `pushback_replicas` reject all
+    requests; the first of them is back after `pushback_s` / `pushback_replicas`, the last one after
+    `pushback_s`, and each rejection names the time left. `eager_share` is the share of callers that
+    retry immediately after a refusal; with `retries_once`, all others retry once after the time
+    that the refusal states.
     """
 
     name: str
@@ -59,6 +68,8 @@
     slow_replicas: int = 0
     added_replicas: int = 0
     drain_s: float = 0.0
+    pushback_replicas: int = 0
+    pushback_s: float = 0.0
     eager_share: float = 0.0
     retries_once: bool = False
 
@@ -67,6 +78,13 @@
         is_peak = seconds / 3 <= at < 2 * seconds / 3
         return self.rate * (self.peak_factor if is_peak else 1.0)
 
+    def find_pushback(self, replica: str, at: float, seconds: float) -> float:
+        """Return the seconds for which a replica rejects all requests at a time of the run."""
+        number = int(replica.removeprefix("i-"))
+        if number >= self.pushback_replicas or at < seconds / 3:
+            return 0.0
+        return max(0.0, seconds / 3 + self.pushback_s * (number + 1) / self.pushback_replicas - at)
+
 
 LOADS = (
     Load("burst", 35.0, 5, peak_factor=2.5),
@@ -75,18 +93,24 @@
     Load("slow-replica", 25.0, 5, slow_replicas=1),
     Load("scale-out", 50.0, 3, added_replicas=3),
     Load("release", 30.0, 5, drain_s=1.0),
+    Load("pushback", 30.0, 6, pushback_replicas=2, pushback_s=3.0, retries_once=True),
+    Load("pushback-of-all", 30.0, 6, pushback_replicas=6, pushback_s=3.0, retries_once=True),
 )
 
 
 @dataclass(frozen=True)
 class CallerShares:
-    """Shares of the callers by outcome; a caller counts once regardless of its retries."""
+    """Shares of the callers by outcome; a caller counts once regardless of its retries.
+
+    `rejections` is the number of requests that replicas rejected.
+    """
 
     callers: int
     in_time: float
     late: float
     refused: float
     large_in_time: float
+    rejections: int = 0
 
 
 class Clock(Protocol):
@@ -136,6 +160,10 @@
         """Record the request that was sent after the last choice."""
         ...
 
+    def record_rejection(self, replica: str, pushback_s: float) -> None:
+        """Record that a replica rejected the request of the last choice and named a time."""
+        ...
+
     def set_ready_replicas(self, ready: list[str]) -> None:
         """Set the replicas that accept new requests."""
         ...
@@ -154,24 +182,31 @@
     def record_sent(self, request: SimulatedRequest) -> None:
         """Do nothing; the policy keeps no state."""
 
+    def record_rejection(self, replica: str, pushback_s: float) -> None:
+        """Do nothing; the policy keeps no state."""
+
     def set_ready_replicas(self, ready: list[str]) -> None:
         """Do nothing; the policy reads the site."""
 
 
 class EntryPolicy:
-    """The placers of several entries, which learn a replica's load when a response starts."""
+    """The placers of several entries, which learn a replica's load when a response starts.
 
-    def __init__(self, entries: int) -> None:
+    Without `reads_pushbacks`, a rejection counts as one that names no time.
+    """
+
+    def __init__(self, entries: int, reads_pushbacks: bool = True) -> None:
+        self._reads_pushbacks = reads_pushbacks
         self._directories = [ReplicaDirectory() for _ in range(entries)]
+        self._notices = [
+            ReplicaNotices(Metrics(f"entry-{number}"), lambda: time.monotonic())
+            for number in range(entries)
+        ]
         self._placers = [
-            Placer(
-                directory,
-                ReplicaNotices(Metrics(f"entry-{number}")),
-                "z",
-                {"z": "r"},
-                seed=str(number),
+            Placer(directory, notices, "z", {"z": "r"}, seed=str(number))
+            for number, (directory, notices) in enumerate(
+                zip(self._directories, self._notices, strict=True)
             )
-            for number, directory in enumerate(self._directories)
         ]
         self._in_flight: list[list[tuple[Placement, SimulatedRequest]]] = [
             [] for _ in range(entries)
@@ -194,6 +229,15 @@
         entry, placement = self._last_placement
         self._in_flight[entry].append((placement, request))
 
+    def record_rejection(self, replica: str, pushback_s: float) -> None:
+        """Record the pushback at the entry that placed the request."""
+        assert self._last_placement is not None
+        entry, placement = self._last_placement
+        if self._reads_pushbacks:
+            notice = ReplicaNotice(pushback_s=pushback_s)
+            self._notices[entry].record(placement.replica.boot, notice, time.monotonic())
+        self._placers[entry].record_rejection(placement)
+
     def set_ready_replicas(self, ready: list[str]) -> None:
         """Replace the replica list of every entry."""
         for directory in self._directories:
@@ -236,6 +280,7 @@
     output: float = field(compare=False)
     first_sent_at: float = field(compare=False)
     retries: int = field(compare=False, default=0)
+    tries: int = field(compare=False, default=1)
 
 
 def run_load(
@@ -246,6 +291,7 @@
     arrivals = _plan_arrivals(load, seconds, random.Random(seed))
     prompts = {arrival.number: arrival.prompt for arrival in arrivals}
     started_requests: dict[int, tuple[float, SimulatedRequest]] = {}
+    rejections = 0
     start = clock.now()
     _update_replicas(load, site, policy, 0.0, seconds)
     while arrivals:
@@ -258,6 +304,14 @@
             arrival.prompt, arrival.output, OBJECTIVE_S, age_s=arrival.at - arrival.first_sent_at
         )
         choice = policy.choose(site, demand, arrival.number)
+        if isinstance(choice, str) and (left_s := load.find_pushback(choice, arrival.at, seconds)):
+            rejections += 1
+            policy.record_rejection(choice, left_s)
+            if arrival.tries < MAX_TRIES:
+                at, tries = arrival.at + REJECTION_DELAY_S, arrival.tries + 1
+                heapq.heappush(arrivals, replace(arrival, at=at, tries=tries))
+                continue
+            choice = REJECTED_RETRY_AFTER_S
         if isinstance(choice, str):
             engine = site.engines[choice]
             at = max(arrival.at, engine.clock)
@@ -268,7 +322,7 @@
             heapq.heappush(arrivals, retry)
     for engine in site.engines.values():
         engine.advance(seconds + FINISH_TIME_S)
-    return _summarize(prompts, started_requests)
+    return replace(_summarize(prompts, started_requests), rejections=rejections)
 
 
 def _plan_arrivals(load: Load, seconds: float, rng: random.Random) -> list[_Arrival]:
@@ -285,7 +339,7 @@
     if is_eager and arrival.retries < MAX_EAGER_RETRIES:
         return replace(arrival, at=arrival.at + EAGER_RETRY_DELAY_S, retries=arrival.retries + 1)
     if load.retries_once and not arrival.retries:
-        return replace(arrival, at=arrival.at + retry_after_s, retries=1)
+        return replace(arrival, at=arrival.at + retry_after_s, retries=1, tries=1)
     return None
 
 
--- a/tests/benchmarks/test_placement.py
+++ b/tests/benchmarks/test_placement.py
@@ -5,7 +5,14 @@
 import pytest
 
 from hibiscustray.benchmarks.names import PLACEMENT_LOADS
-from hibiscustray.benchmarks.placement import LOADS, POLICIES, CallerShares, Load, run_load
+from hibiscustray.benchmarks.placement import (
+    LOADS,
+    POLICIES,
+    CallerShares,
+    EntryPolicy,
+    Load,
+    run_load,
+)
 from hibiscustray.placement import placer as placer_module
 
 SECONDS = 12.0
@@ -68,3 +75,25 @@
 def test_all_policies_get_the_same_callers(clock):
     entry_shares, baselines = run_all("burst", clock)
     assert {entry_shares.callers} == {baseline.callers for baseline in baselines}
+
+
+@pytest.mark.parametrize("name", ["pushback", "pushback-of-all"])
+def test_pushbacks_that_are_kept_serve_more_callers_and_meet_next_to_no_rejections(clock, name):
+    load = find_load(name)
+    kept = run_load(load, EntryPolicy(1), SECONDS, clock)
+    unread = run_load(load, EntryPolicy(1, reads_pushbacks=False), SECONDS, clock)
+    assert kept.rejections <= 2 * load.pushback_replicas < unread.rejections
+    assert kept.in_time >= unread.in_time
+    assert kept.refused <= unread.refused
+
+
+def test_fewer_callers_are_refused_twice_after_the_pushbacks_of_all_replicas_than_without(clock):
+    load = find_load("pushback-of-all")
+    refused = [
+        sum(
+            run_load(load, EntryPolicy(3, reads_pushbacks), SECONDS, clock, seed).refused
+            for seed in range(8)
+        )
+        for reads_pushbacks in (True, False)
+    ]
+    assert refused[0] < refused[1]
