Lets an attempt in place of a withdrawn one go without a retry

What callers saw: while two of six replicas turned requests away, 40 of 72 that met them were refused as "not-taken" although four others took requests. Cause: an attempt that is withdrawn with its connection open, as its replica has just pushed back, was replaced at the cost of a retry, although no replica had got the request; with the retry budget used up the caller was refused.

A withdrawn attempt leaves what it was allowed to the next one. Attempts are bounded as before. Before: with no retry left, the new test got 503 on each kind of route and nothing arrived. After: answered whole, one arrival. A rejection still costs a retry, as the replica got the request.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -207,6 +207,7 @@
                 lambda cancel: self._confirm(context, placement, watch, cancel),
             )
         except SendWithdrawn as error:
+            context.tally.add_unused()
             self.placer.release(placement)
             context.record_attempt(placement, "withdrawn")
             if context.inbound.is_disconnected():
@@ -275,9 +276,14 @@
         return None
 
     def may_retry(self, context: RequestContext) -> bool:
-        """Return whether attempt limits, deadline and retry budget allow another attempt."""
+        """Return whether attempt limits, deadline and retry budget allow another attempt.
+
+        One that takes the place of a withdrawn attempt is no retry, as no replica got the request.
+        """
         if not self._is_attempt_left(context):
             return False
+        if context.tally.take_unused():
+            return True
         if not self._budgets.get(context.service.name).withdraw():
             self._metrics.count("retries_denied_total", {"service": context.service.name})
             return False
--- a/hibiscustray/gateway/context.py
+++ b/hibiscustray/gateway/context.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self.attempts = 0
         self.uncertain = 0
+        self._unused = 0
         self._lock = threading.Lock()
 
     def add_attempt(self) -> None:
@@ -36,6 +37,19 @@
             self.uncertain += 1
             return True
 
+    def add_unused(self) -> None:
+        """Count an attempt that was withdrawn before anything was sent."""
+        with self._lock:
+            self._unused += 1
+
+    def take_unused(self) -> bool:
+        """Return whether a withdrawn attempt has not been made up for, and count that it is now."""
+        with self._lock:
+            if not self._unused:
+                return False
+            self._unused -= 1
+            return True
+
     def remove_sent(self) -> None:
         """Take back an attempt that the replica has rejected."""
         with self._lock:
--- a/tests/platform/test_pushback_of_two_replicas.py
+++ b/tests/platform/test_pushback_of_two_replicas.py
@@ -6,10 +6,17 @@
 from functools import partial
 
 from hibiscustray.platform.standins import make_configuration
+from hibiscustray.replicas import ReplicaNotice
 from tests.platform.fleet import Fleet, run_fleet
-from tests.platform.pushback import MAX_UNWANTED, Callers, PushbackScript
+from tests.platform.pushback import (
+    MAX_UNWANTED,
+    Callers,
+    PushbackScript,
+    add_pushback,
+    ask,
+)
 from tests.platform.quiet import KINDS, STREAM, make_routes
-from tests.platform.test_quiet_replicas import run_checks
+from tests.platform.test_quiet_replicas import run_checks, run_quiet_site
 from tests.waiting import wait_until
 
 PUSHBACK = "3"
@@ -74,3 +81,27 @@
 
 def test_callers_are_not_refused_for_two_replicas_that_turn_requests_away_beside_four_sound_ones():
     run_checks({kind: partial(check_results, kind) for kind in KINDS})
+
+
+def ask_with_withdrawn_attempt(kind: str) -> list[str]:
+    """Let the chosen replica push back before the first attempt is sent, with no retry left."""
+    with run_quiet_site() as site:
+        scripts = [add_pushback(site, kind) for _ in range(2)]
+        attempts = site.process._forwarder._attempts
+        attempts._budgets.get(KINDS[kind][2])._tokens = 0.0
+        confirm = attempts._confirm
+
+        def push_back(context, placement, watch, cancel):
+            attempts._confirm = confirm
+            notice = ReplicaNotice(pushback_s=6.0)
+            attempts._notices.record(placement.replica.boot, notice, time.monotonic())
+            confirm(context, placement, watch, cancel)
+
+        attempts._confirm = push_back
+        result = ask(site, kind).seen.result
+        arrivals = sum(len(script.arrivals) for script in scripts)
+    return [] if (result, arrivals) == ("whole", 1) else [f"{result}, {arrivals} arrived"]
+
+
+def test_caller_is_not_refused_for_an_attempt_that_was_withdrawn_when_no_retry_is_left():
+    run_checks({kind: partial(ask_with_withdrawn_attempt, kind) for kind in KINDS})
