Counts no request as unwanted that a quiet replica may have read late

Traces: the requests were sent 47.05 s to 47.76 s into the minute, after the pushback had ended at 46.53 s, and read at the end of the replica's silence at 48.24 s; the check dated them by the begin of the silence, as the checks with a bound after an event do. A request that a silence may have held back tells nothing on when it was sent, so it no longer counts, as with links. A request that was sent later than the drain time after a replica said that it leaves counts in any case.

--- a/hibiscustray/soak/guarantees.py
+++ b/hibiscustray/soak/guarantees.py
@@ -125,7 +125,7 @@
             reached_at = self.quiet.quiet.find_begin(replica, at - BOUND_SLACK_S, at)
             request = record.request
             self._limits.record_arrival(replica, request.entry, reached_at)
-            self._notices.record_arrival(replica, request.entry, request.sent_at, reached_at)
+            self._notices.record_arrival(replica, request.entry, request.sent_at, at)
             if request.harm:
                 self._harm.record_arrival(request.harm, request.entry, replica, reached_at)
 
--- a/hibiscustray/soak/notices.py
+++ b/hibiscustray/soak/notices.py
@@ -13,6 +13,8 @@
 """Requests of an entry that may arrive between that and the end of the pushback."""
 LINK_CONTACT_S = 3.0
 """Time in which the link to a replica must not have been disturbed for an arrival to count."""
+QUIET_CONTACT_S = 0.5
+"""The same for silences of the replica, which reads at their end what was sent during them."""
 MAX_DRAIN_S = 2.0
 """Time after an answer in which a replica said that it leaves, and which an entry passed on, from
 which requests sent to that entry must not reach the replica."""
@@ -104,7 +106,8 @@
                 for arrival in self._arrivals
                 if (arrival.replica, arrival.entry) == (pushback.replica, pushback.entry)
                 and since < arrival.at < pushback.until
-                and self._counts(arrival, pushback.at)
+                and self._is_running(arrival, pushback.at)
+                and self._is_prompt(arrival)
             ]
             if len(unwanted) > MAX_UNWANTED:
                 yield sorted(unwanted)[MAX_UNWANTED], (
@@ -115,7 +118,7 @@
     def find_late(self) -> Iterator[tuple[float, str]]:
         """Yield the time and a description for each request to a replica that leaves."""
         for arrival, left_at in self._late:
-            if arrival.sent_at > left_at + MAX_DRAIN_S and self._counts(arrival, left_at):
+            if arrival.sent_at > left_at + MAX_DRAIN_S and self._is_running(arrival, left_at):
                 yield arrival.at, (
                     f"a request through entry {arrival.entry} that was sent "
                     f"{arrival.sent_at - left_at:.2f} s after the entry had passed on that replica "
@@ -130,8 +133,13 @@
             for log in (self._links, self._quiet)
         )
 
-    def _counts(self, arrival: _Arrival, asked_at: float) -> bool:
-        """Return whether an entry ran since it was asked, and nothing held the request back."""
-        if not self._entries.is_process_undisturbed(arrival.entry, asked_at, arrival.at):
-            return False
-        return self._links.is_undisturbed(arrival.replica, arrival.at - LINK_CONTACT_S, arrival.at)
+    def _is_running(self, arrival: _Arrival, asked_at: float) -> bool:
+        """Return whether the entry ran from when it was asked to the arrival."""
+        return self._entries.is_process_undisturbed(arrival.entry, asked_at, arrival.at)
+
+    def _is_prompt(self, arrival: _Arrival) -> bool:
+        """Return whether nothing held the request back, so that it was sent when it arrived."""
+        replica, at = arrival.replica, arrival.at
+        return self._links.is_undisturbed(
+            replica, at - LINK_CONTACT_S, at
+        ) and self._quiet.is_undisturbed(replica, at - QUIET_CONTACT_S, at)
--- a/tests/soak/test_notices.py
+++ b/tests/soak/test_notices.py
@@ -95,6 +95,13 @@
     assert judge(checker) == []
 
 
+def test_requests_that_a_quiet_replica_read_late_do_not_count(checker):
+    push_back(checker, 20.0, 3.0)
+    checker.quiet.quiet.add(REPLICA, 20.7, 22.0)
+    arrive(checker, *(22.1 + 0.01 * n for n in range(5)))
+    assert judge(checker) == []
+
+
 # Replicas that say that they leave
 
 
