Leaves a trial of a blocked request to the first one that is sent

Cause: a granted trial was reserved for the request that asked first; if that request was then not sent, as no replica took it or its caller left, nobody could use the trial for 10 s. Evidence: with a request that asks and is not sent, the new test got no trial within 30 s of the grant on the code before. Pushbacks make such requests more frequent.

The reservation is gone: requests pass while a trial is granted, and the one that is about to be sent first uses it up under the lock; the others are withdrawn and refused. Before: the new test failed.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -418,7 +418,7 @@
             raise SendWithdrawn("the replica has named a limit that is used up")
         if not context.tally.add_sent(context.route.attempts if context.route.is_repeatable else 1):
             raise SendWithdrawn("another attempt of the request has been sent")
-        if not self.quarantine.use_trial(context.parts, context.inbound.id):
+        if not self.quarantine.use_trial(context.parts):
             context.tally.remove_sent()
             raise SendWithdrawn("another request is on trial")
         context.sent_at = read_clock()
--- a/hibiscustray/quarantine/quarantine.py
+++ b/hibiscustray/quarantine/quarantine.py
@@ -137,21 +137,18 @@
                 if block.parts <= present
             ]
             for request in requests:
-                wait_s = self._request_blocks.find_wait(request, request_id, now)
+                wait_s = self._request_blocks.find_wait(request, now)
                 waits_s += [wait_s] if wait_s is not None else []
             # A probe must not pass one block only to be stopped by another.
             is_probe_possible = not waits_s
             waits_s += self._blocks.find_waits(present, request_id, now, is_probe_possible)
-            if not waits_s:
-                for request in requests:
-                    self._request_blocks.reserve_trial(request, request_id, now)
             return max(waits_s, default=None)
 
-    def use_trial(self, parts: Sequence[str], request_id: str) -> bool:
+    def use_trial(self, parts: Sequence[str]) -> bool:
         """Use up the trial of a request that is about to be sent; return whether it may be."""
         with self._lock:
             requests = [part for part in parts if is_request(part)]
-            return all(self._request_blocks.use_trial(r, request_id) for r in requests)
+            return all(self._request_blocks.use_trial(request) for request in requests)
 
     def record_loss(self, replica: str, parts: Sequence[str], sent_at: float) -> None:
         """Record that a replica broke off a request; `replica` identifies one start of it."""
--- a/hibiscustray/quarantine/requests.py
+++ b/hibiscustray/quarantine/requests.py
@@ -12,8 +12,6 @@
 """Requests that all entries together let through on trial while a block lasts."""
 TRIAL_DELAYS_S = (30.0, 480.0)
 """Time from the block, and from the first trial, to the next trial."""
-TRIAL_TIMEOUT_S = 10.0
-"""Time after which another request may use a trial that a request did not use."""
 HIT_LIFETIME_S = 30.0
 """Age up to which a refused request makes its entry ask for a trial."""
 WRITE_INTERVAL_S = 5.0
@@ -41,16 +39,14 @@
     """A blocked request; all times are of `read_clock`.
 
     `trials` are those taken by any entry, the last one at `trial_at`. `is_granted` is set while
-    this entry may let one request through, which is then `trial_id`. `is_listed` is set once the
-    row was read; `changed_at` is when it was last read with a change.
+    this entry may let one request through. `is_listed` is set once the row was read; `changed_at`
+    is when it was last read with a change.
     """
 
     held_at: float
     trials: int = 0
     trial_at: float = NEVER
     is_granted: bool = False
-    trial_id: str = ""
-    trial_id_at: float = NEVER
     is_listed: bool = False
     changed_at: float = NEVER
     hit_at: float = NEVER
@@ -139,28 +135,22 @@
             if now - max(block.hit_at, block.held_at, block.changed_at) > IDLE_LIFETIME_S:
                 self.end(request, now)
 
-    def find_wait(self, request: str, request_id: str, now: float) -> float | None:
+    def find_wait(self, request: str, now: float) -> float | None:
         """Return the seconds after which to retry if a request is blocked, else None."""
         block = self._blocks.get(request)
         if block is None:
             return None
         self._blocks[request] = block = replace(block, hit_at=now)
-        if block.is_granted and _may_use(block, request_id, now):
+        if block.is_granted:
             return None
         return min(max(MIN_RETRY_AFTER_S, block.left_s(now)), TRIAL_DELAYS_S[-1])
 
-    def reserve_trial(self, request: str, request_id: str, now: float) -> None:
-        """Leave a granted trial to one request."""
-        block = self._blocks.get(request)
-        if block is not None and block.trial_id != request_id:
-            self._blocks[request] = replace(block, trial_id=request_id, trial_id_at=now)
-
-    def use_trial(self, request: str, request_id: str) -> bool:
-        """Use up a granted trial; return whether the request may be sent."""
+    def use_trial(self, request: str) -> bool:
+        """Use up a granted trial as a request is sent; return whether it may be."""
         block = self._blocks.get(request)
         if block is None:
             return True
-        if not block.is_granted or block.trial_id != request_id:
+        if not block.is_granted:
             return False
         self._blocks[request] = replace(block, is_granted=False)
         self._on_decision("request on trial", request)
@@ -191,9 +181,7 @@
         block = self._blocks.get(request)
         if block is not None:
             trials = max(block.trials, number)
-            self._blocks[request] = replace(
-                block, is_granted=True, trial_id="", trials=trials, trial_at=now
-            )
+            self._blocks[request] = replace(block, is_granted=True, trials=trials, trial_at=now)
 
     def find_next(self, now: float) -> float:
         """Return the seconds until a change of a row may be due."""
@@ -203,10 +191,6 @@
         return min([WRITE_INTERVAL_S, *(s for s in due_s if s > 0)])
 
 
-def _may_use(block: RequestBlock, request_id: str, now: float) -> bool:
-    return block.trial_id in ("", request_id) or now - block.trial_id_at > TRIAL_TIMEOUT_S
-
-
 def _find_change(block: RequestBlock, now: float) -> RowChange | None:
     if not block.is_listed:
         return RowChange.ADD
--- a/tests/quarantine/entries.py
+++ b/tests/quarantine/entries.py
@@ -170,7 +170,7 @@
         self._requests += 1
         request_id = f"{self.name}-{self._requests}"
         is_placed = self.quarantine.find_refusal(parts, request_id) is None
-        return is_placed and self.quarantine.use_trial(parts, request_id)
+        return is_placed and self.quarantine.use_trial(parts)
 
     def lose(self, replica: str, *parts: str, held_s: float = 0.1) -> None:
         """Lose a request at a replica."""
--- a/tests/quarantine/test_requests.py
+++ b/tests/quarantine/test_requests.py
@@ -101,6 +101,17 @@
     assert table.is_refused(BAD) == [True] * 3
 
 
+def test_trial_is_not_held_up_by_a_request_that_was_not_sent(table):
+    block(table)
+    block_at = table.now
+    placed = []
+    while not placed and table.now < block_at + TRIAL_DELAYS_S[0] + 30:
+        table.exchange(1.0)
+        members = table.members.values()
+        placed = [m for m in members if m.quarantine.find_refusal((BAD,), "not sent") is None]
+    assert [member.send(BAD) for member in placed] == [True]
+
+
 def test_unjust_block_ends_for_all_entries_with_its_first_trial(table):
     block(table)
     send_for(table, TRIAL_DELAYS_S[0] + 60, is_harmful=False)
@@ -208,7 +219,7 @@
     member = table.members["e0"]
     assert member.quarantine.find_refusal((BAD,), "placed") is None
     block(table)
-    assert not member.quarantine.use_trial((BAD,), "placed")
+    assert not member.quarantine.use_trial((BAD,))
 
 
 def test_requests_lost_at_the_same_replicas_are_blocked_each_by_itself(table):
