--- a/hibiscustray/agent/chunks.py
+++ b/hibiscustray/agent/chunks.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
-from hibiscustray.exceptions import ChunkMissing
+from hibiscustray.exceptions import ChunkCorrupt, ChunkMissing
 from hibiscustray.peers import (
+    ChunkPush,
+    ChunkPushReply,
     ChunkReply,
     ChunkRequest,
     HoldingsReply,
@@ -16,8 +18,10 @@
 from hibiscustray.rollout import OrderGate
 from hibiscustray.telemetry import Metrics
 from hibiscustray.web import Request, Response, Router
-from hibiscustray.weights import ChunkCache, LinkRateLimiter, SwarmRegistry
+from hibiscustray.weights import ChunkCache, LinkRateLimiter, Swarm, SwarmRegistry
+from hibiscustray.weights.arrivals import ChunkSource
 from hibiscustray.weights.cache import encode_bitmap
+from hibiscustray.weights.relay import ChunkRelay
 
 OCTET_STREAM = "application/octet-stream"
 MS_PER_S = 1000
@@ -35,12 +39,14 @@
         uplink: LinkRateLimiter,
         gate: OrderGate,
         metrics: Metrics,
+        relay: ChunkRelay | None = None,
     ) -> None:
         self._cache = cache
         self._swarms = swarms
         self._uplink = uplink
         self._gate = gate
         self._metrics = metrics
+        self._relay = relay
 
     def serve_manifest(self, request: ManifestRequest, context) -> ManifestReply:
         """Return an encoded manifest, empty if it is not cached."""
@@ -77,6 +83,31 @@
         self._metrics.count("peer_bytes_total", amount=len(data))
         return ChunkReply(data, busy_s=self._uplink.compute_backlog(), have=have)
 
+    def accept_chunk(self, push: ChunkPush, context) -> ChunkPushReply:
+        """Store a chunk that a peer passes on, and pass it on; ignore one of an unknown version."""
+        swarm = self._swarms.get(push.digest)
+        if swarm is None or swarm.is_closed:
+            return ChunkPushReply(is_known=False)
+        swarm.merge_have_sets(push.have)
+        if not 0 <= push.index < swarm.count:
+            self._metrics.count("chunk_pushes_rejected_total", {"kind": "index"})
+        elif self._cache.held(push.digest) >> push.index & 1:
+            swarm.arrivals.record_failure("repeated")
+        else:
+            self._store_chunk(push, swarm)
+        return ChunkPushReply(bitmap=encode_bitmap(self._cache.held(push.digest)))
+
+    def _store_chunk(self, push: ChunkPush, swarm: Swarm) -> None:
+        try:
+            self._cache.put(push.digest, push.index, push.data, "peer")
+        except (ChunkCorrupt, ChunkMissing) as error:
+            kind = type(error).__name__
+            self._metrics.count("chunk_pushes_rejected_total", {"kind": kind})
+            return
+        swarm.arrivals.record(ChunkSource.PASSED_ON)
+        if self._relay is not None:
+            self._relay.forward(push.digest, push.index, push.is_import)
+
     def add_routes(self, router: Router) -> None:
         """Add the routes from which the engine reads weights."""
         router.add("GET", "/weights/{order}/{digest}", self._serve_layout)
--- a/hibiscustray/agent/hosted.py
+++ b/hibiscustray/agent/hosted.py
@@ -9,6 +9,7 @@
 from hibiscustray.peers import PeerPool, PeerServer
 from hibiscustray.settings import HostedSettings
 from hibiscustray.web import HttpServer
+from hibiscustray.weights import ChunkRelay
 
 log = logging.getLogger(__name__)
 
@@ -23,12 +24,14 @@
         http: HttpServer,
         peer_server: PeerServer,
         peers: PeerPool,
+        relay: ChunkRelay,
         followers: tuple[FeedFollower, ...],
         stager: WeightsStager,
     ) -> None:
         self._http = http
         self._peer_server = peer_server
         self._peers = peers
+        self._relay = relay
         self._followers = followers
         self._stager = stager
 
@@ -51,6 +54,7 @@
     def stop(self) -> None:
         """Stop all servers and threads."""
         self._stager.stop()
+        self._relay.stop()
         for follower in self._followers:
             follower.stop()
         self._peer_server.stop(STOP_GRACE_S)
--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -3,19 +3,14 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import asdict
 
-from hibiscustray.agent.interface import (
-    EngineReport,
-    LoadMode,
-    OrderAccepted,
-    OrderConflict,
-    OrderInForce,
-    OrderRejected,
-    StagingEngine,
-)
+from hibiscustray.agent.interface import EngineReport, StagingEngine
+from hibiscustray.agent.loader import LoadTask, WeightsLoader, choose_wave_delay
 from hibiscustray.catalog import CatalogHolder, TargetVersions
 from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import (
@@ -33,22 +28,21 @@
 from hibiscustray.weights import ReplicaSelector, Transfer, TransferEnvironment, TransferRequest
 from hibiscustray.weights.cache import list_chunks
 from hibiscustray.weights.manifest import Manifest, decode_manifest_body
+from hibiscustray.weights.plan import sort_members
 
 log = logging.getLogger(__name__)
 
 INTERVAL_S = 0.2
 """Interval at which the engine's report is read; the read is local to the VM and cheap."""
 FAILURE_PAUSE_S = 0.3
-LOAD_TIMEOUT_S = 12.0
-"""Timeout of a load order, which first waits for running requests and then loads."""
 STAGING_INTERVAL_S = 0.1
 """Interval at which fetched chunks are written to the staging area."""
-MIN_FINISH_SHARE = 0.7
-"""Share of held chunks from which a transfer is finished although a newer version is the target:
-the engine then serves the finished version while the newer one is fetched."""
-MAX_VERIFICATION_AGE_S = 2.0
-"""Age at which the verification of staged chunks is repeated before an order, since chunks may
-become corrupt in the staging area."""
+MIN_FINISH_SHARE = 0.42
+"""Share of the chunks held from which a transfer is finished although a newer version is the
+target. From about half on, finishing it first leaves the engine without a permitted version for
+less time than fetching the newer one at once."""
+MAX_OUTDATED_IDLE_S = 1.5
+"""Time without a new chunk after which the transfer of an outdated version is given up."""
 
 
 class OriginManifests:
@@ -90,10 +84,10 @@
 
 
 class WeightsStager:
-    """Fetches the target version, stages it, verifies the staged chunks and orders the load.
+    """Fetches the target version and stages its chunks; a loader brings the engine to it.
 
-    Only this class's thread sends load orders. Each has the engine's own order count as a
-    precondition, so that the engine refuses a late order of an earlier process.
+    A newer version is fetched while the engine finishes its requests and loads.
+    `version_bound_s` is the time after which requests may no longer begin on an older version.
     """
 
     def __init__(
@@ -104,8 +98,11 @@
         engine: StagingEngine,
         environment: TransferEnvironment,
         metrics: Metrics,
+        version_bound_s: float = 0.0,
     ) -> None:
         self._service = service
+        self._version_bound_s = version_bound_s
+        self._loader = WeightsLoader(engine, environment.cache, versions, metrics, version_bound_s)
         self._catalogs = catalogs
         self._versions = versions
         self._engine = engine
@@ -122,11 +119,13 @@
 
     def start(self) -> None:
         """Start the thread."""
+        self._loader.start()
         self._thread.start()
 
     def stop(self) -> None:
         """Cancel a running transfer and wait briefly for the thread to end."""
         self._stopping.set()
+        self._loader.stop()
         self._changed.set()
         self.cancel_outdated_transfer()
         self._thread.join(timeout=2 * INTERVAL_S)
@@ -180,13 +179,14 @@
         for model in catalog.find_models(self._service):
             version = self._versions.find_newest(model)
             held = report.find_version(model) if report is not None else 0
-            if report is not None:
+            if report is not None and math.isinf(self._versions.find_age(model)):
+                # An earlier process may have staged chunks of it before this one started.
                 self._recover_cache(model, version)
             if report is not None and held == version:
                 continue
             manifest = self._fetch(model, version, report is not None)
-            if report is not None and not report.is_loading:
-                self._load(model, version, manifest)
+            if report is not None:
+                self._submit_load(model, version, manifest, held)
 
     def _read_report(self) -> EngineReport | None:
         """Return the engine's report, None if the engine cannot be reached.
@@ -245,7 +245,14 @@
             assert manifest is not None
             return manifest
         started = time.monotonic()
-        request = TransferRequest(label, ReplicaSelector(self._service))
+        request = TransferRequest(
+            label,
+            ReplicaSelector(self._service),
+            "origin_bytes",
+            lambda idle_s: (
+                idle_s > MAX_OUTDATED_IDLE_S and self._versions.find_newest(model) != version
+            ),
+        )
         self._transfer = transfer = Transfer(self._environment, request)
         log.info("transfer started", extra={"version": label})
         try:
@@ -256,6 +263,9 @@
             manifest = transfer.run()
         finally:
             self._transfer = None
+            summary = transfer.summarize()
+            if summary is not None:
+                log.info("transfer ended", extra={"version": label, **asdict(summary)})
         taken_s = time.monotonic() - started
         self._metrics.observe("transfer_seconds", taken_s)
         log.info("transfer complete", extra={"version": label, "took_s": round(taken_s, 3)})
@@ -270,8 +280,7 @@
             while self._transfer is transfer and not self._stopping.is_set():
                 try:
                     for index in list_chunks(cache.held(label)):
-                        if index not in staged:
-                            self._engine.stage(model, index, cache.get(label, index))
+                        if index not in staged and self._loader.stage_chunk(model, label, index):
                             staged.add(index)
                 except (UpstreamError, ChunkMissing) as error:
                     log.info(
@@ -283,77 +292,16 @@
 
         threading.Thread(target=stage_fetched_chunks, name="staging", daemon=True).start()
 
-    def _load(self, model: str, version: int, manifest: Manifest) -> None:
+    def _submit_load(self, model: str, version: int, manifest: Manifest, held: int) -> None:
+        """Have the loader bring the engine to a version in this replica's wave."""
         label = make_label(model, version)
-        verified_at = self._stage(model, label, manifest)
-        report = self._engine.read_report()
-        if report.find_version(model) == version or report.is_loading:
-            return
-        if read_clock() - verified_at > MAX_VERIFICATION_AGE_S:
-            return
-        outcome = self._engine.order_load(
-            model, version, LoadMode.FINISH_RUNNING, report.order_count, version
-        )
-        self._metrics.count("orders_total", {"outcome": type(outcome).__name__})
-        log.info(
-            "load ordered",
-            extra={
-                "version": label,
-                "held": report.find_version(model),
-                "order_count": report.order_count,
-                "running": report.running,
-                "outcome": type(outcome).__name__,
-                "named_s_ago": round(min(self._versions.find_age(model), 9999.0), 3),
-            },
-        )
-        match outcome:
-            case OrderAccepted() | OrderInForce():
-                self._wait_for_load(model, version)
-            case OrderConflict() | OrderRejected():
-                self._stopping.wait(FAILURE_PAUSE_S)
-
-    def _stage(self, model: str, label: str, manifest: Manifest) -> float:
-        """Stage all chunks and verify them; return when the verification began.
-
-        The time is one of `read_clock`. Returns -inf if a chunk had to be staged again, so that
-        the verification is repeated.
-        """
-        cache = self._environment.cache
-        staged = self._engine.list_staged(model)
-        for index in range(manifest.count):
-            if index not in staged or not self._is_staged_intact(model, index, manifest):
-                self._engine.stage(model, index, cache.get(label, index))
-        verified_at = read_clock()
-        for index in range(manifest.count):
-            if not self._is_staged_intact(model, index, manifest):
-                self._metrics.count("staged_chunks_rejected_total")
-                self._engine.stage(model, index, cache.get(label, index))
-                verified_at = float("-inf")
-        return verified_at
-
-    def _is_staged_intact(self, model: str, index: int, manifest: Manifest) -> bool:
-        try:
-            manifest.verify(index, self._engine.read_staged(model, index), "staging area")
-        except (ChunkCorrupt, ChunkMissing):
-            return False
-        return True
-
-    def _wait_for_load(self, model: str, version: int) -> None:
-        deadline = time.monotonic() + LOAD_TIMEOUT_S
-        while not self._stopping.is_set() and time.monotonic() < deadline:
-            report = self._engine.read_report()
-            if report.find_version(model) == version:
-                log.info(
-                    "weights in service",
-                    extra={
-                        "version": make_label(model, version),
-                        "named_s_ago": round(min(self._versions.find_age(model), 9999.0), 3),
-                    },
-                )
-                return
-            if not report.is_loading:
-                return
-            self._stopping.wait(INTERVAL_S / 4)
+        delay_s = 0.0
+        if held:
+            left_s = self._versions.find_time_left(model, held, self._version_bound_s)
+            view = self._environment.view
+            ids = {m.id for m in ReplicaSelector(self._service).find(view)} | {view.own.id}
+            delay_s = choose_wave_delay(sort_members(label, ids).index(view.own.id), left_s)
+        self._loader.submit(LoadTask(model, version, label, manifest, read_clock() + delay_s))
 
     def _record_failure(self, error: HibiscustrayError) -> None:
         kind = type(error).__name__
--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -37,6 +37,7 @@
     CHUNK,
     HOLDINGS,
     MANIFEST,
+    PASS_CHUNK,
 )
 from hibiscustray.placement import Placer
 from hibiscustray.platform import (
@@ -61,6 +62,7 @@
 from hibiscustray.web.status import StatusApplication
 from hibiscustray.weights import (
     ChunkCache,
+    ChunkRelay,
     LinkRateLimiter,
     SwarmRegistry,
     TransferEnvironment,
@@ -78,7 +80,7 @@
 """Number of entries among which the retry slack is divided."""
 REPORT_PAUSE_S = 0.1
 """Pause between reads of the entries' reports, so that one read carries those of one event."""
-UPLINK_SHARE = 0.9
+UPLINK_SHARE = 0.85
 """Share of a VM's upload rate that transfers of weights may use."""
 ENTRY_RELAY_TUNING = RelayWriterTuning(large_b=48 * 1024, near_mbit_s=16.0, check_interval_s=1.8)
 """A configuration of 1,900 routes occupies an 11.5 Mbit/s link between regions for 0.36 s for each
@@ -92,12 +94,14 @@
     min_timeout_s=1.0,
     stall_pause_s=1.0,
     holdings_poll_interval_s=0.4,
-    fallback_step_s=1.0,
+    fallback_step_s=0.6,
     corrupt_pause_s=0.3,
-    workers=8,
+    workers=5,
     requests_per_peer=2,
-    max_origin_fetches=3,
+    max_origin_fetches=1,
     max_imports=4,
+    pull_delay_s=4.0,
+    idle_s=0.5,
 )
 """Timeouts and parallelism of transfers, which must finish within the platform's bound of eight
 seconds."""
@@ -186,11 +190,14 @@
     cache = ChunkCache(settings.links.cache_mib * MIB)
     swarms = SwarmRegistry()
     uplink = LinkRateLimiter(settings.links.mbit_s * UPLINK_SHARE)
-    chunks = ChunkServer(cache, swarms, uplink, OrderGate(), metrics)
+    peers = PeerPool()
+    relay = ChunkRelay(peers, cache, swarms, uplink, metrics)
+    chunks = ChunkServer(cache, swarms, uplink, OrderGate(), metrics, relay)
     handlers = {
         MANIFEST.name: chunks.serve_manifest,
         HOLDINGS.name: chunks.serve_holdings,
         CHUNK.name: chunks.serve_chunk,
+        PASS_CHUNK.name: chunks.accept_chunk,
     }
     peer_server = PeerServer(process.address, process.peer_port, handlers, HOSTED_PEER_THREADS)
     own = MemberRecord(
@@ -205,7 +212,6 @@
     )
     view = MemberView(own)
     AgentRoster(view, feed_state.directory, service, process.peer_port, settings.regions)
-    peers = PeerPool()
     origin = PlatformOrigin(lambda: _find_origin_address(feed_state.catalogs))
     environment = TransferEnvironment(
         view=view,
@@ -219,6 +225,7 @@
         origin_region="",
         manifests=OriginManifests(origin.read_manifest),
         tuning=HOSTED_TRANSFER_TUNING,
+        relay=relay,
     )
     stager = WeightsStager(
         service,
@@ -227,10 +234,16 @@
         PlatformEngine(settings.upstream.address),
         environment,
         metrics,
+        settings.bounds.version_ms / MS_PER_S,
     )
     stager_holder.append(stager)
     return HostedAgentProcess(
-        _build_hosted_metrics(settings, metrics), peer_server, peers, feed_state.followers, stager
+        _build_hosted_metrics(settings, metrics),
+        peer_server,
+        peers,
+        relay,
+        feed_state.followers,
+        stager,
     )
 
 
--- a/hibiscustray/peers/__init__.py
+++ b/hibiscustray/peers/__init__.py
@@ -3,6 +3,8 @@
 from hibiscustray.peers.client import PeerClient, PeerPool
 from hibiscustray.peers.messages import (
     AttemptRequest,
+    ChunkPush,
+    ChunkPushReply,
     ChunkReply,
     ChunkRequest,
     Claimed,
@@ -30,6 +32,8 @@
 
 __all__ = [
     "AttemptRequest",
+    "ChunkPush",
+    "ChunkPushReply",
     "ChunkReply",
     "ChunkRequest",
     "Claimed",
--- a/hibiscustray/peers/client.py
+++ b/hibiscustray/peers/client.py
@@ -18,6 +18,7 @@
     HOLDINGS,
     MANIFEST,
     METHODS,
+    PASS_CHUNK,
     PROBE,
     PUSH,
     REVISION,
@@ -29,6 +30,8 @@
 )
 from hibiscustray.peers.messages import (
     AttemptRequest,
+    ChunkPush,
+    ChunkPushReply,
     ChunkReply,
     ChunkRequest,
     ExchangeMessage,
@@ -152,6 +155,10 @@
         """Return a chunk's unverified bytes, or the reason why the peer does not send them."""
         return self._call(CHUNK.name, request, timeout_s)
 
+    def pass_chunk(self, push: ChunkPush, timeout_s: float) -> ChunkPushReply:
+        """Send the peer a chunk; return which chunks of the version it holds now."""
+        return self._call(PASS_CHUNK.name, push, timeout_s)
+
     def issue_ticket(self, team: str, service: str, timeout_s: float) -> TicketReply:
         """Return an idempotency key bound to the agent's incarnation."""
         return self._call(TICKET.name, TicketRequest(team, service), timeout_s)
--- a/hibiscustray/peers/codec.py
+++ b/hibiscustray/peers/codec.py
@@ -11,6 +11,8 @@
 from hibiscustray.exceptions import MessageInvalid
 from hibiscustray.peers.messages import (
     AttemptRequest,
+    ChunkPush,
+    ChunkPushReply,
     ChunkReply,
     ChunkRequest,
     ExchangeMessage,
@@ -57,6 +59,7 @@
 MANIFEST = Method("Manifest", ManifestRequest, ManifestReply)
 HOLDINGS = Method("Holdings", HoldingsRequest, HoldingsReply)
 CHUNK = Method("Chunk", ChunkRequest, ChunkReply)
+PASS_CHUNK = Method("PassChunk", ChunkPush, ChunkPushReply)
 TICKET = Method("Ticket", TicketRequest, TicketReply)
 ATTEMPT = Method("Attempt", AttemptRequest, Frame, is_stream=True)
 SYNC = Method("Sync", SyncRequest, SyncReply)
@@ -69,6 +72,7 @@
     MANIFEST,
     HOLDINGS,
     CHUNK,
+    PASS_CHUNK,
     TICKET,
     ATTEMPT,
     SYNC,
--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -172,6 +172,26 @@
     have: tuple[HaveSet, ...] = ()
 
 
+class ChunkPush(Message, frozen=True):
+    """Passes a chunk of a version on, and shares the have-sets known to the sender.
+
+    `is_import` tells that the sender is in another region, so that the chunk is new in this one.
+    """
+
+    digest: str
+    index: int
+    data: bytes
+    is_import: bool = False
+    have: tuple[HaveSet, ...] = ()
+
+
+class ChunkPushReply(Message, frozen=True):
+    """The receiver's chunks of the version; not known if it is not fetching the version."""
+
+    is_known: bool = True
+    bitmap: bytes = b""
+
+
 class TicketRequest(Message, frozen=True):
     """Requests an idempotency key that is bound to the agent's incarnation."""
 
--- a/hibiscustray/weights/__init__.py
+++ b/hibiscustray/weights/__init__.py
@@ -5,6 +5,7 @@
 from hibiscustray.weights.manifest import Manifest, build_manifest, decode_manifest
 from hibiscustray.weights.publishing import manifest_key, publish_weights
 from hibiscustray.weights.rate_limiter import LinkRateLimiter
+from hibiscustray.weights.relay import ChunkRelay
 from hibiscustray.weights.swarm import ReplicaSelector, Swarm, SwarmRegistry
 from hibiscustray.weights.transfer import (
     Transfer,
@@ -16,6 +17,7 @@
 __all__ = [
     "ReplicaSelector",
     "ChunkCache",
+    "ChunkRelay",
     "LinkRateLimiter",
     "Manifest",
     "ManifestSource",
--- a/hibiscustray/weights/cache.py
+++ b/hibiscustray/weights/cache.py
@@ -35,6 +35,13 @@
             self._chunks[digest] = {}
             self._masks[digest] = 0
 
+    def discard(self, digest: str) -> None:
+        """Remove a version, for example because its manifest turned out to be corrupt."""
+        with self._lock:
+            self._manifests.pop(digest, None)
+            self._chunks.pop(digest, None)
+            self._masks.pop(digest, None)
+
     def pin(self, digest: str) -> None:
         """Protect a version from eviction; each call needs its own `unpin`."""
         with self._lock:
--- a/hibiscustray/weights/lookup.py
+++ b/hibiscustray/weights/lookup.py
@@ -58,9 +58,10 @@
         known = self._cache.manifest(digest)
         if known is not None:
             return known
-        return self._source.find(digest) or self._read_from_peers(digest, addresses)
+        return self._source.find(digest) or self.find_at_peers(digest, addresses)
 
-    def _read_from_peers(self, digest: str, addresses: Iterable[str]) -> Manifest | None:
+    def find_at_peers(self, digest: str, addresses: Iterable[str]) -> Manifest | None:
+        """Return the manifest that the first of the given peers to have it sends, or None."""
         for address in addresses:
             try:
                 reply = self._peers.get(address).read_manifest(digest, CALL_TIMEOUT_S)
--- /dev/null
+++ b/hibiscustray/weights/relay.py
@@ -0,0 +1,107 @@
+"""Passing new chunks on to other members, along the relay plan of each version."""
+
+from __future__ import annotations
+
+import logging
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from hibiscustray.exceptions import ChunkMissing, PeerError
+from hibiscustray.peers import ChunkPush, PeerPool
+from hibiscustray.telemetry import Metrics
+from hibiscustray.weights.cache import ChunkCache
+from hibiscustray.weights.rate_limiter import LinkRateLimiter
+from hibiscustray.weights.swarm import Swarm, SwarmRegistry
+
+log = logging.getLogger(__name__)
+
+SENDERS = 3
+"""Chunks under way at a time; their starts are spread by the rate limiter of the uplink."""
+PUSH_TIMEOUT_S = 1.5
+FAILURE_PAUSE_S = 2.0
+"""Time without pull requests to a member that did not accept a chunk."""
+
+
+class ChunkRelay:
+    """Passes chunks on in the order in which they arrive, at the rate of the uplink."""
+
+    def __init__(
+        self,
+        peers: PeerPool,
+        cache: ChunkCache,
+        swarms: SwarmRegistry,
+        uplink: LinkRateLimiter,
+        metrics: Metrics,
+    ) -> None:
+        self._peers = peers
+        self._cache = cache
+        self._swarms = swarms
+        self._uplink = uplink
+        self._metrics = metrics
+        self._senders = ThreadPoolExecutor(SENDERS, thread_name_prefix="relay")
+
+    def stop(self) -> None:
+        """Drop the chunks that are still queued; those under way end by their timeouts."""
+        self._senders.shutdown(wait=False, cancel_futures=True)
+
+    def forward(self, digest: str, index: int, is_source: bool = False) -> None:
+        """Queue a new chunk for the members that this agent passes it on to.
+
+        `is_source` tells that it came from the origin or from another region.
+        """
+        swarm = self._swarms.get(digest)
+        if swarm is not None and not swarm.is_closed:
+            self._submit(swarm, index, frozenset(), is_source)
+
+    def _submit(self, swarm: Swarm, index: int, tried: frozenset[str], is_source: bool) -> None:
+        targets = [a for a in swarm.choose_relay_targets(index, is_source) if a not in tried]
+        tried = tried.union(targets)
+        for address in targets:
+            try:
+                queued_at = time.monotonic()
+                self._senders.submit(self._send, swarm, index, address, tried, is_source, queued_at)
+            except RuntimeError:
+                # The relay was stopped meanwhile.
+                return
+
+    def _send(
+        self,
+        swarm: Swarm,
+        index: int,
+        address: str,
+        tried: frozenset[str],
+        is_source: bool,
+        queued_at: float,
+    ) -> None:
+        try:
+            if swarm.is_closed or swarm.is_known_to_hold(address, index):
+                return
+            data = self._cache.get(swarm.digest, index)
+            self._uplink.wait_for_start(len(data))
+            started = time.monotonic()
+            push = ChunkPush(
+                swarm.digest,
+                index,
+                data,
+                not swarm.is_in_own_region(address),
+                swarm.make_have_sets(),
+            )
+            reply = self._peers.get(address).pass_chunk(push, PUSH_TIMEOUT_S)
+        except ChunkMissing:
+            return
+        except PeerError:
+            self._metrics.count("chunk_pushes_failed_total")
+            swarm.arrivals.record_failure("push")
+            self._peers.retire_connection(address)
+            swarm.record_failure(address, FAILURE_PAUSE_S)
+            self._submit(swarm, index, tried, is_source)
+            return
+        except Exception:
+            # The executor would keep the error to itself.
+            log.exception("failed to pass a chunk on", extra={"peer": address, "chunk": index})
+            return
+        self._metrics.count("peer_bytes_total", amount=len(data))
+        swarm.arrivals.record_sent(started - queued_at, time.monotonic() - started)
+        if reply.is_known:
+            swarm.record_response(address)
+            swarm.replace_have_set(address, reply.bitmap)
--- a/hibiscustray/weights/scheduling.py
+++ b/hibiscustray/weights/scheduling.py
@@ -10,7 +10,12 @@
 
 from hibiscustray.membership import MemberView
 from hibiscustray.weights.cache import list_chunks
-from hibiscustray.weights.plan import choose_source, rank_fetcher
+from hibiscustray.weights.plan import (
+    chain_regions,
+    choose_origin_fetchers,
+    choose_source,
+    rank_member,
+)
 from hibiscustray.weights.swarm import Members, Swarm
 
 Objective = Literal["time", "origin_bytes"]
@@ -18,6 +23,8 @@
 MAX_ORIGIN_FETCHES = 2
 MAX_IMPORTS = 2
 """Concurrent imports of one agent from one other region."""
+TAKEOVER_RANKS_PER_REGION = 2
+"""Members of each region that may take over a chunk before those of the next region."""
 HEDGE_FACTOR = 2.0
 """Multiple of the mean duration of a request after which it is late."""
 MIN_HEDGE_DELAY_S = 0.5
@@ -44,11 +51,18 @@
 
 @dataclass(frozen=True)
 class FetchLimits:
-    """Concurrent requests of one agent: to one peer, to the origin, and to one other region."""
+    """Concurrent requests of one agent: to one peer, to the origin, and to one other region.
+
+    Chunks that peers hold are requested after `pull_delay_s`, and from other regions after twice
+    that time, since they are usually passed on without a request. An agent to which nothing has
+    been passed on for `idle_s` does not wait.
+    """
 
     per_peer: int = 1
     origin: int = MAX_ORIGIN_FETCHES
     imports: int = MAX_IMPORTS
+    pull_delay_s: float = 0.0
+    idle_s: float = 0.0
 
 
 class FetchScheduler:
@@ -86,6 +100,44 @@
         """Return the mask of chunks that this agent fetches for its region."""
         return self._assigned | self._taken_over
 
+    @property
+    def lookahead(self) -> int:
+        """Return the number of chunks by which the fetchers may differ in their progress."""
+        ids = self._region_ids()
+        regions = self._regions()
+        sources = 1 if self._origin_region in regions else len(regions)
+        return 2 * sources * len(choose_origin_fetchers(self._swarm.digest, ids, sources))
+
+    def find_due_fetches(self) -> int:
+        """Return the mask of chunks that another member should bring into this region."""
+        with self._lock:
+            own = sum(
+                1 << index for index in list_chunks(self._assigned) if not self._sources[index]
+            )
+            return self._all_chunks & ~own & ~self._taken_over
+
+    def rank_takeover(self, index: int) -> int:
+        """Return after how many fallback steps this agent takes over a chunk, 0 for never first."""
+        regions = self._regions()
+        chain = chain_regions(index, regions, self._origin_region)
+        place = chain.index(self._own.region)
+        return self.rank_member(index, self._own.id) + TAKEOVER_RANKS_PER_REGION * place
+
+    def find_better_ranked(self, index: int) -> list[str]:
+        """Return the addresses of the members that bring a chunk in before this agent does.
+
+        These are its fetcher and the better ranked members of this region.
+        """
+        own_rank = self.rank_member(index, self._own.id)
+        fetcher = self._swarm.find_origin_fetcher(index)
+        return [
+            address
+            for address, member in self._swarm.members().by_address.items()
+            if member.id == fetcher
+            or member.region == self._own.region
+            and self.rank_member(index, member.id) < own_rank
+        ]
+
     def add_fetch(self, index: int) -> None:
         """Take over a chunk from the member that should have fetched it for the region."""
         with self._lock:
@@ -94,7 +146,9 @@
 
     def rank_member(self, index: int, member_id: str) -> int:
         """Return a member's rank among the possible fetchers of a chunk in this region, 0 first."""
-        return rank_fetcher(self._swarm.digest, index, self._region_ids(), member_id)
+        ids = self._region_ids()
+        fetchers = self._choose_fetchers(index, ids)
+        return rank_member(self._swarm.digest, index, ids, fetchers, member_id)
 
     def next_job(self, held: int, mean_s: float) -> FetchJob | None:
         """Assign and return a job that no other thread runs, or None if there is none now.
@@ -131,11 +185,23 @@
         ids = {m.id for m in members if m.region == self._own.region}
         return sorted(ids | {self._own.id})
 
+    def _regions(self) -> set[str]:
+        members = self._swarm.members().by_address.values()
+        return {member.region for member in members} | {self._own.region}
+
+    def _choose_fetchers(self, index: int, ids: list[str]) -> list[str]:
+        """Return the fetchers of a chunk, none if this region gets it from another one."""
+        regions = self._regions()
+        if choose_source(index, regions, self._origin_region, self._own.region):
+            return []
+        sources = 1 if self._origin_region in regions else len(regions)
+        return choose_origin_fetchers(self._swarm.digest, ids, sources)
+
     def _plan(self) -> None:
         members = self._swarm.members()
-        if members is self._planned_members:
+        if members is self._planned_members or self._swarm.is_closed:
             return
-        ids, regions = self._region_ids(), {m.region for m in members.by_address.values()}
+        ids, regions = self._region_ids(), self._regions()
         is_same = self._planned_members is not None and self._plan_key == (ids, regions)
         self._planned_members = members
         if is_same:
@@ -143,36 +209,48 @@
         self._plan_key = (ids, regions)
         self._assigned = self._second_ranked = 0
         for index in range(self._swarm.count):
-            rank = rank_fetcher(self._swarm.digest, index, ids, self._own.id)
-            self._assigned |= (rank == 0) << index
-            self._second_ranked |= (rank == 1) << index
-            self._sources[index] = choose_source(
-                index, regions, self._origin_region, self._own.region
-            )
+            fetchers = self._choose_fetchers(index, ids)
+            rank = rank_member(self._swarm.digest, index, ids, fetchers, self._own.id)
+            source = choose_source(index, regions, self._origin_region, self._own.region)
+            is_fetcher = self._swarm.find_origin_fetcher(index) == self._own.id
+            self._assigned |= (rank == 0 if source else is_fetcher) << index
+            self._second_ranked |= (rank == (1 if source else 0) and not is_fetcher) << index
+            self._sources[index] = source
         self._swarm.planned = self.planned
 
     def _choose_assigned(self, missing: int) -> FetchJob | None:
         available = self._swarm.find_available_chunks(self._own.region)
-        wanted = list_chunks(missing & self.planned & ~available)
-        for index in wanted:
-            source = self._sources[index]
-            if not source and self._count(OriginFetch) < self._limits.origin:
-                return OriginFetch(index)
-            if source and self._count_imports(source) < self._limits.imports:
-                job = self._choose_import(index, source)
-                if job is not None:
-                    return job
+        elsewhere = self._swarm.find_known_chunks()
+        overdue = self._swarm.find_overdue_chunks(2 * self._choose_pull_delay())
+        for index in list_chunks(missing & self.planned & ~available):
+            source = "" if self._taken_over >> index & 1 else self._sources[index]
+            job: FetchJob | None = None
+            if elsewhere >> index & 1:
+                job = self._choose_import(index, source) if overdue >> index & 1 else None
+            elif not source and self._count(OriginFetch) < self._limits.origin:
+                job = OriginFetch(index)
+            if job is not None:
+                return job
         return None
 
     def _choose_import(self, index: int, source: str) -> FetchJob | None:
-        holders = [
-            a for a, mask in self._swarm.find_ready_peers(source).items() if mask >> index & 1
-        ]
-        if not holders:
-            return None
-        return PeerFetch(index, self._swarm.choose_peer(holders), is_import=True)
+        """Return a request to a peer in the source region, or in any other one if it is empty."""
+        for region in [source] if source else sorted(self._regions()):
+            if region == self._own.region or self._count_imports(region) >= self._limits.imports:
+                continue
+            peers = self._swarm.find_ready_peers(region)
+            holders = [address for address, mask in peers.items() if mask >> index & 1]
+            if holders:
+                self._sources[index] = region
+                return PeerFetch(index, self._swarm.choose_peer(holders), is_import=True)
+        return None
+
+    def _choose_pull_delay(self) -> float:
+        is_idle = self._swarm.arrivals.idle_s > self._limits.idle_s
+        return self._limits.idle_s if is_idle else self._limits.pull_delay_s
 
     def _choose_peer(self, missing: int) -> FetchJob | None:
+        missing &= self._swarm.find_overdue_chunks(self._choose_pull_delay())
         ready_peers = self._swarm.find_ready_peers(self._own.region)
         request_counts = Counter(job.address for job in self._jobs if isinstance(job, PeerFetch))
         for address, count in request_counts.items():
--- a/hibiscustray/weights/swarm.py
+++ b/hibiscustray/weights/swarm.py
@@ -14,8 +14,9 @@
 
 from hibiscustray.membership import MemberView
 from hibiscustray.peers import HaveSet, MemberRecord
+from hibiscustray.weights.arrivals import ArrivalLog
 from hibiscustray.weights.cache import decode_bitmap, encode_bitmap, list_chunks
-from hibiscustray.weights.plan import is_chunk_peer, measure_distance
+from hibiscustray.weights.plan import RelayPlan, is_chunk_peer, measure_distance
 
 GOSSIPED_HAVE_SETS = 4
 """Have-sets of other peers that one message carries."""
@@ -23,6 +24,8 @@
 """Age at which the cached list of members is read again."""
 FETCH_STALL_S = 10.0
 """Duration after which a fetch is no longer announced, so that another member takes it over."""
+FETCH_CEDE_S = 1.2
+"""Time for which the origin fails an agent until it cedes its fetches to others."""
 
 
 @dataclass(frozen=True)
@@ -60,9 +63,11 @@
         digest: str,
         held: Callable[[], int],
         count: int,
+        origin_region: str = "",
     ) -> None:
         self.digest = digest
         self.count = count
+        self._origin_region = origin_region
         self._view = view
         self._selector = selector
         self._held = held
@@ -76,6 +81,13 @@
         self._added_chunk_peers: set[str] = set()
         self._distances: dict[str, float] = {}
         self._fetching: dict[int, float] = {}
+        self._known_since: dict[int, float] = {}
+        self._relay_plan: RelayPlan | None = None
+        self._relay_members: Members | None = None
+        self._relay_regions: dict[str, str] = {}
+        self._fetch_failing_since: float | None = None
+        self._is_closed = False
+        self.arrivals = ArrivalLog()
         self.planned = 0
         self._members = Members({}, {})
         self._members_read_at = float("-inf")
@@ -96,6 +108,60 @@
                 self._members_read_at = now
             return self._members
 
+    def close(self) -> None:
+        """Stop fetching and passing on chunks, since another version has superseded this one."""
+        with self._lock:
+            self._is_closed = True
+            self.planned = 0
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether another version has superseded this one."""
+        return self._is_closed
+
+    def choose_relay_targets(self, index: int, is_source: bool) -> list[str]:
+        """Return the addresses of the peers to which this agent passes a chunk on."""
+        with self._lock:
+            plan = self._read_relay_plan()
+            members = self.members()
+            addresses = {member.id: address for address, member in members.by_address.items()}
+            targets = plan.choose_targets(
+                index,
+                self._view.own.id,
+                lambda member_id: addresses.get(member_id) in self._failing,
+                is_source,
+            )
+            return [addresses[member_id] for member_id in targets]
+
+    def find_origin_fetcher(self, index: int) -> str:
+        """Return the id of the member that fetches a chunk from the origin."""
+        with self._lock:
+            return self._read_relay_plan().find_fetcher(index)
+
+    def is_in_own_region(self, address: str) -> bool:
+        """Return whether a peer is in the region of this agent."""
+        member = self.members().by_address.get(address)
+        return member is not None and member.region == self._view.own.region
+
+    def is_known_to_hold(self, address: str, index: int) -> bool:
+        """Return whether a peer is known to hold a chunk."""
+        return bool(self._masks.get(address, 0) >> index & 1)
+
+    def record_initial_chunks(self) -> None:
+        """Record that nobody will pass on the chunks that peers hold by now."""
+        with self._lock:
+            self._known_since = dict.fromkeys(self._known_since, float("-inf"))
+
+    def is_initial(self, index: int) -> bool:
+        """Return whether a peer held a chunk when the transfer began."""
+        return self._known_since.get(index) == float("-inf")
+
+    def find_overdue_chunks(self, delay_s: float) -> int:
+        """Return the mask of chunks that some peer has been known to hold for some seconds."""
+        with self._lock:
+            limit = time.monotonic() - delay_s
+            return sum(1 << index for index, since in self._known_since.items() if since <= limit)
+
     def merge_have_sets(self, entries: Iterable[HaveSet]) -> None:
         """Merge have-sets that peers reported; chunks are added to a peer's set, never removed."""
         with self._lock:
@@ -157,6 +223,14 @@
                     mask |= self._masks.get(address, 0)
             return mask
 
+    def find_known_chunks(self) -> int:
+        """Return the mask of chunks that the trusted, responsive peers of all regions hold."""
+        with self._lock:
+            mask = 0
+            for region in self.members().by_region:
+                mask |= self.find_available_chunks(region)
+            return mask
+
     def find_ready_peers(self, region: str) -> dict[str, int]:
         """Return the chunk masks of the peers in a region that are not paused, by address."""
         with self._lock:
@@ -195,12 +269,23 @@
         with self._lock:
             self._fetching.pop(index, None)
 
+    def record_origin_response(self, is_success: bool) -> None:
+        """Record whether this agent's last fetch from the origin succeeded."""
+        with self._lock:
+            if is_success:
+                self._fetch_failing_since = None
+            elif self._fetch_failing_since is None:
+                self._fetch_failing_since = time.monotonic()
+
     def find_pending_fetches(self) -> int:
         """Return the mask of missing chunks that this agent fetches for its region.
 
-        Chunks whose fetch has stalled are left out.
+        Chunks whose fetch has stalled are left out, and all if the origin has failed for a while.
         """
         with self._lock:
+            failing_since = self._fetch_failing_since
+            if failing_since is not None and time.monotonic() - failing_since > FETCH_CEDE_S:
+                return 0
             limit = time.monotonic() - FETCH_STALL_S
             stalled = sum(1 << index for index, since in self._fetching.items() if since < limit)
             return self.planned & ~stalled & ~self._held()
@@ -213,7 +298,9 @@
         if not added and address in self._masks:
             return
         self._masks[address] = known | mask
+        now = time.monotonic()
         for index in list_chunks(added):
+            self._known_since.setdefault(index, now)
             if self._holder_counts[index] == 0 and not self._held() >> index & 1:
                 self._holder_counts[index] += 1
         if address in self._recently_changed:
@@ -235,6 +322,18 @@
                 by_region[member.region] = (*by_region.get(member.region, ()), address)
         return Members(by_address, by_region)
 
+    def _read_relay_plan(self) -> RelayPlan:
+        members = self.members()
+        if self._relay_plan is None or members is not self._relay_members:
+            own = self._view.own
+            regions = {member.id: member.region for member in members.by_address.values()}
+            regions[own.id] = own.region
+            if self._relay_plan is None or regions != self._relay_regions:
+                self._relay_plan = RelayPlan(self.digest, self.count, regions, self._origin_region)
+                self._relay_regions = regions
+            self._relay_members = members
+        return self._relay_plan
+
     def _is_chunk_peer(self, address: str, member: MemberRecord, count: int) -> bool:
         """Return whether a member is a chunk peer: all in other regions are, few in the own."""
         if member.region != self._view.own.region or address in self._added_chunk_peers:
@@ -253,8 +352,11 @@
         self._swarms: dict[str, Swarm] = {}
 
     def add(self, swarm: Swarm) -> Swarm:
-        """Register a swarm and return it, or the one already registered for its digest."""
-        return self._swarms.setdefault(swarm.digest, swarm)
+        """Register a swarm and return it, or the open one already registered for its digest."""
+        known = self._swarms.get(swarm.digest)
+        if known is None or known.is_closed:
+            self._swarms[swarm.digest] = known = swarm
+        return known
 
     def get(self, digest: str) -> Swarm | None:
         """Return the swarm of a version, None if there is none."""
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -9,6 +9,7 @@
 import random
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import FIRST_EXCEPTION, ThreadPoolExecutor, wait
 from dataclasses import dataclass
@@ -25,9 +26,12 @@
 from hibiscustray.peers import ChunkReply, ChunkRequest, HoldingsReply, HoldingsRequest, PeerPool
 from hibiscustray.protocols import ObjectStore, Origin
 from hibiscustray.telemetry import Metrics
+from hibiscustray.weights.arrivals import ArrivalSummary, ChunkSource
 from hibiscustray.weights.cache import ChunkCache, decode_bitmap, list_chunks
 from hibiscustray.weights.lookup import ManifestLookup, ManifestSource, StoredManifests
 from hibiscustray.weights.manifest import Manifest
+from hibiscustray.weights.plan import choose_origin_fetchers
+from hibiscustray.weights.relay import ChunkRelay
 from hibiscustray.weights.scheduling import (
     MAX_IMPORTS,
     MAX_ORIGIN_FETCHES,
@@ -58,6 +62,10 @@
 MANIFEST_RETRY_S = 0.2
 ORIGIN_RETRY_S = 0.5
 ORIGIN_CORRUPT_RETRY_S = 5.0
+PEER_MANIFEST_WAIT_S = 1.0
+"""Time for which agents that fetch nothing from the origin ask its fetchers for the manifest."""
+MAX_CORRUPT_COUNT = 5
+"""Number of corrupt copies of one chunk after which the manifest itself is taken for corrupt."""
 START_PEERS = 3
 ANNOUNCE_PEERS = 3
 HOLDINGS_POLL_INTERVAL_S = 1.0
@@ -74,6 +82,8 @@
     """Timeouts and intervals of a transfer in seconds, and its numbers of concurrent requests.
 
     The timeouts bound the wait for one chunk, `initial_timeout_s` until a request has succeeded.
+    Chunks are passed on without a request; they are requested after `pull_delay_s`, or if nothing
+    has arrived for `idle_s`.
     After `fallback_step_s` without a new chunk in the region, agents take over chunks that their
     fetchers have not delivered.
     """
@@ -88,6 +98,8 @@
     requests_per_peer: int = 1
     max_origin_fetches: int = MAX_ORIGIN_FETCHES
     max_imports: int = MAX_IMPORTS
+    pull_delay_s: float = 0.0
+    idle_s: float = 0.0
 
 
 def make_default_tuning() -> TransferTuning:
@@ -117,18 +129,22 @@
     manifests: ManifestSource | None = None
     """Source of manifests; the object store by default."""
     tuning: TransferTuning | None = None
+    relay: ChunkRelay | None = None
+    """Passes new chunks on; without it, agents request all chunks."""
 
 
 @dataclass(frozen=True)
 class TransferRequest:
     """A version to fetch, the replicas that exchange its chunks, and the objective.
 
-    The objective is to minimize either the time or the bytes read from the origin.
+    The objective is to minimize either the time or the bytes read from the origin. `is_obsolete`
+    tells, given the seconds since the last new chunk, whether to give the transfer up.
     """
 
     digest: str
     selector: ReplicaSelector
     objective: Objective = "time"
+    is_obsolete: Callable[[float], bool] = lambda _: False
 
 
 class Transfer:
@@ -140,6 +156,11 @@
         self.digest = request.digest
         self._random = random.Random(f"{environment.view.own.id}/{request.digest}")
         self._stopping = threading.Event()
+        self._swarm: Swarm | None = None
+
+    def summarize(self) -> ArrivalSummary | None:
+        """Return where chunks came from and when, None before the manifest is known."""
+        return self._swarm.arrivals.summarize() if self._swarm is not None else None
 
     def cancel(self) -> None:
         """Stop the transfer, for example because another version has superseded it."""
@@ -153,19 +174,27 @@
         """
         manifest = self._find_manifest()
         self._env.cache.add_version(self.digest, manifest)
-        swarm = self._env.swarms.add(self._make_swarm(manifest))
+        self._swarm = swarm = self._env.swarms.add(self._make_swarm(manifest))
         tuning = self._env.tuning or make_default_tuning()
         scheduler = FetchScheduler(
             swarm,
             self._env.view,
             self._request.objective,
             self._env.origin_region,
-            FetchLimits(tuning.requests_per_peer, tuning.max_origin_fetches, tuning.max_imports),
+            FetchLimits(
+                tuning.requests_per_peer,
+                tuning.max_origin_fetches,
+                tuning.max_imports,
+                tuning.pull_delay_s,
+                tuning.idle_s,
+            ),
         )
         run = _Run(self, self._env, manifest, swarm, scheduler, on_progress)
         if not run.is_done():
             run.run_threads()
         if not self._env.cache.is_complete(self.digest):
+            # Peers must not wait for chunks that this agent no longer fetches.
+            swarm.close()
             raise TransferOvertaken(self.digest[:12])
         return manifest
 
@@ -174,6 +203,10 @@
         """Return whether the transfer was cancelled."""
         return self._stopping.is_set()
 
+    def is_obsolete(self, idle_s: float) -> bool:
+        """Return whether to give the transfer up, given the seconds since the last new chunk."""
+        return self._request.is_obsolete(idle_s)
+
     def wait(self, seconds: float) -> None:
         """Wait for some seconds, or until the transfer is cancelled."""
         self._stopping.wait(seconds)
@@ -181,13 +214,29 @@
     def _find_manifest(self) -> Manifest:
         source = self._env.manifests or StoredManifests(self._env.objects)
         lookup = ManifestLookup(self._env.cache, source, self._env.peers)
+        fetchers = self._find_fetchers() if self._env.relay is not None else []
+        waits_until = time.monotonic() + PEER_MANIFEST_WAIT_S
         while not self._stopping.is_set():
-            found = lookup.find(self.digest, self._sample_replicas())
+            if fetchers and time.monotonic() < waits_until:
+                found = lookup.find_at_peers(self.digest, fetchers)
+            else:
+                found = lookup.find(self.digest, self._sample_replicas())
             if found is not None:
                 return found
             self._stopping.wait(MANIFEST_RETRY_S)
         raise TransferOvertaken(self.digest[:12])
 
+    def _find_fetchers(self) -> list[str]:
+        """Return the region's fetchers in random order, none if this agent is one of them."""
+        own = self._env.view.own
+        members = {m.id: m for m in self._request.selector.find(self._env.view)}
+        ids = {m.id for m in members.values() if m.region == own.region} | {own.id}
+        regions = {m.region for m in members.values()} | {own.region}
+        fetchers = choose_origin_fetchers(self.digest, ids, len(regions))
+        if own.id in fetchers:
+            return []
+        return [members[i].peer_address for i in self._random.sample(fetchers, len(fetchers))]
+
     def _sample_replicas(self) -> list[str]:
         own = self._env.view.own.id
         others = [m for m in self._request.selector.find(self._env.view) if m.id != own]
@@ -202,6 +251,7 @@
             digest,
             lambda: cache.held(digest),
             manifest.count,
+            self._env.origin_region,
         )
 
 
@@ -231,11 +281,14 @@
         self._scheduling_lock = threading.Lock()
         self._available = 0
         self._last_new_chunk_at = time.monotonic()
+        self._overdue_since: dict[int, float] = {}
+        self._corrupt_counts: Counter[int] = Counter()
 
     def run_threads(self) -> None:
         """Run all threads until the version is complete or the transfer is cancelled."""
         for address in self._swarm.sample_peers(START_PEERS):
             self._exchange_holdings(address)
+        self._swarm.record_initial_chunks()
         workers = self._tuning.workers
         pool = ThreadPoolExecutor(workers + 1, thread_name_prefix="transfer")
         threads = [pool.submit(self._run_holdings_poller)]
@@ -243,6 +296,8 @@
         try:
             while not self.is_done() and not all(thread.done() for thread in threads):
                 wait(threads, timeout=IDLE_WAIT_S, return_when=FIRST_EXCEPTION)
+                if self._transfer.is_obsolete(self._swarm.arrivals.idle_s):
+                    self._transfer.cancel()
                 for thread in threads:
                     if thread.done():
                         thread.result()
@@ -301,18 +356,23 @@
         self._transfer.wait(max(0.0, self._origin_paused_until - time.monotonic()))
         if self.is_done():
             return
+        started = time.monotonic()
         self._swarm.record_fetch_start(index)
         try:
             data = self._env.origin.read_range(self._manifest.path, start, length)
         except (OriginUnavailable, ObjectMissing):
             self._env.metrics.count("origin_unavailable_total")
+            self._swarm.arrivals.record_failure("origin")
+            self._swarm.record_origin_response(is_success=False)
             self._transfer.wait(ORIGIN_RETRY_S * self._choose_jitter())
             return
         finally:
             self._swarm.record_fetch_end(index)
+        self._swarm.record_origin_response(is_success=True)
         self._env.metrics.count("origin_bytes_total", amount=len(data))
         self._env.cache.put(self._digest, index, data, "origin")
-        self._announce()
+        self._swarm.arrivals.record(ChunkSource.ORIGIN, time.monotonic() - started)
+        self._spread(index)
 
     def _fetch_from_peer(self, index: int, address: str, is_import: bool) -> None:
         started = time.monotonic()
@@ -325,6 +385,7 @@
             )
         except PeerError:
             self._env.metrics.count("chunk_requests_failed_total")
+            self._swarm.arrivals.record_failure("peer")
             # The connection may be dead although the peer can be reached over a new one.
             self._env.peers.retire_connection(address)
             self._swarm.record_failure(address, self._tuning.stall_pause_s)
@@ -337,6 +398,7 @@
         if reply.data:
             self._store_chunk(index, address, is_import, reply, started)
         elif reply.is_busy:
+            self._swarm.arrivals.record_failure("busy")
             self._swarm.pause(address, MIN_BUSY_PAUSE_S + reply.busy_s * self._choose_jitter())
         else:
             self._swarm.replace_have_set(address, reply.have[0].bitmap if reply.have else b"")
@@ -346,14 +408,21 @@
     ) -> None:
         is_repeat = self._held() >> index & 1
         self._env.cache.put(self._digest, index, reply.data, address)
+        taken_s = time.monotonic() - started
         if is_repeat:
             self._env.metrics.count("chunks_repeated_total")
-        taken_s = time.monotonic() - started
+            self._swarm.arrivals.record_failure("repeated")
+        else:
+            source = ChunkSource.IMPORTED if is_import else ChunkSource.REQUESTED
+            self._swarm.arrivals.record(source, taken_s)
         mean_s = self._mean_s[is_import] or taken_s
         self._mean_s[is_import] = mean_s + SMOOTHING_FACTOR * (taken_s - mean_s)
         if is_import:
             self._env.metrics.count("import_bytes_total", amount=len(reply.data))
-            self._announce()
+            self._spread(index)
+        elif self._env.relay is not None and not self._swarm.is_initial(index):
+            # The members that were to get it from this agent still wait for it.
+            self._env.relay.forward(self._digest, index)
 
     def _compute_timeout(self, is_import: bool) -> float:
         mean_s = self._mean_s[is_import]
@@ -365,13 +434,21 @@
     def _handle_corrupt_chunk(self, error: ChunkCorrupt) -> None:
         self._env.metrics.count("chunks_corrupt_total", {"sender": error.sender})
         log.warning("corrupt chunk rejected", extra={"chunk": error.index, "sender": error.sender})
+        self._corrupt_counts[error.index] += 1
+        if self._corrupt_counts[error.index] >= MAX_CORRUPT_COUNT:
+            log.warning("manifest discarded", extra={"chunk": error.index})
+            self._env.cache.discard(self._digest)
+            self._transfer.cancel()
         if error.sender == "origin":
             self._origin_paused_until = time.monotonic() + self._tuning.corrupt_pause_s
         else:
             self._swarm.distrust(error.sender)
 
-    def _announce(self) -> None:
-        """Announce a chunk that is new in the region to a few peers."""
+    def _spread(self, index: int) -> None:
+        """Pass a chunk that is new in the region on, or announce it to a few peers."""
+        if self._env.relay is not None:
+            self._env.relay.forward(self._digest, index, is_source=True)
+            return
         for address in self._swarm.sample_peers(ANNOUNCE_PEERS):
             self._exchange_holdings(address)
 
@@ -403,35 +480,32 @@
     def _take_over_missing_chunks(self) -> None:
         """Take over chunks that their fetchers have not delivered.
 
-        Begins once no new chunk has become available in the region for one fallback step. Each
-        further step without a new chunk lets the next-ranked fetcher take over.
+        A chunk is overdue once later ones have become available, or if no new chunk has for one
+        fallback step. Each further step lets the next-ranked fetcher take over.
         """
+        now = time.monotonic()
         region = self._env.view.own.region
         available = self._swarm.find_available_chunks(region) | self._held()
         if available & ~self._available:
-            self._last_new_chunk_at = time.monotonic()
+            self._last_new_chunk_at = now
         self._available = available
-        idle_s = time.monotonic() - self._last_new_chunk_at
-        missing = ((1 << self._manifest.count) - 1) & ~available & ~self._scheduler.planned
-        if idle_s < self._tuning.fallback_step_s or not missing:
-            return
-        allowed_rank = int(idle_s / self._tuning.fallback_step_s)
-        own = self._env.view.own.id
+        idle_s = now - self._last_new_chunk_at
+        frontier = (available | self._swarm.find_known_chunks()).bit_length()
+        lookahead = self._scheduler.lookahead
         replies: dict[str, HoldingsReply | None] = {}
-        for index in list_chunks(missing):
-            if (
-                len(replies) < MAX_FALLBACK_PEERS
-                and self._scheduler.rank_member(index, own) <= allowed_rank
-            ):
+        for index in list_chunks(self._scheduler.find_due_fetches() & ~available):
+            if index + lookahead < frontier:
+                self._overdue_since.setdefault(index, now)
+            waited_s = max(idle_s, now - self._overdue_since.get(index, now))
+            steps = int(waited_s / self._tuning.fallback_step_s)
+            if len(replies) >= MAX_FALLBACK_PEERS:
+                return
+            if steps > 0 and self._scheduler.rank_takeover(index) <= steps:
                 self._take_over_chunk(index, replies)
 
     def _take_over_chunk(self, index: int, replies: dict[str, HoldingsReply | None]) -> None:
         """Take over a chunk unless a higher-ranked fetcher holds it or is fetching it."""
-        own_rank = self._scheduler.rank_member(index, self._env.view.own.id)
-        region = self._env.view.own.region
-        for address, member in self._swarm.members().by_address.items():
-            if member.region != region or self._scheduler.rank_member(index, member.id) >= own_rank:
-                continue
+        for address in self._scheduler.find_better_ranked(index):
             if address not in replies:
                 replies[address] = self._exchange_holdings(address)
             reply = replies[address]
--- a/tests/agent/test_stager.py
+++ b/tests/agent/test_stager.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hibiscustray.agent import loader as loader_module
 from hibiscustray.agent import stager as stager_module
 from hibiscustray.agent.interface import (
     EngineReport,
@@ -152,6 +153,7 @@
 def start_stager(monkeypatch):
     monkeypatch.setattr(stager_module, "INTERVAL_S", 0.02)
     monkeypatch.setattr(stager_module, "FAILURE_PAUSE_S", 0.02)
+    monkeypatch.setattr(loader_module, "FAILURE_PAUSE_S", 0.02)
     running: list[StagerFixture] = []
 
     def start(engine: Engine) -> StagerFixture:
--- a/tests/weights/network.py
+++ b/tests/weights/network.py
@@ -8,17 +8,19 @@
 from hibiscustray.agent import ChunkServer
 from hibiscustray.exceptions import ObjectMissing, OriginUnavailable, PeerConnectionLost
 from hibiscustray.membership import MemberView
-from hibiscustray.peers import ChunkReply, MemberRecord
+from hibiscustray.peers import ChunkPush, ChunkReply, ManifestRequest, MemberRecord
 from hibiscustray.rollout import OrderGate
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights import (
     ChunkCache,
+    ChunkRelay,
     LinkRateLimiter,
     ReplicaSelector,
     SwarmRegistry,
     Transfer,
     TransferEnvironment,
     TransferRequest,
+    TransferTuning,
     build_manifest,
     manifest_key,
 )
@@ -37,12 +39,34 @@
     "ORIGIN_RETRY_S": 0.02,
     "ORIGIN_CORRUPT_RETRY_S": 0.05,
 }
+RELAY_TUNING = TransferTuning(
+    initial_timeout_s=1.0,
+    min_timeout_s=0.5,
+    stall_pause_s=0.02,
+    holdings_poll_interval_s=0.05,
+    fallback_step_s=1.0,
+    corrupt_pause_s=0.05,
+    max_origin_fetches=1,
+    pull_delay_s=5.0,
+    idle_s=1.0,
+)
 
 
 class Network:
-    """Members with their chunk servers; it also acts as the object store and the origin."""
-
-    def __init__(self, count: int, seed: int = 1, loss: float = 0.0, regions: int = 1) -> None:
+    """Members with their chunk servers; it also acts as the object store and the origin.
+
+    With a relay, members pass chunks on to each other and request only what they lack for long.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        loss: float = 0.0,
+        regions: int = 1,
+        has_relay: bool = False,
+    ) -> None:
+        self.has_relay = has_relay
         self.random = random.Random(seed)
         self.loss = loss
         self.corrupting: set[str] = set()
@@ -53,6 +77,8 @@
         self.is_origin_down = False
         self.origin_reads: list[int] = []
         self.cross_region_transfers: list[tuple[str, str]] = []
+        self.chunk_requests = 0
+        self.failing_at_origin: set[str] = set()
         self.records = [make_record(i, regions) for i in range(count)]
         self.nodes = {record.peer_address: Node(self, record) for record in self.records}
 
@@ -95,19 +121,27 @@
         self.swarms = SwarmRegistry()
         self.metrics = Metrics(self.record.id)
         uplink = LinkRateLimiter(FAST_MBIT_S)
-        self.server = ChunkServer(self.cache, self.swarms, uplink, OrderGate(), self.metrics)
+        self.pool = Pool(self.network, self.record)
+        self.relay = None
+        if self.network.has_relay:
+            self.relay = ChunkRelay(self.pool, self.cache, self.swarms, uplink, self.metrics)
+        self.server = ChunkServer(
+            self.cache, self.swarms, uplink, OrderGate(), self.metrics, self.relay
+        )
 
     def make_transfer(self, digest: str, objective: str = "origin_bytes") -> Transfer:
         """Return a transfer that fetches a version to this node."""
         environment = TransferEnvironment(
             view=self.view,
-            peers=Pool(self.network, self.record),
+            peers=self.pool,
             objects=self.network,
-            origin=self.network,
+            origin=OriginOfNode(self.network, self.record),
             cache=self.cache,
             swarms=self.swarms,
             metrics=self.metrics,
             origin_region="region-0",
+            tuning=RELAY_TUNING if self.relay is not None else None,
+            relay=self.relay,
         )
         return Transfer(environment, TransferRequest(digest, ReplicaSelector(SERVICE), objective))
 
@@ -117,6 +151,19 @@
         return b"".join(self.cache.get(digest, index) for index in range(count))
 
 
+class OriginOfNode:
+    """The origin as one node sees it."""
+
+    def __init__(self, network: Network, own: MemberRecord) -> None:
+        self._network = network
+        self._own = own
+
+    def read_range(self, path: str, start: int, length: int) -> bytes:
+        if self._own.id in self._network.failing_at_origin:
+            raise OriginUnavailable("cut off")
+        return self._network.read_range(path, start, length)
+
+
 class Pool:
     """Test double of `PeerPool` for one node, with faults."""
 
@@ -150,7 +197,21 @@
     def read_holdings(self, request, timeout_s):
         return self._serve("serve_holdings", request)
 
+    def read_manifest(self, digest, timeout_s):
+        return self._serve("serve_manifest", ManifestRequest(digest))
+
+    def pass_chunk(self, push, timeout_s):
+        sender = self._own
+        receiver = self._network.nodes[self._address].record
+        if sender.region != receiver.region:
+            self._network.cross_region_transfers.append((sender.region, receiver.region))
+        if sender.peer_address in self._network.corrupting:
+            data = bytes([push.data[0] ^ 1]) + push.data[1:]
+            push = ChunkPush(push.digest, push.index, data, push.is_import, push.have)
+        return self._serve("accept_chunk", push)
+
     def read_chunk(self, request, timeout_s) -> ChunkReply:
+        self._network.chunk_requests += 1
         reply = self._serve("serve_chunk", request)
         sender = self._network.nodes[self._address].record
         if reply.data and sender.region != self._own.region:
