--- a/hibiscustray/agent/loader.py
+++ b/hibiscustray/agent/loader.py
@@ -57,15 +57,16 @@
     starts_at: float
 
 
-def choose_wave_delay(place: int, time_left_s: float) -> float:
+def choose_wave_delay(place: float, time_left_s: float) -> float:
     """Return the seconds after which the replica at a place in its service loads a version.
 
-    Replicas load in waves, so that the others serve meanwhile. The last wave begins before the
-    version that the replica serves may no longer be used, which is in `time_left_s`.
+    Replicas load in waves, those with a low place (from 0 to below 1) first, so that the others
+    serve meanwhile. The last wave begins before the version that the replica serves may no longer
+    be used, which is in `time_left_s`.
     """
     spread_s = min(max(0.0, time_left_s - WAVE_MARGIN_S), (MAX_WAVES - 1) * MAX_WAVE_S)
     waves = min(MAX_WAVES, int(spread_s / MIN_WAVE_S) + 1)
-    return place % waves * spread_s / (waves - 1) if waves > 1 else 0.0
+    return int(place * waves) * spread_s / (waves - 1) if waves > 1 else 0.0
 
 
 class WeightsLoader:
--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -24,6 +24,7 @@
     UpstreamError,
     UpstreamPushback,
 )
+from hibiscustray.replicas import is_in_first_half
 from hibiscustray.telemetry import Metrics
 from hibiscustray.weights import ReplicaSelector, Transfer, TransferEnvironment, TransferRequest
 from hibiscustray.weights.cache import list_chunks
@@ -298,11 +299,16 @@
         delay_s = 0.0
         if held:
             left_s = self._versions.find_time_left(model, held, self._version_bound_s)
-            view = self._environment.view
-            ids = {m.id for m in ReplicaSelector(self._service).find(view)} | {view.own.id}
-            delay_s = choose_wave_delay(sort_members(label, ids).index(view.own.id), left_s)
+            delay_s = choose_wave_delay(self._find_place(label), left_s)
         self._loader.submit(LoadTask(model, version, label, manifest, read_clock() + delay_s))
 
+    def _find_place(self, label: str) -> float:
+        """Return the place of this VM, from 0 to below 1, in the order in which replicas swap."""
+        view = self._environment.view
+        ids = {m.id for m in ReplicaSelector(self._service).find(view)} | {view.own.id}
+        order = sorted(sort_members(label, ids), key=lambda member: not is_in_first_half(member))
+        return order.index(view.own.id) / len(order)
+
     def _record_failure(self, error: HibiscustrayError) -> None:
         kind = type(error).__name__
         self._metrics.count("stager_failures_total", {"kind": kind})
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -31,7 +31,13 @@
     RefusalReason,
 )
 from hibiscustray.placement.workload import Demand, InFlightRequest, LoadReport
-from hibiscustray.replicas import ReplicaDirectory, ReplicaNotices, ReplicaRecord, ReplicaState
+from hibiscustray.replicas import (
+    ReplicaDirectory,
+    ReplicaNotices,
+    ReplicaRecord,
+    ReplicaState,
+    is_in_first_half,
+)
 
 log = logging.getLogger(__name__)
 
@@ -373,13 +379,9 @@
         return not load.is_backing_off(now) and not load.is_stale(replica, now)
 
     def _is_in_first_swap_wave(self, replica: ReplicaRecord, weights: WeightsConstraint) -> bool:
-        """Return whether a replica swaps in the first wave, which gets no requests before the swap.
-
-        Replicas with an even last number of the address form the wave, so all entries agree on it.
-        """
+        """Return whether a replica swaps in the first wave, which gets no requests before it."""
         is_outdated = self._find_version(replica, weights.model) < weights.newest
-        number = replica.host.rpartition(".")[2]
-        return is_outdated and number.isdigit() and int(number) % 2 == 0
+        return is_outdated and is_in_first_half(replica.host)
 
     def _can_serve(self, replica: ReplicaRecord, service: ServiceEntry, model: str) -> bool:
         if service.engine is None or not model:
--- a/hibiscustray/replicas/__init__.py
+++ b/hibiscustray/replicas/__init__.py
@@ -3,7 +3,13 @@
 from hibiscustray.replicas.directory import ReplicaDirectory
 from hibiscustray.replicas.notice import ReplicaNotice, read_notice
 from hibiscustray.replicas.notices import ReplicaNotices
-from hibiscustray.replicas.record import LayerSpan, ReplicaRecord, ReplicaState, ServedModel
+from hibiscustray.replicas.record import (
+    LayerSpan,
+    ReplicaRecord,
+    ReplicaState,
+    ServedModel,
+    is_in_first_half,
+)
 
 __all__ = [
     "LayerSpan",
@@ -13,5 +19,6 @@
     "ReplicaRecord",
     "ReplicaState",
     "ServedModel",
+    "is_in_first_half",
     "read_notice",
 ]
--- a/hibiscustray/replicas/record.py
+++ b/hibiscustray/replicas/record.py
@@ -64,3 +64,13 @@
         if self.layers is None:
             return bool(self.models)
         return self.layers.first == 0 and self.layers.end >= count > 0
+
+
+def is_in_first_half(host: str) -> bool:
+    """Return whether the replica on a VM swaps to new weights in the first half of its service.
+
+    These are the VMs with an even last number of the address, so that entries, which send them no
+    requests before a swap, and agents, which order the loads, agree without a message.
+    """
+    number = host.rpartition(".")[2]
+    return number.isdigit() and int(number) % 2 == 0
--- a/hibiscustray/weights/scheduling.py
+++ b/hibiscustray/weights/scheduling.py
@@ -117,7 +117,7 @@
             return self._all_chunks & ~own & ~self._taken_over
 
     def rank_takeover(self, index: int) -> int:
-        """Return after how many fallback steps this agent takes over a chunk, 0 for never first."""
+        """Return after how many fallback steps this agent takes over an overdue chunk."""
         regions = self._regions()
         chain = chain_regions(index, regions, self._origin_region)
         place = chain.index(self._own.region)
