--- a/hibiscustray/agent/loader.py
+++ b/hibiscustray/agent/loader.py
@@ -66,7 +66,7 @@
     """
     spread_s = min(max(0.0, time_left_s - WAVE_MARGIN_S), (MAX_WAVES - 1) * MAX_WAVE_S)
     waves = min(MAX_WAVES, int(spread_s / MIN_WAVE_S) + 1)
-    return int(place * waves) * spread_s / (waves - 1) if waves > 1 else 0.0
+    return spread_s * (int(place * waves) / (waves - 1)) if waves > 1 else 0.0
 
 
 class WeightsLoader:
