--- a/hibiscustray/agent/loader.py
+++ b/hibiscustray/agent/loader.py
@@ -110,9 +110,14 @@
         self._changed.set()
 
     def submit(self, task: LoadTask) -> None:
-        """Load a version, unless it is being loaded already; a newer task replaces an older one."""
+        """Load a version; a newer task, or one of the same version that starts sooner, comes first.
+
+        An engine that has lost its weights meanwhile does not wait for its wave.
+        """
         with self._lock:
-            if self._task is not None and self._task.label == task.label:
+            known = self._task
+            is_same = known is not None and known.label == task.label
+            if is_same and known.starts_at <= task.starts_at + INTERVAL_S:
                 return
             self._task = task
         self._changed.set()
--- a/hibiscustray/weights/scheduling.py
+++ b/hibiscustray/weights/scheduling.py
@@ -100,6 +100,11 @@
         """Return the mask of chunks that this agent fetches for its region."""
         return self._assigned | self._taken_over
 
+    @property
+    def taken_over(self) -> int:
+        """Return the mask of chunks that this agent has taken over from other members."""
+        return self._taken_over
+
     @property
     def lookahead(self) -> int:
         """Return the number of chunks by which the fetchers may differ in their progress."""
--- a/hibiscustray/weights/swarm.py
+++ b/hibiscustray/weights/swarm.py
@@ -277,6 +277,11 @@
             elif self._fetch_failing_since is None:
                 self._fetch_failing_since = time.monotonic()
 
+    @property
+    def is_failing_at_origin(self) -> bool:
+        """Return whether this agent's last fetch from the origin failed."""
+        return self._fetch_failing_since is not None
+
     def find_pending_fetches(self) -> int:
         """Return the mask of missing chunks that this agent fetches for its region.
 
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -73,6 +73,8 @@
 INITIAL_HOLDINGS_POLL_SHARE = 0.1
 """Share of the chunks held below which peers are polled at the initial interval."""
 FALLBACK_STEP_S = 4.0
+MAX_TAKEOVERS = 2
+"""Number of chunks that one agent takes over at a time."""
 MAX_FALLBACK_PEERS = 8
 """Number of peers queried in one pass after which the pass takes over no further chunks."""
 
@@ -481,7 +483,8 @@
         """Take over chunks that their fetchers have not delivered.
 
         A chunk is overdue once later ones have become available, or if no new chunk has for one
-        fallback step. Each further step lets the next-ranked fetcher take over.
+        fallback step. Each further step lets the next-ranked fetcher take over. In an outage of
+        the origin nobody takes over more than a few chunks, or all would fetch all of them later.
         """
         now = time.monotonic()
         region = self._env.view.own.region
@@ -492,13 +495,16 @@
         idle_s = now - self._last_new_chunk_at
         frontier = (available | self._swarm.find_known_chunks()).bit_length()
         lookahead = self._scheduler.lookahead
+        if self._swarm.is_failing_at_origin:
+            return
         replies: dict[str, HoldingsReply | None] = {}
         for index in list_chunks(self._scheduler.find_due_fetches() & ~available):
             if index + lookahead < frontier:
                 self._overdue_since.setdefault(index, now)
             waited_s = max(idle_s, now - self._overdue_since.get(index, now))
             steps = int(waited_s / self._tuning.fallback_step_s)
-            if len(replies) >= MAX_FALLBACK_PEERS:
+            under_way = self._scheduler.taken_over & ~self._held()
+            if len(replies) >= MAX_FALLBACK_PEERS or under_way.bit_count() >= MAX_TAKEOVERS:
                 return
             if steps > 0 and self._scheduler.rank_takeover(index) <= steps:
                 self._take_over_chunk(index, replies)
--- a/tests/agent/test_loader.py
+++ b/tests/agent/test_loader.py
@@ -165,3 +165,11 @@
     fixture.submit(3)
     fixture.wait_for(3)
     assert fixture.engine.loads == [make_chunks(3)]
+
+
+def test_an_engine_that_loses_its_weights_does_not_wait_for_its_wave(start_loader):
+    fixture = start_loader(SlowEngine(version=0))
+    fixture.submit(2, delay_s=30.0)
+    fixture.submit(2)
+    fixture.wait_for(2)
+    assert fixture.engine.loads == [make_chunks(2)]
--- a/tests/weights/test_relay.py
+++ b/tests/weights/test_relay.py
@@ -147,3 +147,27 @@
     assert nodes[2].read_file(digest) == FILE
     assert network.origin_reads == []
     assert time.monotonic() - started < 3.0
+
+
+def test_a_transfer_goes_on_after_an_outage_of_the_origin(tmp_path):
+    """The outage begins in the middle and lasts longer than fetchers wait to cede their chunks."""
+    network = Network(9, regions=3, has_relay=True)
+    digest = network.publish(FILE, tmp_path)
+    read_range = network.read_range
+
+    def fail_from_the_middle_on(path: str, start: int, length: int) -> bytes:
+        if len(network.origin_reads) >= CHUNKS // 2 and not has_begun.is_set():
+            has_begun.set()
+            network.is_origin_down = True
+            timer.start()
+        return read_range(path, start, length)
+
+    has_begun = threading.Event()
+    timer = threading.Timer(4.0, lambda: setattr(network, "is_origin_down", False))
+    network.read_range = fail_from_the_middle_on
+    started = time.monotonic()
+    run_all(list(network.nodes.values()), digest)
+    timer.join()
+    assert all(node.read_file(digest) == FILE for node in network.nodes.values())
+    assert time.monotonic() - started < 10.0
+    assert len(network.origin_reads) <= 1.2 * CHUNKS
