--- a/review/3/play.py
+++ b/review/3/play.py
@@ -38,6 +38,9 @@
 
 def _play_day(record, store, operator, replicas, entry, has_trouble) -> bool:
     copy = store.copy()
+    tenants = [{"name": "hosts", "keys": [KEPT_KEY, TAKEN_KEY, "key-that-is-added"]}]
+    operator.put("op", "config", make_configuration(5, tenants)).wait()
+    record.write("operator version 5 acknowledged, it adds a key")
     time.sleep(COPY_AGE_S)
     for key in (KEPT_KEY, TAKEN_KEY):
         if send(record, entry.callers, "GET", "/look/1", f"before-{key}", key) != 200:
--- a/review/standins.py
+++ b/review/standins.py
@@ -77,6 +77,7 @@
         self._history: list[dict] = []
         self.revision = 0
         self._connections: set[socket.socket] = set()
+        self._calls: list[str] = []
         self._server = _serve(self)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
@@ -113,8 +114,17 @@
         with self.changed:
             (self._connections.add if is_open else self._connections.discard)(connection)
 
+    def wait_for_call(self, prefix: str) -> None:
+        """Wait for the next call whose target has a prefix."""
+        with self.changed:
+            known = len(self._calls)
+            while not any(target.startswith(prefix) for target in self._calls[known:]):
+                self.changed.wait(0.01)
+
     def handle(self, method: str, target: str, body: bytes) -> tuple[int, dict]:
         parts = urlsplit(target)
+        with self.changed:
+            self._calls.append(target)
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         match method, parts.path:
             case "GET", "/v1/rows-get":
@@ -181,6 +191,49 @@
             return 200, {"revision": self.revision}
 
 
+class SilentProxy:
+    """Forwards channels to an address; those that are open can be made silent for good."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = host, int(port)
+        self._silent: set[int] = set()
+        self._open: set[int] = set()
+        self._kept: list[socket.socket] = []
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence(self) -> int:
+        """Make the open channels silent: nothing more passes either way; return their number."""
+        self._silent |= self._open
+        return len(self._open)
+
+    def _accept(self) -> None:
+        number = 0
+        while True:
+            caller, _ = self._listener.accept()
+            number += 1
+            self._open.add(number)
+            server = socket.create_connection(self._target)
+            for sock in (caller, server):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for pair in ((caller, server), (server, caller)):
+                threading.Thread(target=self._pass, args=(number, *pair), daemon=True).start()
+
+    def _pass(self, number: int, source: socket.socket, target: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while (block := source.recv(65536)) and number not in self._silent:
+                target.sendall(block)
+        self._open.discard(number)
+        if number in self._silent:
+            self._kept.append(target)
+            return
+        for sock in (source, target):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
 class Writer:
     """The operator or a replica: writes in order, and writes again what a drill has lost."""
 
@@ -250,7 +303,7 @@
         self._server = _serve_replica(self)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         self._stopping = threading.Event()
-        self._beat()
+        self._register()
         threading.Thread(target=self._keep_beating, daemon=True).start()
 
     def run(self, method: str, path: str, headers: dict[str, str], body: bytes):
@@ -270,7 +323,11 @@
     def drain(self) -> threading.Event:
         """Report `draining`, and go on serving; the event is set with the acknowledgement."""
         self._state = "draining"
-        return self._beat()
+        return self._register()
+
+    def leave_unannounced(self) -> threading.Event:
+        """Have the entry removed without `draining`, and go on serving."""
+        return self.writer.put("servers", self.id, None)
 
     def make_row(self) -> dict:
         """Return the row as it is written next."""
@@ -286,14 +343,14 @@
             "born": self._born,
         }
 
-    def _beat(self) -> threading.Event:
+    def _register(self) -> threading.Event:
         self._sequence += 1
         return self.writer.put("servers", self.id, self.make_row())
 
     def _keep_beating(self) -> None:
+        # An entry changes when more than its sequence changes, so a heartbeat alone is no write.
         while not self._stopping.wait(HEARTBEAT_S):
-            if not self.writer.is_busy:
-                self._beat()
+            self._sequence += 1
 
 
 def make_configuration(version: int, tenants: list[dict], **changes) -> dict:
