--- a/review/3/play.py
+++ b/review/3/play.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import sys
-import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins import EntryProgram, Record, Replica, Store, Writer, make_configuration, run_case, send
+from standins import (
+    EntryProgram,
+    Record,
+    Replica,
+    Store,
+    Writer,
+    make_configuration,
+    run_case,
+    send,
+)
 
 REPLICAS = 6
 COPY_AGE_S = 5.0
@@ -79,7 +87,9 @@
         time.sleep(0.25)
     ran = {request_id for replica in replicas for _, request_id, _ in replica.ran}
     broken = [request_id for request_id in late if request_id in ran]
-    record.write(f"late     {len(late)} requests with the key taken away, {len(broken)} of them ran")
+    record.write(
+        f"late     {len(late)} requests with the key taken away, {len(broken)} of them ran"
+    )
     if not late:
         raise RuntimeError("no request was judged")
     return not broken
--- a/review/standins.py
+++ b/review/standins.py
@@ -7,10 +7,10 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -24,6 +24,8 @@
 HEARTBEAT_S = 1.2
 TRANSACTION_S = 0.004
 READY_TIMEOUT_S = 40.0
+RULE_HELD, COULD_NOT_RUN, RULE_BROKEN = 0, 2, 41
+"""Exit codes of `play.py`; run.sh exits with 1 for a broken rule, as Python does for any error."""
 
 ENTRY_SETTINGS = """\
 [process]
@@ -463,24 +465,28 @@
 
 
 def find_free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
+    """Return a free port below those that Linux gives to outgoing connections."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 def run_case(folder: Path, play) -> None:
     """Run `play(record, temporary folder, has trouble)`, which returns whether the rule held."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as temporary:
         try:
             is_kept = play(record, Path(temporary), has_trouble)
-        except Exception as error:
+        except (Exception, KeyboardInterrupt) as error:
             record.write(f"the case could not run: {type(error).__name__}: {error}")
-            status = 2
+            status = COULD_NOT_RUN
         else:
             record.write("the rule held" if is_kept else "the rule was broken")
-            status = 0 if is_kept else 1
-    sys.stdout.flush()
+            status = RULE_HELD if is_kept else RULE_BROKEN
+    # The threads of the stand-ins are not waited for.
     os._exit(status)
 
 
