--- a/review/standins.py
+++ b/review/standins.py
@@ -48,7 +48,7 @@
 
 [bounds]
 version_ms = 8000
-grace_s = 8
+grace_s = {grace_s}
 retry_share = 0.2
 retry_slack = 100
 """
@@ -300,6 +300,7 @@
         self._record = record
         self._sequence = 0
         self._state = "ready"
+        self.work_s = 0.01
         self._born = int(time.time() * 1000)
         self.ran: list[tuple[float, str, dict[str, str]]] = []
         self._server = _serve_replica(self)
@@ -318,7 +319,7 @@
         self.ran.append((time.monotonic(), request_id, headers))
         team = headers.get("x-hibiscustray-tenant", "-")
         self._record.write(f"run      {request_id} at {self.id}: {method} {path} tenant {team}")
-        time.sleep(0.01)
+        time.sleep(self.work_s)
         seal = {"X-Hibiscustray-Server-Seal": f"seal.{request_id}", "Content-Type": "text/plain"}
         return 200, common | seal, f"done {request_id}".encode()
 
@@ -387,31 +388,39 @@
 class EntryProgram:
     """The entry, started as the deploy file says, with its log in a temporary folder."""
 
-    def __init__(self, store: str, folder: Path) -> None:
-        ports = [find_free_port() for _ in range(4)]
-        self.callers = f"127.0.0.1:{ports[0]}"
-        self.readiness = f"127.0.0.1:{ports[1]}"
-        settings = folder / "entry.ini"
-        settings.write_text(
-            ENTRY_SETTINGS.format(
-                store=store,
-                callers_port=ports[0],
-                readiness_port=ports[1],
-                peer_port=ports[2],
-                metrics_port=ports[3],
-            )
-        )
+    def __init__(self, store: str, folder: Path, grace_s: int = 8) -> None:
+        self._store = store
+        self._ports = [find_free_port() for _ in range(4)]
+        self._settings = folder / "entry.ini"
+        self.callers = f"127.0.0.1:{self._ports[0]}"
+        self.readiness = f"127.0.0.1:{self._ports[1]}"
+        self.write_settings(grace_s)
         self.log = folder / "entry.log"
         self._environment = {
             "PATH": os.environ["PATH"],
             "HOME": str(folder),
             "LANG": "C.UTF-8",
-            "HIBISCUSTRAY_BOOT": str(settings),
+            "HIBISCUSTRAY_BOOT": str(self._settings),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
         self.process: subprocess.Popen | None = None
 
+    def write_settings(self, grace_s: int) -> None:
+        """Write the settings file as a whole."""
+        callers_port, readiness_port, peer_port, metrics_port = self._ports
+        text = ENTRY_SETTINGS.format(
+            store=self._store,
+            callers_port=callers_port,
+            readiness_port=readiness_port,
+            peer_port=peer_port,
+            metrics_port=metrics_port,
+            grace_s=grace_s,
+        )
+        written = self._settings.with_suffix(".new")
+        written.write_text(text)
+        written.replace(self._settings)
+
     def start(self) -> None:
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
@@ -440,17 +449,25 @@
             self.process.wait()
 
 
-def send(record: Record, address: str, method: str, path: str, request_id: str, key: str) -> int:
+def send(
+    record: Record,
+    address: str,
+    method: str,
+    path: str,
+    request_id: str,
+    key: str,
+    deadline_s: float = 1.5,
+) -> int:
     """Send a request on a new connection; return the status, 0 if there is no whole answer."""
     headers = {
         "Host": HOST,
         "X-Hibiscustray-Attempt-Id": request_id,
-        "X-Hibiscustray-Deadline-Ms": "1500",
+        "X-Hibiscustray-Deadline-Ms": str(int(deadline_s * 1000)),
     }
     if key:
         headers["Authorization"] = f"Bearer {key}"
     record.write(f"sent     {request_id}: {method} {path} key {key or '-'}")
-    connection = http.client.HTTPConnection(address, timeout=3.0)
+    connection = http.client.HTTPConnection(address, timeout=deadline_s + 1.5)
     try:
         connection.request(method, path, None, headers)
         response = connection.getresponse()
