--- a/review/standins.py
+++ b/review/standins.py
@@ -21,7 +21,6 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "seats.example"
 SERVICE = "booking"
-HEARTBEAT_S = 1.2
 TRANSACTION_S = 0.004
 READY_TIMEOUT_S = 40.0
 RULE_HELD, COULD_NOT_RUN, RULE_BROKEN = 0, 2, 41
@@ -257,10 +256,6 @@
             self._queued.notify_all()
         return acknowledged
 
-    @property
-    def is_busy(self) -> bool:
-        return bool(self._queue)
-
     def _run(self) -> None:
         while True:
             with self._queued:
@@ -291,7 +286,10 @@
 
 
 class Replica:
-    """A replica of a plain service, which answers each request and registers itself."""
+    """A replica of a plain service, which answers each request and registers itself.
+
+    Heartbeats are left out: they only raise `sequence`, which does not change the entry.
+    """
 
     def __init__(self, number: int, store: Store, record: Record, service: str = SERVICE) -> None:
         self.id = f"i-{number}"
@@ -305,9 +303,7 @@
         self.ran: list[tuple[float, str, dict[str, str]]] = []
         self._server = _serve_replica(self)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
-        self._stopping = threading.Event()
         self._register()
-        threading.Thread(target=self._keep_beating, daemon=True).start()
 
     def run(self, method: str, path: str, headers: dict[str, str], body: bytes):
         """Return status, headers and body of an answer."""
@@ -350,11 +346,6 @@
         self._sequence += 1
         return self.writer.put("servers", self.id, self.make_row())
 
-    def _keep_beating(self) -> None:
-        # An entry changes when more than its sequence changes, so a heartbeat alone is no write.
-        while not self._stopping.wait(HEARTBEAT_S):
-            self._sequence += 1
-
 
 def make_configuration(version: int, tenants: list[dict], **changes) -> dict:
     """Return a configuration of one host with an idempotent and a non-idempotent route."""
