--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 cd "$(dirname "$0")" || exit 2
 for file in standins.py [0-9]/play.py; do
     [ -e "$file" ] || continue
-    python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file" || exit 1
+    python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file" || exit 1
 done
--- a/review/standins.py
+++ b/review/standins.py
@@ -297,7 +297,7 @@
         self._service = service
         self._record = record
         self._sequence = 0
-        self._state = "ready"
+        self._is_leaving = False
         self.work_s = 0.01
         self._born = int(time.time() * 1000)
         self.ran: list[tuple[float, str, dict[str, str]]] = []
@@ -309,6 +309,8 @@
         """Return status, headers and body of an answer."""
         request_id = headers.get("x-hibiscustray-attempt-id", "")
         common = {"X-Hibiscustray-Attempt-Id": request_id}
+        if self._is_leaving:
+            common["Server-Leaving"] = "1"
         expected = headers.get("x-hibiscustray-expect-instance", self.id)
         if expected != self.id:
             return 421, common, b""
@@ -319,13 +321,12 @@
         seal = {"X-Hibiscustray-Server-Seal": f"seal.{request_id}", "Content-Type": "text/plain"}
         return 200, common | seal, f"done {request_id}".encode()
 
-    def drain(self) -> threading.Event:
-        """Report `draining`, and go on serving; the event is set with the acknowledgement."""
-        self._state = "draining"
-        return self._register()
-
     def leave_unannounced(self) -> threading.Event:
-        """Have the entry removed without `draining`, and go on serving."""
+        """Have the entry removed without `draining`, and go on serving.
+
+        All answers say that the replica leaves.
+        """
+        self._is_leaving = True
         return self.writer.put("servers", self.id, None)
 
     def make_row(self) -> dict:
@@ -336,7 +337,7 @@
             "zone": "z1",
             "version": "1",
             "slots": 8,
-            "state": self._state,
+            "state": "ready",
             "warmupLeftMs": 0,
             "sequence": self._sequence,
             "born": self._born,
