--- a/review/standins.py
+++ b/review/1/standins.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "seats.example"
 SERVICE = "booking"
 TRANSACTION_S = 0.004
