Logs and counts how replicas frame their responses

'request ended' and 'attempt lost' have framing now, 'request ended' has body_b, and the metric responses_framed_total counts responses by framing. No logic changes.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -198,6 +198,7 @@
             LATE_URGENCY if context.is_late else None,
             resume_after or context.inbound.resume_after,
         )
+        context.framing = None
         context.tally.add_attempt()
         context.excluded.add(placement.replica.id)
         try:
@@ -445,6 +446,7 @@
             self._notices.record(
                 placement.replica.boot, response.notice, context.sent_at, context.inbound.id
             )
+        context.framing = response.framing
         if watch.is_cancelled():
             raise UpstreamConnectionLost("the attempt was cancelled")
         watch.record_activity()
--- a/hibiscustray/gateway/buffered.py
+++ b/hibiscustray/gateway/buffered.py
@@ -59,7 +59,9 @@
             if isinstance(result, BufferedResponse):
                 context, response = result.context, result.response
                 if _is_final(context, response):
-                    self._attempts.reporter.record_response(context, response.status)
+                    self._attempts.reporter.record_response(
+                        context, response.status, body_b=len(response.body)
+                    )
                     return response
                 failure = response
             else:
@@ -74,7 +76,9 @@
     ) -> InboundResponse | None:
         """Report and return a replica's error response, None if there is none."""
         if failure is not None:
-            self._attempts.reporter.record_response(context, failure.status)
+            self._attempts.reporter.record_response(
+                context, failure.status, body_b=len(failure.body)
+            )
         return failure
 
     def _race(self, context: RequestContext, placement: Placement) -> BufferedResponse | Outcome:
--- a/hibiscustray/gateway/context.py
+++ b/hibiscustray/gateway/context.py
@@ -10,6 +10,7 @@
 from hibiscustray.gateway.interface import InboundRequest
 from hibiscustray.placement import Demand, Placement
 from hibiscustray.quarantine import REQUEST_PREFIX
+from hibiscustray.web import Framing
 
 
 class AttemptTally:
@@ -62,8 +63,9 @@
 
     `tally`, `excluded` and `trail` are shared by the attempts that run at the same time; `excluded`
     has the replicas tried, and `trail` lists each with the result. `answered_version` is the
-    version of the weights that the last response named, 0 if it named none. `sent_at` is the time
-    at which the last attempt was sent. `digest` is the same for all repeats of a request.
+    version of the weights that the last response named, 0 if it named none, and `framing` tells how
+    that response marks the end of its body, None without a response. `sent_at` is the time at which
+    the last attempt was sent. `digest` is the same for all repeats of a request.
     """
 
     inbound: InboundRequest
@@ -79,6 +81,7 @@
     trail: list[str] = field(default_factory=list)
     last_placement: Placement | None = None
     answered_version: int = 0
+    framing: Framing | None = None
     sent_at: float = 0.0
 
     @property
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -9,6 +9,7 @@
 
 from hibiscustray.placement import LoadReport
 from hibiscustray.replicas import ReplicaNotice, ReplicaRecord
+from hibiscustray.web import Framing
 
 Headers = tuple[tuple[str, str], ...]
 PART_DIGEST_B = 8
@@ -103,7 +104,7 @@
     the address serves another replica or another version. `request_id` is the request id in the
     response, and `is_authentic` is set if the response proves that it comes from the replica.
     `is_delimited` is set if the end of the body differs from the end of the connection,
-    and `notice` has what the replica says of itself.
+    `framing` tells what marks that end, and `notice` has what the replica says of itself.
     """
 
     status: int
@@ -112,6 +113,7 @@
     is_misdirected: bool
     is_authentic: bool
     is_delimited: bool
+    framing: Framing
     notice: ReplicaNotice
     request_id: str
     load: LoadReport | None
--- a/hibiscustray/gateway/reporter.py
+++ b/hibiscustray/gateway/reporter.py
@@ -78,9 +78,17 @@
         self._count(context, "failed")
         return _make_response(status, reason)
 
-    def record_response(self, context: RequestContext, status: int, events: int = 0) -> None:
-        """Report that a replica's response was forwarded completely."""
-        self._log(context, "answered", status=status, events=events)
+    def record_response(
+        self, context: RequestContext, status: int, events: int = 0, body_b: int = 0
+    ) -> None:
+        """Report that a replica's response was forwarded completely.
+
+        `events` is the number of events of a stream, `body_b` the bytes of any other body.
+        """
+        self._log(context, "answered", status=status, events=events, body_b=body_b)
+        if context.framing is not None:
+            labels = {"service": context.service.name, "framing": context.framing.value}
+            self._metrics.count("responses_framed_total", labels)
         self._count(context, "answered" if status < 500 else "upstream-failure")
 
     def record_truncated(self, context: RequestContext, events: int, reason: str) -> None:
@@ -109,6 +117,8 @@
             started_at = placement.in_flight.response_started_at
             details["replica"] = placement.replica.id
             details["has_response"] = started_at is not None
+        if context.framing is not None:
+            details["framing"] = context.framing.value
         log.info(
             "attempt lost",
             extra={
@@ -140,6 +150,8 @@
                 details["required_weights"] = placement.required_version
                 details["listed_weights"] = placement.version
                 details["answered_weights"] = context.answered_version
+        if context.framing is not None:
+            details["framing"] = context.framing.value
         log.info(
             "request ended",
             extra={
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -41,6 +41,7 @@
         self.is_not_run = NOT_RUN.lower() in headers
         self.is_authentic = SERVER_SEAL.lower() in headers
         self.is_delimited = stream.is_delimited
+        self.framing = stream.framing
         self.request_id = headers.get(ATTEMPT_ID.lower(), "")
         is_unavailable = stream.status == SERVICE_UNAVAILABLE
         pushback = headers.get(RETRY_AFTER.lower()) if is_unavailable else None
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -23,6 +23,7 @@
     UpstreamUnreachable,
 )
 from hibiscustray.web.bounded import GuardedResponse, ReadGuard
+from hibiscustray.web.framing import Framing
 
 MAX_IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
@@ -78,6 +79,7 @@
         self.read_at = read_clock()
         self.status: int = response.status
         self.headers = {key.lower(): value for key, value in response.getheaders()}
+        self.framing = _find_framing(response)
 
     @property
     def is_delimited(self) -> bool:
@@ -309,6 +311,12 @@
             raise
 
 
+def _find_framing(response: http.client.HTTPResponse) -> Framing:
+    if response.chunked:
+        return Framing.CHUNKS
+    return Framing.CONNECTION if response.length is None else Framing.LENGTH
+
+
 def _cancel(sock: socket.socket, guard: ReadGuard) -> None:
     """End reading and wake a blocked reader."""
     guard.cancel()
