Takes no end of a connection for the end of a head or of a chunk's size

Cause: http.client takes the end of the connection for the empty line after the head, so that the framing that was still to come is missing and the end of the connection ends the body, too. In the same way it takes '0' of a chunk size '0008' for the last chunk, and a Content-Length or Transfer-Encoding that it can't read for none. Change: lines of heads and of chunk sizes must end, sizes and lengths must be numbers that agree, and a chunk must have the length that it names. A body is whole from its last chunk on: what follows it is waited for 0.1 s.

--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -1,14 +1,22 @@
-"""Responses of http.client whose head is bounded in bytes and time, and that can be cancelled."""
+"""Responses of http.client with strict framing and a bounded head, which can be cancelled."""
 
 from __future__ import annotations
 
 import http.client
 import io
+import re
 import socket
 import time
+from http.client import HTTPException, RemoteDisconnected
 
 MAX_HEAD_B = 65536
 """Longest status line and headers, interim responses included."""
+MAX_CHUNK_LINE_B = 4096
+"""Longest line with the size of a chunk."""
+TRAILER_TIMEOUT_S = 0.1
+"""Time for what follows the last chunk, without which the body is whole all the same."""
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,12}")
+LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 
 
 class ReadGuard:
@@ -30,10 +38,14 @@
         """Set the time for all that is received from now on, None for no limit."""
         self.deadline = None if timeout_s is None else time.monotonic() + timeout_s
 
-    def check(self, sock: socket.socket) -> None:
-        """Raise `OSError` if no more may be received, and limit the wait for the next bytes."""
+    def check_cancelled(self) -> None:
+        """Raise `OSError` if reading was cancelled."""
         if self._is_cancelled:
             raise ConnectionAbortedError("reading was cancelled")
+
+    def check(self, sock: socket.socket) -> None:
+        """Raise `OSError` if no more may be received, and limit the wait for the next bytes."""
+        self.check_cancelled()
         if self.bytes_left is not None and self.bytes_left <= 0:
             raise ConnectionAbortedError(f"the head exceeds {MAX_HEAD_B} bytes")
         if self.deadline is not None:
@@ -79,8 +91,26 @@
         super().close()
 
 
+class LineReader(io.BufferedReader):
+    """A buffered reader that, while `requires_lines`, takes no end of the connection for a line."""
+
+    requires_lines = True
+
+    def readline(self, size: int | None = -1) -> bytes:
+        """Return a line, or `size` bytes of it; raise `RemoteDisconnected` if it is cut."""
+        line = super().readline(size)
+        is_limited = size is not None and 0 <= size <= len(line)
+        if self.requires_lines and not line.endswith(b"\n") and not is_limited:
+            raise RemoteDisconnected("the connection ended within the head or a chunk size")
+        return line
+
+
 class GuardedResponse(http.client.HTTPResponse):
-    """A response that is received through a guard, which limits its head."""
+    """A response that is received through a guard, which limits its head.
+
+    Where http.client would take what is cut or malformed for the end of the head or of the body,
+    `HTTPException` is raised.
+    """
 
     def __init__(self, sock: socket.socket, *args, guard: ReadGuard, **options) -> None:
         super().__init__(_GuardedSocket(sock, guard), *args, **options)
@@ -91,10 +121,59 @@
         """Read the head; the timeout of the socket applies to each wait in the body again."""
         timeout_s = self._sock.gettimeout()
         super().begin()
+        _check_framing(self.headers)
+        # Lines of a body that is not sent in chunks may end with the connection.
+        self.fp.requires_lines = self.chunked
         self._guard.bytes_left = None
         self._guard.limit_time(None)
         self._sock.settimeout(timeout_s)
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of the current chunk or of the next one, None after the last.
+
+        http.client calls this before it reads from a body in chunks.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left is not None and self._safe_read(2) != b"\r\n":
+            raise HTTPException("a chunk is longer than its size")
+        self.chunk_left = self._read_chunk_size() or None
+        if self.chunk_left is None:
+            self._read_trailer()
+            self._close_conn()
+        return self.chunk_left
+
+    def _read_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_CHUNK_LINE_B)
+        size = line.partition(b";")[0].strip()
+        if not line.endswith(b"\n") or not CHUNK_SIZE.fullmatch(size):
+            raise HTTPException(f"invalid chunk size: {line[:40]!r}")
+        return int(size, 16)
+
+    def _read_trailer(self) -> None:
+        """Read what follows the last chunk; close the connection after it if that is not whole."""
+        timeout_s = self._sock.gettimeout()
+        self._guard.limit_time(TRAILER_TIMEOUT_S)
+        try:
+            self._read_and_discard_trailer()
+        except (OSError, HTTPException):
+            self.will_close = True
+        finally:
+            self._guard.limit_time(None)
+            self._sock.settimeout(timeout_s)
+
+
+def _check_framing(headers: http.client.HTTPMessage) -> None:
+    """Raise `HTTPException` if the headers do not tell for certain how the body is framed."""
+    encodings = headers.get_all("transfer-encoding", [])
+    if encodings and [encoding.strip().lower() for encoding in encodings] != ["chunked"]:
+        raise HTTPException(f"unknown transfer encoding: {encodings}"[:100])
+    lengths = {text.strip() for text in ",".join(headers.get_all("content-length", [])).split(",")}
+    if "content-length" in headers and (
+        len(lengths) != 1 or not LENGTH.fullmatch(next(iter(lengths)))
+    ):
+        raise HTTPException(f"invalid Content-Length: {sorted(lengths)}"[:100])
+
 
 class _GuardedSocket:
     """Gives `HTTPResponse` a guarded reader in place of the socket's own."""
@@ -104,4 +183,4 @@
         self._guard = guard
 
     def makefile(self, mode: str) -> io.BufferedReader:
-        return io.BufferedReader(GuardedReader(self._sock, self._guard))
+        return LineReader(GuardedReader(self._sock, self._guard))
