Reports a reset and a cancelled read to whoever reads, not only once

A body that only its connection ends looked whole when a reset had been met by the thread that sent the request's body, or when another thread cancelled reading, which shuts the socket down: the reader sees an orderly end in both cases. Cause: the kernel reports a reset once, and _send dropped the report. Change: the stream remembers that sending failed, and cancelled reading raises, also while it waits. read_lines raises for a body that is shorter than its length, as its docstring says. A length that can't be read no longer counts as a mark.

--- a/hibiscustray/agent/upstream_call.py
+++ b/hibiscustray/agent/upstream_call.py
@@ -182,7 +182,7 @@
         if is_events:
             yield from _read_events(stream)
             return
-        if not stream.is_delimited:
+        if not stream.framing.is_delimited:
             raise UpstreamConnectionLost(
                 "the response has neither a Content-Length nor chunked encoding"
             )
--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -81,6 +81,9 @@
         """Receive into a buffer; return the number of bytes, 0 at the end."""
         self._guard.check(self._sock)
         received = self._raw.readinto(buffer)
+        if not received:
+            # Cancelling shuts the socket down, which looks like the end of the connection.
+            self._guard.check_cancelled()
         self._guard.count(received or 0)
         return received
 
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -65,9 +65,11 @@
         sock: socket.socket,
         sent_at: float,
         guard: ReadGuard,
+        is_sent: bool = True,
     ) -> None:
         self._client = client
         self._guard = guard
+        self._is_sent = is_sent
         # Kept, as http.client clears `connection.sock` if the response ends the connection.
         self._sock = sock
         self._connection = connection
@@ -81,11 +83,6 @@
         self.headers = {key.lower(): value for key, value in response.getheaders()}
         self.framing = _find_framing(response)
 
-    @property
-    def is_delimited(self) -> bool:
-        """Return whether truncation of the body is detectable, by a length or chunked encoding."""
-        return self._response.chunked or "content-length" in self.headers
-
     def read_lines(self) -> Iterator[bytes]:
         """Yield body lines as they arrive.
 
@@ -97,6 +94,7 @@
             except (OSError, http.client.HTTPException, ValueError) as error:
                 raise UpstreamConnectionLost(str(error)) from error
             if not line:
+                self._check_end()
                 return
             if len(line) == MAX_LINE_B and not line.endswith(b"\n"):
                 raise ResponseInvalid(f"a line exceeds {MAX_LINE_B} bytes")
@@ -113,8 +111,8 @@
             raise UpstreamSilent(str(error)) from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise UpstreamConnectionLost(str(error)) from error
-        if not block and self._response.length:
-            raise UpstreamConnectionLost(f"{self._response.length} bytes of the body are missing")
+        if not block:
+            self._check_end()
         return block
 
     def read_all(self, timeout_s: float = BODY_TIMEOUT_S) -> bytes:
@@ -131,6 +129,14 @@
                 raise ResponseInvalid(f"the body exceeds {MAX_BODY_B} bytes")
         return bytes(body)
 
+    def _check_end(self) -> None:
+        """Raise `UpstreamConnectionLost` if the end of the connection is not that of the body."""
+        if self._response.length:
+            raise UpstreamConnectionLost(f"{self._response.length} bytes of the body are missing")
+        if not self._is_sent and not self.framing.is_delimited:
+            # The kernel has reported the reset to the sender; the reader sees an orderly end.
+            raise UpstreamConnectionLost("the connection was reset while the request was sent")
+
     def set_timeout(self, seconds: float) -> None:
         """Set the timeout for receiving the next bytes."""
         self._sock.settimeout(seconds)
@@ -228,7 +234,7 @@
         # Kept, as `getresponse` clears `connection.sock` if the response ends the connection.
         sock = connection.sock
         try:
-            _send(connection, method, self._prefix + path, body, headers or {})
+            is_sent = _send(connection, method, self._prefix + path, body, headers or {})
             sent_at = read_clock()
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
@@ -237,7 +243,7 @@
             is_silent = isinstance(error, TimeoutError)
             failure = UpstreamSilent if is_silent else UpstreamConnectionLost
             raise failure(f"{self.base_url}: {error}") from error
-        return HttpStream(self, connection, response, sock, sent_at, guard)
+        return HttpStream(self, connection, response, sock, sent_at, guard, is_sent)
 
     def release(self, connection: http.client.HTTPConnection) -> None:
         """Return a connection to the pool, or close it if the pool is full."""
@@ -299,8 +305,8 @@
     path: str,
     body: bytes,
     headers: Mapping[str, str],
-) -> None:
-    """Send a request; ignore a broken pipe if it has a body.
+) -> bool:
+    """Send a request; return False if the connection was lost within its body.
 
     A server may respond and close the connection before it has read the whole body.
     """
@@ -309,6 +315,8 @@
     except (BrokenPipeError, ConnectionResetError):
         if not body:
             raise
+        return False
+    return True
 
 
 def _find_framing(response: http.client.HTTPResponse) -> Framing:
--- a/hibiscustray/web/framing.py
+++ b/hibiscustray/web/framing.py
@@ -12,3 +12,8 @@
     CHUNKS = "chunks"
     CONNECTION = "connection"
     """Only the end of the connection: a body that ends early looks like a whole one."""
+
+    @property
+    def is_delimited(self) -> bool:
+        """Return whether a body that ends early can be told from a whole one."""
+        return self is not Framing.CONNECTION
--- a/tests/web/test_framing.py
+++ b/tests/web/test_framing.py
@@ -150,6 +150,17 @@
         serve(respond).call("GET", "/")
 
 
+def test_body_that_its_connection_ends_is_not_whole_after_a_reset_that_sending_has_met():
+    def respond(connection: socket.socket) -> None:
+        connection.sendall(HEAD + b"\r\n" + BODY)
+        time.sleep(0.2)
+        # What is left unread makes the kernel reset the connection.
+        connection.close()
+
+    with pytest.raises(UpstreamConnectionLost):
+        serve(respond).call("POST", "/", b"p" * 32 * 1024 * 1024)
+
+
 def test_body_with_a_length_is_whole_although_the_request_was_not_read():
     def respond(connection: socket.socket) -> None:
         connection.sendall(HEAD + b"Content-Length: 20\r\n\r\n" + BODY)
@@ -157,3 +168,23 @@
         connection.close()
 
     assert serve(respond).call("POST", "/", b"p" * 32 * 1024 * 1024).body == BODY
+
+
+@pytest.mark.parametrize("read", ["read_block", "read_lines"])
+def test_body_that_its_connection_ends_is_not_whole_when_reading_is_cancelled(read):
+    ended = threading.Event()
+
+    def respond(connection: socket.socket) -> None:
+        connection.sendall(HEAD + b"\r\nseat\n")
+        ended.wait(TIMEOUT_S)
+
+    stream = serve(respond).open("GET", "/")
+    threading.Timer(0.2, stream.abort).start()
+    with pytest.raises(UpstreamConnectionLost):
+        if read == "read_lines":
+            list(stream.read_lines())
+        else:
+            while stream.read_block():
+                pass
+    ended.set()
+    stream.close()
