Passes a body that only its connection ends on without a length or a last chunk

Cause: a replica may send neither a length nor chunks; then nothing but the end of its connection marks the end of its body, and an orderly close in the middle can't be told from the end. The entry gave callers a Content-Length or a last chunk all the same, and so made certain what it did not know. Change: InboundResponse.is_delimited goes from the replica's framing to the caller's: such a body ends with the connection there, too. A response to a caller whose end only the connection marks (also any stream to a caller of HTTP/1.0) is reset unless it was finished and sent, also when the process is killed. A stream that callers get in chunks is not ended by a resumed part whose end is not marked; it is resumed once more, or cut. A quarantine does not take such a body for a success.

--- a/hibiscustray/gateway/buffered.py
+++ b/hibiscustray/gateway/buffered.py
@@ -14,7 +14,11 @@
     AttemptController,
 )
 from hibiscustray.gateway.context import RequestContext
-from hibiscustray.gateway.interface import InboundResponse, ReplicaResponse
+from hibiscustray.gateway.interface import (
+    InboundResponse,
+    ReplicaResponse,
+    make_inbound_response,
+)
 from hibiscustray.gateway.outcome import (
     CallerDisconnected,
     MaybeRun,
@@ -152,7 +156,7 @@
         finally:
             watch.close()
         self._record_result(context, placement, response)
-        return BufferedResponse(InboundResponse(response.status, response.headers, body), context)
+        return BufferedResponse(make_inbound_response(response, body), context)
 
     def _read(self, response: ReplicaResponse, watch: Watch) -> bytes:
         try:
@@ -168,7 +172,8 @@
             self._attempts.placer.record_failure(placement)
         else:
             self._attempts.placer.record_success(placement, context.service)
-            self._attempts.record_completion(context, response.status)
+            if response.framing.is_delimited:
+                self._attempts.record_completion(context, response.status)
 
 
 def _is_final(context: RequestContext, response: InboundResponse) -> bool:
--- a/hibiscustray/gateway/forwarder.py
+++ b/hibiscustray/gateway/forwarder.py
@@ -75,7 +75,7 @@
             self._change_running(-1)
             return response
         body = TrackedBody(response.body, lambda: self._change_running(-1))
-        return InboundResponse(response.status, response.headers, body)
+        return InboundResponse(response.status, response.headers, body, response.is_delimited)
 
     def _change_running(self, change: int) -> None:
         with self._idle:
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -73,11 +73,16 @@
 
 @dataclass(frozen=True)
 class InboundResponse:
-    """The response to a caller; a body that is an iterator is streamed."""
+    """The response to a caller; a body that is an iterator is streamed.
+
+    Unless `is_delimited`, the body may have ended early, and only the end of the connection may
+    mark its end.
+    """
 
     status: int
     headers: Headers
     body: bytes | Iterator[bytes]
+    is_delimited: bool = True
 
 
 @dataclass(frozen=True)
@@ -103,8 +108,8 @@
     `is_not_run` is set if the replica states that it did not run the request, `is_misdirected` if
     the address serves another replica or another version. `request_id` is the request id in the
     response, and `is_authentic` is set if the response proves that it comes from the replica.
-    `is_delimited` is set if the end of the body differs from the end of the connection,
-    `framing` tells what marks that end, and `notice` has what the replica says of itself.
+    `framing` tells what marks the end of the body, and `notice` has what the replica says of
+    itself.
     """
 
     status: int
@@ -112,7 +117,6 @@
     is_not_run: bool
     is_misdirected: bool
     is_authentic: bool
-    is_delimited: bool
     framing: Framing
     notice: ReplicaNotice
     request_id: str
@@ -128,6 +132,13 @@
         ...
 
 
+def make_inbound_response(
+    response: ReplicaResponse, body: bytes | Iterator[bytes]
+) -> InboundResponse:
+    """Return the response to a caller that passes a replica's response on."""
+    return InboundResponse(response.status, response.headers, body, response.framing.is_delimited)
+
+
 class ReplicaClient(Protocol):
     """Sends requests to replicas."""
 
--- a/hibiscustray/gateway/streams.py
+++ b/hibiscustray/gateway/streams.py
@@ -7,12 +7,16 @@
 from typing import TypeVar
 
 from hibiscustray.clock import read_clock
-from hibiscustray.exceptions import UpstreamConnectionLost
+from hibiscustray.exceptions import ResponseInvalid, UpstreamConnectionLost
 from hibiscustray.gateway.attempts import SILENCE_LIMIT_S, AttemptController
 from hibiscustray.gateway.body import TrackedBody
 from hibiscustray.gateway.context import RequestContext
 from hibiscustray.gateway.events import EventSplitter, read_event_id
-from hibiscustray.gateway.interface import InboundResponse, ReplicaResponse
+from hibiscustray.gateway.interface import (
+    InboundResponse,
+    ReplicaResponse,
+    make_inbound_response,
+)
 from hibiscustray.gateway.outcome import (
     CallerDisconnected,
     MaybeRun,
@@ -55,8 +59,9 @@
                     return result
                 case StreamPart(attempt=attempt):
                     response = attempt.response
+                    attempt.position.is_delimited = response.framing.is_delimited
                     body = TrackedBody(self._forward_events(result), attempt.close)
-                    return InboundResponse(response.status, response.headers, body)
+                    return make_inbound_response(response, body)
             final_response = self._attempts.handle_outcome(context, result)
             if final_response is not None:
                 return final_response
@@ -200,10 +205,14 @@
 
 @dataclass
 class StreamPosition:
-    """How far a stream has been forwarded."""
+    """How far a stream has been forwarded.
+
+    `is_delimited` is set once the caller has been promised a mark of the stream's end.
+    """
 
     last_event_id: str = ""
     event_count: int = 0
+    is_delimited: bool = False
 
     def copy(self) -> StreamPosition:
         """Return a copy, which does not move with this one."""
@@ -325,7 +334,7 @@
         self._fail()
         self.context.record_attempt(self._placement, str(response.status))
         self._attempts.record_completion(self.context, max(300, response.status))
-        return InboundResponse(response.status, response.headers, body)
+        return make_inbound_response(response, body)
 
     def _read_first_events(self) -> StreamPart | Outcome:
         """Return the first events; empty only if the stream is complete without any."""
@@ -353,12 +362,15 @@
             return events
         if self._splitter.has_partial_event:
             return self._handle_loss(UpstreamConnectionLost("the stream ended within an event"))
-        if not self.response.is_delimited and self._first_event_at is None:
+        is_delimited = self.response.framing.is_delimited
+        if not is_delimited and self._first_event_at is None:
             return self._handle_loss(UpstreamConnectionLost("the stream ended before an event"))
+        if not is_delimited and self.position.is_delimited:
+            return self._handle_loss(ResponseInvalid("the end of the stream is not marked"))
         self.is_complete = True
         self._is_released = True
         self._attempts.placer.record_success(self._placement, self.context.service)
-        if self.response.is_delimited:
+        if is_delimited:
             self._attempts.record_completion(self.context)
         return events
 
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -40,7 +40,6 @@
         self.is_misdirected = stream.status == MISDIRECTED_REQUEST
         self.is_not_run = NOT_RUN.lower() in headers
         self.is_authentic = SERVER_SEAL.lower() in headers
-        self.is_delimited = stream.framing.is_delimited
         self.framing = stream.framing
         self.request_id = headers.get(ATTEMPT_ID.lower(), "")
         is_unavailable = stream.status == SERVICE_UNAVAILABLE
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -30,7 +30,7 @@
     URGENCY,
 )
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
-from hibiscustray.web.server import REASON_PHRASES, RECEIVED_AT
+from hibiscustray.web.server import END_WITH_CONNECTION, REASON_PHRASES, RECEIVED_AT
 
 REPLACED_HEADERS = frozenset(
     name.lower()
@@ -60,7 +60,7 @@
     def __call__(self, environ: dict[str, Any], start_response) -> Iterable[bytes]:
         """Handle one WSGI request."""
         response = self._forwarder.run(_read_request(environ))
-        return _write_response(response, start_response)
+        return _write_response(response, environ, start_response)
 
 
 def _read_request(environ: dict[str, Any]) -> InboundRequest:
@@ -118,10 +118,14 @@
     return tuple(digest_part(part_id) for part_id in ids[:-1] if part_id)
 
 
-def _write_response(response: InboundResponse, start_response) -> Iterable[bytes]:
+def _write_response(
+    response: InboundResponse, environ: dict[str, Any], start_response
+) -> Iterable[bytes]:
+    body, headers = response.body, list(response.headers)
+    if not response.is_delimited:
+        environ[END_WITH_CONNECTION]()
+    elif isinstance(body, bytes):
+        headers.append(("Content-Length", str(len(body))))
     reason = REASON_PHRASES.get(response.status, "Status")
-    headers = list(response.headers)
-    if isinstance(response.body, bytes):
-        headers.append(("Content-Length", str(len(response.body))))
     start_response(f"{response.status} {reason}", headers)
-    return [response.body] if isinstance(response.body, bytes) else response.body
+    return [body] if isinstance(body, bytes) else body
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import math
 import re
 import socket
 import ssl
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -23,6 +25,7 @@
 
 from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import SettingsError
+from hibiscustray.web.client import RESET_ON_CLOSE
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.tls import TlsTerminator
 
@@ -36,8 +39,13 @@
 CLEANUP_INTERVAL_S = 5
 MAX_OPEN_CONNECTIONS = 4096
 MAX_HEADERS_B = 64 * 1024
+CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
+NO_LINGER = struct.pack("ii", 0, 0)
 RECEIVED_AT = "hibiscustray.received_at"
 """Key in the WSGI environment of the time of `read_clock` at which a request had been received."""
+END_WITH_CONNECTION = "hibiscustray.end_with_connection"
+"""Key in the WSGI environment of a function, to be called before the response is started, after
+which only the end of the connection marks the end of the response's body."""
 MAX_BUFFER_B = 1 << 40
 """Larger than any body, so that waitress never writes a buffer to a temporary file."""
 REASON_PHRASES = {
@@ -149,8 +157,13 @@
         self.write(body)
 
 
-class ClosingTask(WSGITask):
-    """Sends ``Connection: close`` with the response if keep-alive is disabled."""
+class ResponseTask(WSGITask):
+    """Sends a response, with ``Connection: close`` if keep-alive is disabled.
+
+    A body that is broken off and whose end only the connection marks is followed by a reset.
+    """
+
+    ends_with_connection = False
 
     def start(self) -> None:
         """Start a response."""
@@ -162,8 +175,32 @@
         """Return the WSGI environment with the time at which the request had been received."""
         environ = super().get_environment()
         environ[RECEIVED_AT] = self.request.received_at
+        environ[END_WITH_CONNECTION] = self.end_with_connection
         return environ
 
+    def end_with_connection(self) -> None:
+        """Send neither a length nor chunks."""
+        self.ends_with_connection = True
+
+    def build_response_header(self) -> bytes:
+        """Return the head of the response."""
+        if self.ends_with_connection:
+            # Waitress sends a body of one block with its length.
+            self.content_length = None
+        head = super().build_response_header()
+        if self.ends_with_connection and self.chunked_response:
+            self.chunked_response = False
+            head = head.replace(CHUNKED_HEADER, b"", 1)
+        names = {name for name, _ in self.response_headers}
+        if self.has_body and not self.chunked_response and "Content-Length" not in names:
+            self.channel.reset_unless_finished()
+        return head
+
+    def finish(self) -> None:
+        """End the response."""
+        super().finish()
+        self.channel.is_response_finished = True
+
 
 class StrictParser(HTTPRequestParser):
     """Rejects requests with a Content-Length and a chunked body, which allow request smuggling."""
@@ -188,9 +225,11 @@
     """A connection that sends problem bodies and measures how long request headers take."""
 
     error_task_class = ProblemTask
-    task_class = ClosingTask
+    task_class = ResponseTask
     parser_class = StrictParser
     incomplete_since: float | None = None
+    is_response_finished = False
+    _is_reset_set = False
 
     def received(self, data: bytes) -> bool:
         """Process received bytes and record since when a request has been incomplete."""
@@ -201,6 +240,33 @@
             self.incomplete_since = time.monotonic()
         return is_accepted
 
+    def reset_unless_finished(self) -> None:
+        """Let closing reset the connection unless the response is finished and has been sent.
+
+        The kernel then also resets the connection of a process that is killed.
+        """
+        self.is_response_finished = False
+        self._set_linger(RESET_ON_CLOSE)
+        self._is_reset_set = True
+
+    def handle_close(self) -> None:
+        """Close the connection."""
+        self._clear_reset()
+        super().handle_close()
+
+    def close(self) -> None:
+        """Close the connection when the server stops."""
+        self._clear_reset()
+        super().close()
+
+    def _clear_reset(self) -> None:
+        if self._is_reset_set and self.is_response_finished and not self.total_outbufs_len:
+            self._set_linger(NO_LINGER)
+
+    def _set_linger(self, value: bytes) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def exceeds_header_timeout(self, timeout_s: float) -> bool:
         """Return whether request headers have been incomplete for longer than a timeout."""
         request, since = self.request, self.incomplete_since
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -51,6 +51,36 @@
     assert (response.status, response.body, response.end) == (200, sent, End.CLOSED)
 
 
+@pytest.mark.parametrize("is_whole", [False, True], ids=["cut", "whole"])
+def test_resumed_stream_without_a_mark_of_its_end_does_not_end_a_stream_in_chunks(site, is_whole):
+    served = []
+
+    def respond(request: ReceivedRequest, connection: socket.socket) -> None:
+        served.append(request)
+        if len(served) == 1:
+            head = make_head(request, "resumable", "Transfer-Encoding: chunked")
+            connection.sendall(head + b"".join(encode_chunk(event) for event in EVENTS[:2]))
+            return
+        last = len(EVENTS) if is_whole else 4
+        events = b"".join(EVENTS[request.resume_after : last])
+        connection.sendall(make_head(request, "resumable") + events)
+
+    for _ in range(2):
+        site.add_replica(STREAM, respond)
+    response = call_raw(site, "resumable")
+    assert response.body == b"".join(EVENTS if is_whole else EVENTS[:4])
+    assert response.end is End.CUT
+
+
+def test_stream_without_a_mark_of_its_end_is_reset_when_it_breaks_off(site):
+    def respond(request: ReceivedRequest, connection: socket.socket) -> None:
+        connection.sendall(make_head(request, "plain_stream") + b"".join(EVENTS[:2]) + b"id: 3")
+
+    site.add_replica(STREAM, respond)
+    response = call_raw(site, "plain_stream")
+    assert (response.status, response.end) == (200, End.RESET)
+
+
 HEAD_CUTS = {
     "before the seal": b"\r\nX-Hibiscustray-Server-Seal",
     "after the seal": b"\r\nContent-",
