Checks keys also once the last key of the only team is taken away

Cause: teams were kept only as a map from keys to teams, so that teams without keys looked like none. Change: Catalog.requires_keys is set if there are teams. Requests without, with a taken and with an unknown key get 401.

--- a/hibiscustray/catalog/model.py
+++ b/hibiscustray/catalog/model.py
@@ -127,6 +127,8 @@
     limits: CallerLimits = CallerLimits()
     teams: Mapping[str, TeamEntry] = field(default_factory=dict)
     """Teams by the keys of their callers."""
+    requires_keys: bool = False
+    """Whether there are teams, also if none of them has a key at the time."""
     _routes_by_prefix: Mapping[tuple[str, str], Route] = field(
         init=False, repr=False, compare=False
     )
--- a/hibiscustray/gateway/forwarder.py
+++ b/hibiscustray/gateway/forwarder.py
@@ -92,7 +92,7 @@
         if route is None:
             return self._reporter.reject(inbound, 404, "no-route", revision=revision)
         team = ""
-        if catalog.teams and not route.is_anonymous:
+        if catalog.requires_keys and not route.is_anonymous:
             entry = catalog.find_team(inbound.key)
             if entry is None:
                 return self._reporter.reject(inbound, 401, "unknown-key", revision=revision)
--- a/hibiscustray/platform/records.py
+++ b/hibiscustray/platform/records.py
@@ -173,6 +173,7 @@
             for tenant in wire.tenants
             for key in tenant.keys
         },
+        requires_keys=bool(wire.tenants),
     )
 
 
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -97,6 +97,14 @@
     assert site.call("POST", "/book/1", b"x", Authorization=f"Bearer {KEY}")[0].status == 401
 
 
+def test_no_request_is_run_once_the_only_team_has_no_key_left(site):
+    replica = site.add_replica("booking", respond_with_body())
+    site.configure(5, tenants=[{"name": "hosts", "keys": []}])
+    for headers in ({}, {"Authorization": "Bearer none"}, {"Authorization": ""}):
+        assert site.call("POST", "/book/1", b"x", **headers)[0].status == 401
+    assert not replica.received
+
+
 def test_a_request_of_an_unknown_route_kind_is_sent_once_and_not_repeated(site):
     site.configure(
         4,
