Rejects rows of the replica list that are nested deeply or hold numbers out of range

Cause: the decoder raises RecursionError and OverflowError, which were not expected, so that one row failed the whole page; ports, counts, times and ids were not bounded, so that the row named a replica that can't be called. Change: numbers have bounds, addresses are an IP number and a port from 1 to 65535, ids are printable ASCII; these decoder errors reject the row alone.

--- a/hibiscustray/platform/records.py
+++ b/hibiscustray/platform/records.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal
+import ipaddress
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -31,10 +32,22 @@
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAMING,
 }
+MAX_COUNT = 1_000_000
+"""Most slots or layers of a replica."""
+MAX_EXACT_INTEGER = 2**53
+MAX_WARMUP_MS = 1e9
+MAX_PORT_DIGITS = 5
+MAX_PORT = 65535
 TOKENS_PER_K = 1000.0
 PAIRS_PER_M = 1e6
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+WarmupMs = Annotated[float, msgspec.Meta(ge=-MAX_WARMUP_MS, le=MAX_WARMUP_MS)]
+
+
 class _WireRecord(msgspec.Struct, frozen=True, rename="camel"):
     """Base of records whose field names are written in camel case."""
 
@@ -131,16 +144,16 @@
 
 class WireModel(_WireRecord, frozen=True):
     name: str
-    version: int = 0
+    version: Version = 0
 
 
 class WireLayers(_WireRecord, frozen=True):
     """Range of layers that a replica holds."""
 
-    range_start: int
+    range_start: Count
     # End of the range, exclusive.
-    target: int
-    version: int = 0
+    target: Count
+    version: Version = 0
 
 
 class _ReplicaRow(_WireRecord, frozen=True):
@@ -148,11 +161,11 @@
     addr: str
     state: Literal["ready", "draining"]
     zone: str = ""
-    slots: int = 0
-    warmup_left_ms: float = 0.0
+    slots: Count = 0
+    warmup_left_ms: WarmupMs = 0.0
     models: tuple[WireModel, ...] = ()
     layers: WireLayers | None = None
-    born: int = 0
+    born: UnixMs = 0
 
 
 def decode_catalog(body: bytes) -> Catalog:
@@ -184,11 +197,14 @@
 
 
 def decode_replica(replica_id: str, body: bytes) -> ReplicaRecord:
-    """Decode a replica's row; the row's key is the only place that contains the replica id."""
+    """Decode a replica's row; the row's key is the only place that contains the replica id.
+
+    Raises `RecordInvalid` if the row or its key, which may be another writer's, names no replica.
+    """
     wire = decode(body, _ReplicaRow)
-    host, _, port = wire.addr.rpartition(":")
-    if not host or not port.isdigit():
-        raise RecordInvalid(f"address {wire.addr[:60]!r} does not have the form IP:port")
+    if not replica_id or not (replica_id.isascii() and replica_id.isprintable()):
+        raise RecordInvalid(f"the id {replica_id[:60]!r} cannot be sent in a header")
+    _check_address(wire.addr)
     return ReplicaRecord(
         id=replica_id,
         service=wire.service,
@@ -212,10 +228,21 @@
     """Decode JSON from the platform; raise `RecordInvalid` if it does not fit the record type."""
     try:
         return msgspec.json.decode(body, type=record_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, OverflowError) as error:
         raise RecordInvalid(str(error)[:200]) from error
 
 
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        is_port = False
+    if not is_port or not 0 < int(port) <= MAX_PORT:
+        raise RecordInvalid(f"address {address[:60]!r} does not have the form IP:port")
+
+
 def _read_route(wire: _Route) -> Route:
     shares = tuple(ServiceShare(s.service, s.weight) for s in wire.split)
     return Route(
--- /dev/null
+++ b/tests/platform/test_odd_rows.py
@@ -0,0 +1,115 @@
+"""Rows of another writer in the list of replicas: they name no replica, and the others hold."""
+
+from __future__ import annotations
+
+import json
+import logging
+
+import pytest
+
+from hibiscustray.exceptions import RecordInvalid
+from hibiscustray.platform.records import decode_replica
+from hibiscustray.platform.standins import respond_with_body
+from tests.platform.site import HostedSite, build_entry, run_hosted_site
+from tests.waiting import wait_until
+
+SOUND = {"service": "booking", "addr": "127.0.0.1:9", "zone": "z1", "slots": 16, "state": "ready"}
+
+
+def encode(**changes) -> bytes:
+    return json.dumps(SOUND | changes).encode()
+
+
+def nest(depth: int) -> bytes:
+    return b"[" * depth + b"]" * depth
+
+
+ODD_ROWS = {
+    "not JSON": b"{",
+    "not UTF-8": b'{"service":"\xff"}',
+    "empty": b"",
+    "breaks off within lists": b'{"service":' + b"[" * 4000,
+    "nested in a field": encode().replace(b'"z1"', nest(20_000)),
+    "nested in an unknown field": encode(x=0).replace(b'"x": 0', b'"x":' + nest(20_000)),
+    "slots of 400 digits": encode(slots=0).replace(b'"slots": 0', b'"slots":' + b"9" * 400),
+    "slots of 20 digits": encode(slots=10**20),
+    "slots of 18 digits": encode(slots=10**18),
+    "negative slots": encode(slots=-1),
+    "infinite warm-up": encode(x=0).replace(b'"x": 0', b'"warmupLeftMs":1e999'),
+    "long warm-up": encode(warmupLeftMs=1e300),
+    "not a number": encode(warmupLeftMs=float("nan")),
+    "born in 2 ** 70": encode(born=2**70),
+    "born in a text": encode(born="1"),
+    "version of 30 digits": encode(models=[{"name": "m", "version": 10**30}]),
+    "negative layers": encode(layers={"rangeStart": -1, "target": 2**40}),
+    "port out of range": encode(addr="127.0.0.1:65536"),
+    "port of 400 digits": encode(addr="127.0.0.1:" + "9" * 400),
+    "port of 5000 digits": encode(addr="127.0.0.1:" + "9" * 5000),
+    "port 0": encode(addr="127.0.0.1:0"),
+    "port in other digits": encode(addr="127.0.0.1:\u0661\u0662"),
+    "no port": encode(addr="127.0.0.1"),
+    "no IP number": encode(addr="a" * 300 + ":80"),
+    "line break in the address": encode(addr="127.0.0.1\r\nX-A: b:80"),
+    "unnamed state": encode(state="gone"),
+    "unnamed service": encode(service="elsewhere"),
+}
+ODD_KEYS = {
+    "other letters": "i-\u2603",
+    "line break": "i-9\r\nX-A: b",
+    "empty": "",
+}
+
+
+def check_site(site: HostedSite) -> None:
+    """Check that the list is followed, that requests are served and that a new entry gets ready."""
+    first = site.add_replica("booking", respond_with_body(body=b"seat"))
+    second = site.add_replica("booking", respond_with_body(body=b"seat"))
+    for path in ["/book/1", "/book/look/1"] * 6:
+        assert site.call("POST", path, b"x")[0].status == 200
+    assert first.received and second.received
+    site.update_replica(first, state="draining")
+    wait_until(lambda: len(site.process._directory.list_ready("booking")) == 1)
+    _, restarted = build_entry(site.store, threads=4)
+    restarted.start()
+    try:
+        wait_until(restarted.is_ready)
+        assert [r.id for r in restarted._directory.list_ready("booking")] == [second.id]
+    finally:
+        restarted.stop()
+
+
+def check_log(caplog) -> None:
+    """Check that nothing was logged as an unexpected failure."""
+    assert not [r.getMessage() for r in caplog.records if r.levelno >= logging.ERROR]
+
+
+@pytest.mark.parametrize("name", ODD_ROWS)
+def test_odd_row_stops_neither_the_list_nor_requests(name, caplog):
+    with run_hosted_site() as site:
+        site.store.put("servers", "i-odd", ODD_ROWS[name])
+        check_site(site)
+    check_log(caplog)
+
+
+@pytest.mark.parametrize("name", ODD_KEYS)
+def test_row_with_an_odd_key_stops_neither_the_list_nor_requests(name, caplog):
+    with run_hosted_site() as site:
+        site.store.put("servers", ODD_KEYS[name], encode(addr="127.0.0.1:9"))
+        check_site(site)
+    check_log(caplog)
+
+
+@pytest.mark.parametrize("name", [name for name in ODD_ROWS if name != "unnamed service"])
+def test_odd_row_names_no_replica(name):
+    with pytest.raises(RecordInvalid):
+        decode_replica("i-odd", ODD_ROWS[name])
+
+
+@pytest.mark.parametrize("key", ODD_KEYS)
+def test_odd_key_names_no_replica(key):
+    with pytest.raises(RecordInvalid):
+        decode_replica(ODD_KEYS[key], encode())
+
+
+def test_sound_row_names_a_replica():
+    assert decode_replica("i-1", encode()).address == "127.0.0.1:9"
