Takes a body in chunks for whole only if its trailer ends or none comes

Change: what follows the last chunk may be missing, or end with the connection; one that goes on for 0.1 s is no response. Result: tests/platform/test_endless_bytes.py and tests/web pass (119).

--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -14,7 +14,7 @@
 MAX_CHUNK_LINE_B = 4096
 """Longest line with the size of a chunk."""
 TRAILER_TIMEOUT_S = 0.1
-"""Time for what follows the last chunk, without which the body is whole all the same."""
+"""Time for what follows the last chunk. If nothing does, the body is whole all the same."""
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,12}")
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 
@@ -154,17 +154,26 @@
         return int(size, 16)
 
     def _read_trailer(self) -> None:
-        """Read what follows the last chunk; close the connection after it if that is not whole."""
+        """Read what follows the last chunk; close the connection after it if it ends there."""
         timeout_s = self._sock.gettimeout()
         self._guard.limit_time(TRAILER_TIMEOUT_S)
         try:
-            self._read_and_discard_trailer()
-        except (OSError, HTTPException):
+            if self._has_trailer():
+                self._read_and_discard_trailer()
+            else:
+                self.will_close = True
+        except ConnectionError:
             self.will_close = True
         finally:
             self._guard.limit_time(None)
             self._sock.settimeout(timeout_s)
 
+    def _has_trailer(self) -> bool:
+        try:
+            return bool(self.fp.peek(1))
+        except OSError:
+            return False
+
 
 def _check_framing(headers: http.client.HTTPMessage) -> None:
     """Raise `HTTPException` if the headers do not tell for certain how the body is framed."""
