Answers requests that still run at the end of a planned stop

Seen by callers: requests under way at the end of the grace period were cut with no response, non-idempotent ones among them. Cause: 0.6 s before its end, `drain` gave up waiting, and the server went on to wait up to 5 s for the same requests until the process was killed (or, with a longer grace period, had ended). A grace period shorter than 2.6 s was slept through. Change: attempts end 0.6 s before the end of the period (in a period under 3.6 s, at its last sixth): their callers get 502, streams are broken off, and what was not sent gets 503. Until then the drain waits for all connections rather than for the forwarder, so that requests that wait for a thread or are being received count, too. The time that an incomplete head has still holds.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -20,6 +20,7 @@
     UpstreamUnreachable,
 )
 from hibiscustray.gateway.context import RequestContext
+from hibiscustray.gateway.drain import DrainWindow
 from hibiscustray.gateway.interface import (
     InboundResponse,
     OutboundRequest,
@@ -68,6 +69,8 @@
 """Relative jitter of that time, so that callers do not retry at the same time."""
 TURNED_AWAY_STATUSES = frozenset((408, 425, 429))
 """Responses that do not show that the replica began to run the request."""
+STOPPING_RETRY_AFTER_S = 0.1
+"""Retry delay after a request that another entry has to run; the balancer connects to it next."""
 LATE_URGENCY = 7
 """Urgency of requests past their objective, lower than the engines' default of 5."""
 
@@ -110,6 +113,7 @@
         self.memory = ResponseMemory()
         self.reporter = reporter
         self.limits = limits
+        self.drain_window: DrainWindow | None = None
         self._versions = versions
         self._notices = notices
         self._client = client
@@ -123,7 +127,12 @@
         self._random = random.Random()
 
     def place(self, context: RequestContext) -> Placement | Refusal:
-        """Choose a replica for the next attempt, or refuse it because of its prompt or the load."""
+        """Choose a replica for the next attempt, or refuse it.
+
+        Reasons are a stop of the entry, the prompt and the load.
+        """
+        if self._is_drain_over():
+            return Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER_S)
         retry_after_s = self._find_quarantine_refusal(context)
         if retry_after_s is not None:
             return Refusal(RefusalReason.QUARANTINED, retry_after_s)
@@ -155,7 +164,8 @@
         """Watch an attempt for silence, the deadline and a disconnected caller.
 
         A request must not begin on an old version after a newer one has become required, so an
-        attempt that has not begun is cancelled just before that time. Silence does not end it.
+        attempt that has not begun is cancelled just before that time. So are all attempts at the
+        end of a drain, while their callers can still get a response. Silence does not end them.
         """
         return self._watchdog.watch(
             lambda: None,
@@ -164,7 +174,8 @@
             context.inbound.is_disconnected,
             lambda: self._handle_silence(context, placement, on_silent),
             lambda: self.placer.end_silence(placement),
-            lambda: not has_begun() and self._is_outdated(context, placement),
+            lambda: self._is_drain_over()
+            or (not has_begun() and self._is_outdated(context, placement)),
         )
 
     def make_race(
@@ -244,7 +255,8 @@
         if context.time_left() <= 0:
             return OutOfTime()
         if watch.is_cancelled():
-            return MaybeRun("newer weights are required")
+            is_stopped = self._is_drain_over()
+            return MaybeRun("the entry stops" if is_stopped else "newer weights are required")
         return MaybeRun(str(error))
 
     def record_completion(self, context: RequestContext, status: int = 200) -> None:
@@ -333,6 +345,10 @@
             )
         on_silent()
 
+    def _is_drain_over(self) -> bool:
+        window = self.drain_window
+        return window is not None and window.is_over(read_clock())
+
     def _is_outdated(self, context: RequestContext, placement: Placement) -> bool:
         """Return whether an attempt that has not begun must not begin any more."""
         if not context.model:
--- a/hibiscustray/gateway/forwarder.py
+++ b/hibiscustray/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from hibiscustray.gateway.body import TrackedBody
 from hibiscustray.gateway.buffered import BufferedForwarder
 from hibiscustray.gateway.context import RequestContext
+from hibiscustray.gateway.drain import DrainWindow
 from hibiscustray.gateway.interface import InboundRequest, InboundResponse, digest_request
 from hibiscustray.gateway.reporter import RequestReporter
 from hibiscustray.gateway.streams import StreamForwarder
@@ -43,7 +44,7 @@
         self._random = random.Random()
         self._longest_deadlines_s: dict[str, float] = {}
         self._running = 0
-        self._idle = threading.Condition()
+        self._lock = threading.Lock()
 
     @property
     def running(self) -> int:
@@ -58,10 +59,9 @@
         """Apply changed limits to later attempts."""
         self._attempts.limits = limits
 
-    def wait_until_idle(self, timeout_s: float) -> bool:
-        """Wait until no request is running; return False on timeout."""
-        with self._idle:
-            return self._idle.wait_for(lambda: self._running == 0, timeout_s)
+    def drain(self, window: DrainWindow) -> None:
+        """End all requests by the end of a drain."""
+        self._attempts.drain_window = window
 
     def run(self, inbound: InboundRequest) -> InboundResponse:
         """Forward a request and return its response, or an error response."""
@@ -78,10 +78,8 @@
         return InboundResponse(response.status, response.headers, body, response.is_delimited)
 
     def _change_running(self, change: int) -> None:
-        with self._idle:
+        with self._lock:
             self._running += change
-            if self._running == 0:
-                self._idle.notify_all()
 
     def _run(self, inbound: InboundRequest) -> InboundResponse:
         catalog = self._catalogs.current
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -6,9 +6,11 @@
 import time
 
 from hibiscustray.catalog import Catalog, CatalogHolder
+from hibiscustray.clock import read_clock
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.feeds import FeedFollower
 from hibiscustray.gateway.attempts import VersionLimits
+from hibiscustray.gateway.drain import DrainWindow
 from hibiscustray.gateway.forwarder import RequestForwarder
 from hibiscustray.quarantine import ReportPublisher
 from hibiscustray.replicas import ReplicaDirectory
@@ -23,8 +25,6 @@
 KEEP_ALIVE_DRAIN_S = 0.4
 """Time after `BALANCER_LAG_S` in which callers may still reuse idle connections; a request that
 arrived later might not end within the grace period."""
-STOP_MARGIN_S = 0.6
-"""Part of the grace period reserved for stopping the servers."""
 IDLE_MARGIN_S = 5.0
 """Time for which the server keeps an idle connection beyond the idle timeout for callers."""
 
@@ -74,19 +74,28 @@
         log.info("entry started", extra={"callers": self._caller_server.url})
 
     def drain(self, grace_s: float) -> bool:
-        """Report not ready, serve until the load balancer has noticed, then wait until idle.
+        """Report not ready, serve until the load balancer has noticed, then wait for open requests.
 
-        Returns whether every request ended within the grace period.
+        Those that still run shortly before the end of the grace period are ended, and their callers
+        get error responses. Returns whether there were none.
         """
-        deadline = time.monotonic() + max(0.0, grace_s - STOP_MARGIN_S)
+        begun_at = read_clock()
+        window = DrainWindow.begin(begun_at, grace_s)
         self._is_draining = True
+        self._forwarder.drain(window)
         self._caller_server.disable_keep_alive()
         log.info("entry draining", extra={"running": self._forwarder.running})
-        time.sleep(min(BALANCER_LAG_S, grace_s))
+        _sleep_until(min(begun_at + BALANCER_LAG_S, window.ends_at))
         self._caller_server.close_listener()
-        time.sleep(max(0.0, min(KEEP_ALIVE_DRAIN_S, deadline - time.monotonic())))
+        _sleep_until(min(begun_at + BALANCER_LAG_S + KEEP_ALIVE_DRAIN_S, window.ends_at))
         self._caller_server.close_idle_connections()
-        return self._forwarder.wait_until_idle(max(0.0, deadline - time.monotonic()))
+        if self._caller_server.wait_until_closed(window.ends_at - read_clock()):
+            return True
+        running = self._forwarder.running
+        if running:
+            log.info("entry ends requests", extra={"running": running})
+        self._caller_server.wait_until_closed(window.response_deadline - read_clock())
+        return not running
 
     def reload(self, settings: HostedSettings) -> None:
         """Apply changed bounds; addresses do not change while the process runs."""
@@ -97,9 +106,9 @@
         if self._is_stopped:
             return
         self._is_stopped = True
+        self._caller_server.stop()
         for follower in self._followers:
             follower.stop()
-        self._caller_server.stop()
         self._forwarder.stop()
         self._publisher.stop()
         self._readiness.stop()
@@ -112,3 +121,7 @@
         self._caller_server.set_limits(
             limits.idle_timeout_s + IDLE_MARGIN_S, limits.header_timeout_s, limits.body_b
         )
+
+
+def _sleep_until(at: float) -> None:
+    time.sleep(max(0.0, at - read_clock()))
--- a/hibiscustray/placement/refusal.py
+++ b/hibiscustray/placement/refusal.py
@@ -21,7 +21,7 @@
 
     There is no usable replica, none can begin it within its objective, none can begin it before its
     deadline, all usable replicas have named limits that are used up, all replicas want no requests
-    for some time or are in a backoff, or replicas end under a part of its prompt.
+    for some time or are in a backoff, replicas end under a part of its prompt, or the entry stops.
     """
 
     NO_REPLICA = "no-replica"
@@ -30,6 +30,7 @@
     LIMITED = "limited"
     PUSHED_BACK = "pushback"
     QUARANTINED = "quarantined"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -33,6 +33,7 @@
 
 JSON = "application/json"
 LOOP_TIMEOUT_S = 2.0
+CLOSING_LOOP_TIMEOUT_S = 0.2
 FINISH_TIMEOUT_S = 5.0
 FINISH_POLL_INTERVAL_S = 0.02
 IDLE_TIMEOUT_S = 30
@@ -304,9 +305,14 @@
             )
 
     def close_idle_channels(self) -> None:
-        """Close the connections without a request; call this only from the server thread."""
+        """Close the connections without a request, or with one whose headers take too long.
+
+        Call this only from the server thread.
+        """
         for channel in list(self.active_channels.values()):
-            if not channel.requests and channel.request is None and not channel.total_outbufs_len:
+            if channel.requests or channel.total_outbufs_len:
+                continue
+            if channel.request is None or channel.exceeds_header_timeout(self.header_timeout_s):
                 channel.will_close = True
 
     def handle_accept(self) -> None:
@@ -345,6 +351,7 @@
         self._scheme = "https" if context is not None else "http"
         self._listener_closing = threading.Event()
         self._idle_closing = threading.Event()
+        self._all_closed = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f"http-{port}", daemon=True)
         self.address = address
@@ -379,6 +386,10 @@
         self._idle_closing.set()
         self._server.pull_trigger()
 
+    def wait_until_closed(self, timeout_s: float) -> bool:
+        """Wait until no connection is open after `close_idle_connections`; False on timeout."""
+        return self._all_closed.wait(max(0.0, timeout_s))
+
     def stop(self) -> None:
         """Stop accepting connections and finish pending responses; a second call does nothing."""
         if self._stopping.is_set():
@@ -402,7 +413,11 @@
         while not self._stopping.is_set():
             if self._idle_closing.is_set():
                 self._server.close_idle_channels()
-            self._loop(LOOP_TIMEOUT_S)
+                if not self._server.active_channels:
+                    self._all_closed.set()
+                self._loop(CLOSING_LOOP_TIMEOUT_S)
+            else:
+                self._loop(LOOP_TIMEOUT_S)
         deadline = time.monotonic() + FINISH_TIMEOUT_S
         while time.monotonic() < deadline and self._is_writing():
             self._loop(FINISH_POLL_INTERVAL_S)
