Passes Connection: close on with responses to requests begun before a planned stop

Seen by callers: a response to a request that had begun before SIGTERM did not say that its connection closes, so its caller sent the next request on it, at any time in the grace period; it was taken and passed on. Cause: whether to close was decided when a request began, not when the head of its response was written. Evidence: tests/platform/test_planned_stop.py::test_request_begun_before_sigterm_says_that_its_connection_closes, and the header in both cases of test_request_that_still_runs_at_the_end_of_the_grace_period_gets_a_response (KeyError: 'connection' before).

--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -166,12 +166,6 @@
 
     ends_with_connection = False
 
-    def start(self) -> None:
-        """Start a response."""
-        super().start()
-        if self.channel.server.is_keep_alive_disabled:
-            self.set_close_on_finish()
-
     def get_environment(self) -> dict[str, Any]:
         """Return the WSGI environment with the time at which the request had been received."""
         environ = super().get_environment()
@@ -185,6 +179,8 @@
 
     def build_response_header(self) -> bytes:
         """Return the head of the response."""
+        if self.channel.server.is_keep_alive_disabled:
+            self.set_close_on_finish()
         if self.ends_with_connection:
             # Waitress sends a body of one block with its length.
             self.content_length = None
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -118,6 +118,7 @@
             wait_until(lambda: results, GRACE_S)
         response, ended_at = results[0]
         assert (response.status, response.end) == (502, End.WHOLE)
+        assert response.headers["connection"] == "close"
         assert GRACE_S * 5 / 6 - 0.05 <= ended_at - stop.stopped_at < GRACE_S
         assert len(script.held) == 1
         script.release.set()
@@ -197,6 +198,12 @@
 
 def open_half(site: HostedSite, deadline_s: float) -> socket.socket:
     """Send a request without the end of its body and return the connection."""
+    connection = site.open_socket()
+    connection.sendall(encode_request(deadline_s)[:-5])
+    return connection
+
+
+def encode_request(deadline_s: float) -> bytes:
     lines = [
         "POST /book/1 HTTP/1.1",
         f"Host: {HOST}",
@@ -205,9 +212,7 @@
         f"X-Hibiscustray-Deadline-Ms: {deadline_s * 1000:.0f}",
         "Content-Length: 10",
     ]
-    connection = site.open_socket()
-    connection.sendall("\r\n".join([*lines, "\r\n"]).encode() + b"p" * 5)
-    return connection
+    return "\r\n".join([*lines, "\r\n"]).encode() + b"p" * 10
 
 
 def test_head_that_is_not_ended_holds_a_drain_no_longer_than_its_timeout():
@@ -245,3 +250,20 @@
             time.sleep(0.1)
             response = call_raw(site, kind, **LONG)
         assert (response.status, response.end) == (200, End.WHOLE)
+
+
+# Kept connections
+
+
+def test_request_begun_before_sigterm_says_that_its_connection_closes():
+    with run_quiet_site() as site:
+        script = HeldScript()
+        site.add_replica(BOOKING, script)
+        results = call_in_background(site, NO_REPEAT, **LONG)
+        wait_until(lambda: script.held)
+        with stop_entry(site) as stop:
+            stop.sleep_until(0.1)
+            script.release.set()
+            wait_until(lambda: results)
+        assert results[0][0].status == 200
+        assert results[0][0].headers["connection"] == "close"
