Serves a request that was received behind another one during a planned stop

Seen by callers: of two requests on one connection, the second, though received whole, was dropped with no response. Cause: after a response that closes its connection, the server drops the requests received behind it. Evidence: tests/platform/test_planned_stop.py::test_request_received_behind_another_one_on_its_connection_is_not_dropped (statuses 200 and 0 before). Change: only the response to the last request received closes the connection. A request that is received after the head of that response was written is still dropped without being passed on. Result: test_planned_stop.py and tests/web pass.

--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -179,7 +179,8 @@
 
     def build_response_header(self) -> bytes:
         """Return the head of the response."""
-        if self.channel.server.is_keep_alive_disabled:
+        # A request that was received behind this one is served on the same connection.
+        if self.channel.server.is_keep_alive_disabled and len(self.channel.requests) == 1:
             self.set_close_on_finish()
         if self.ends_with_connection:
             # Waitress sends a body of one block with its length.
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -267,3 +267,18 @@
             wait_until(lambda: results)
         assert results[0][0].status == 200
         assert results[0][0].headers["connection"] == "close"
+
+
+def test_request_received_behind_another_one_on_its_connection_is_not_dropped():
+    with run_quiet_site() as site:
+        script = HeldScript()
+        site.add_replica(BOOKING, script)
+        with site.open_socket() as connection, stop_entry(site) as stop:
+            connection.sendall(encode_request(1.0))
+            wait_until(lambda: script.held)
+            connection.sendall(encode_request(1.0))
+            stop.sleep_until(0.2)
+            script.release.set()
+            responses = [read_raw(connection), read_raw(connection)]
+        assert [response.status for response in responses] == [200, 200]
+        assert responses[1].headers["connection"] == "close"
