Turns late requests of a planned stop away that might not end within the grace period

Seen by callers: a request that was whole only late in the grace period (its body came slowly, it waited for a thread or behind another one, or a replica had rejected it) was sent to a replica, and broken off at the end of the period. Cause: nothing compared what is left of the grace period with the time that the request may run.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -131,7 +131,7 @@
 
         Reasons are a stop of the entry, the prompt and the load.
         """
-        if self._is_drain_over():
+        if self._is_turned_away(context):
             return Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER_S)
         retry_after_s = self._find_quarantine_refusal(context)
         if retry_after_s is not None:
@@ -345,6 +345,18 @@
             )
         on_silent()
 
+    def _is_turned_away(self, context: RequestContext) -> bool:
+        """Return whether a request is left to another entry, as this one stops.
+
+        One that may have run goes on here, since its caller could not be told that it has not.
+        """
+        window = self.drain_window
+        if window is None:
+            return False
+        if context.tally.uncertain:
+            return window.is_over(read_clock())
+        return window.is_too_late(read_clock(), context.deadline)
+
     def _is_drain_over(self) -> bool:
         window = self.drain_window
         return window is not None and window.is_over(read_clock())
--- a/hibiscustray/gateway/forwarder.py
+++ b/hibiscustray/gateway/forwarder.py
@@ -60,7 +60,7 @@
         self._attempts.limits = limits
 
     def drain(self, window: DrainWindow) -> None:
-        """End all requests by the end of a drain."""
+        """Turn late requests away, and end all others by the end of a drain."""
         self._attempts.drain_window = window
 
     def run(self, inbound: InboundRequest) -> InboundResponse:
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -23,8 +23,8 @@
 BALANCER_LAG_S = 2.6
 """Time until the load balancer stops connecting: two failed readiness checks, 1 s apart."""
 KEEP_ALIVE_DRAIN_S = 0.4
-"""Time after `BALANCER_LAG_S` in which callers may still reuse idle connections; a request that
-arrived later might not end within the grace period."""
+"""Time after `BALANCER_LAG_S` in which callers may still reuse idle connections, and requests are
+taken whatever their deadline."""
 IDLE_MARGIN_S = 5.0
 """Time for which the server keeps an idle connection beyond the idle timeout for callers."""
 
@@ -80,7 +80,7 @@
         get error responses. Returns whether there were none.
         """
         begun_at = read_clock()
-        window = DrainWindow.begin(begun_at, grace_s)
+        window = DrainWindow.begin(begun_at, grace_s, BALANCER_LAG_S + KEEP_ALIVE_DRAIN_S)
         self._is_draining = True
         self._forwarder.drain(window)
         self._caller_server.disable_keep_alive()
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -17,6 +17,7 @@
     HOST,
     KEY,
     ReceivedRequest,
+    reject,
     respond_with_body,
     stream_tokens,
 )
@@ -215,6 +216,23 @@
     return "\r\n".join([*lines, "\r\n"]).encode() + b"p" * 10
 
 
+def test_late_request_that_may_not_end_within_the_grace_period_is_turned_away_without_being_sent():
+    with run_quiet_site() as site:
+        replica = site.add_replica(BOOKING, respond_with_body())
+        with open_half(site, DEADLINE_S) as connection:
+            time.sleep(0.1)
+            with stop_entry(site) as stop:
+                stop.sleep_until(LATE_S)
+                connection.sendall(b"p" * 5)
+                response = read_raw(connection)
+                ended_at = time.monotonic()
+        assert (response.status, response.end) == (503, End.WHOLE)
+        assert 0 < float(response.headers["retry-after"]) <= 0.5
+        assert response.headers["connection"] == "close"
+        assert ended_at - stop.stopped_at < LATE_S + 0.5
+        assert not replica.received
+
+
 def test_head_that_is_not_ended_holds_a_drain_no_longer_than_its_timeout():
     with run_quiet_site() as site, site.open_socket() as connection:
         connection.sendall(b"POST /book/1 HTTP/1.1\r\n")
@@ -252,6 +270,42 @@
         assert (response.status, response.end) == (200, End.WHOLE)
 
 
+def test_late_request_that_a_replica_rejects_is_not_sent_to_another_one():
+    rejected = threading.Event()
+
+    def reject_late(request, connection):
+        rejected.wait(DEADLINE_S)
+        reject()(request, connection)
+
+    with run_quiet_site() as site:
+        for _ in range(2):
+            site.add_replica(BOOKING, reject_late)
+        results = call_in_background(site, NO_REPEAT, **LONG)
+        wait_until(lambda: any(replica.received for replica in site.replicas))
+        with stop_entry(site) as stop:
+            stop.sleep_until(LATE_S)
+            rejected.set()
+            wait_until(lambda: results)
+        assert results[0][0].status == 503
+        assert sum(len(replica.received) for replica in site.replicas) == 1
+
+
+def test_request_that_waited_for_a_thread_until_late_is_turned_away():
+    with run_hosted_site(threads=1) as site:
+        site.configure(2, routes=make_routes())
+        script = HeldScript()
+        site.add_replica(BOOKING, script)
+        first = call_in_background(site, NO_REPEAT, **LONG)
+        wait_until(lambda: script.held)
+        with stop_entry(site) as stop:
+            second = call_in_background(site, NO_REPEAT, **LONG)
+            stop.sleep_until(LATE_S)
+            script.release.set()
+            wait_until(lambda: first and second)
+        assert [results[0][0].status for results in (first, second)] == [200, 503]
+        assert len(script.held) == 1
+
+
 # Kept connections
 
 
