Drains with the grace period of the settings file at the stop

Cause: the reloaded settings were kept in the loop that reloads; the drain had those that were read at the start. Change: the loop returns its settings, which it reads once more after SIGTERM, so that a change less than the interval before it is in force.

--- a/hibiscustray/commands/hosting.py
+++ b/hibiscustray/commands/hosting.py
@@ -46,7 +46,7 @@
     try:
         process = build(settings, metrics)
         process.start()
-        _reload_until_stopped(path, role, settings, process)
+        settings = _reload_until_stopped(path, role, settings, process)
         is_drained = process.drain(settings.bounds.grace_s)
         log.info("process stopping", extra={"is_drained": is_drained})
         process.stop()
@@ -54,8 +54,13 @@
         log_listener.stop()
 
 
-def _reload_until_stopped(path: Path, role: Role, settings: HostedSettings, process) -> None:
-    """Reload the settings at each interval, and at once on SIGHUP, until SIGTERM or SIGINT."""
+def _reload_until_stopped(
+    path: Path, role: Role, settings: HostedSettings, process
+) -> HostedSettings:
+    """Reload the settings at each interval, and at once on SIGHUP, until SIGTERM or SIGINT.
+
+    Returns the settings at that time.
+    """
     stop_requested, wake_up = threading.Event(), threading.Event()
 
     def stop(*_: object) -> None:
@@ -65,10 +70,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, stop)
     signal.signal(signal.SIGHUP, lambda *_: wake_up.set())
-    while not stop_requested.is_set():
+    while True:
         wake_up.wait(RELOAD_INTERVAL_S)
         wake_up.clear()
+        # The settings at the stop are read after the signal.
+        is_last = stop_requested.is_set()
         settings = _reload_settings(path, role, settings, process)
+        if is_last:
+            return settings
 
 
 def _reload_settings(path: Path, role: Role, active: HostedSettings, process) -> HostedSettings:
--- a/tests/commands/test_hosting.py
+++ b/tests/commands/test_hosting.py
@@ -1,23 +1,182 @@
-"""Tests of reloading the settings of a hosted process, from valid and invalid files."""
+"""Tests of the signals and the settings of a hosted process, from valid and invalid files."""
 
 from __future__ import annotations
 
 import dataclasses
+import http.client
+import os
+import signal
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from types import SimpleNamespace
 
+import pytest
+
+from hibiscustray.commands import hosting
 from hibiscustray.commands.hosting import _reload_settings
+from hibiscustray.platform.standins import (
+    KEY,
+    ReplicaStandIn,
+    StoreStandIn,
+    call_entry,
+    make_configuration,
+    read_readiness,
+    respond_with_body,
+)
 from hibiscustray.settings import load_hosted_settings
+from hibiscustray.soak.programs import EntryProgram
 from tests.settings.test_hosted import write_settings
+from tests.waiting import wait_until
+
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+START_TIMEOUT_S = 30.0
 
 
 class RecordingProcess:
-    """Records the settings with which it is reloaded."""
+    """Records the settings with which it is reloaded and the grace periods of its drains."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_start: Callable[[], None] = lambda: None) -> None:
         self.reloads = []
+        self.graces_s = []
+        self._on_start = on_start
+
+    def start(self) -> None:
+        self._on_start()
+
+    def drain(self, grace_s: float) -> bool:
+        self.graces_s.append(grace_s)
+        return True
 
     def reload(self, settings) -> None:
         self.reloads.append(settings)
 
+    def stop(self) -> None:
+        pass
+
+
+@pytest.fixture
+def keep_signals(monkeypatch):
+    """Restore the handlers of signals, and leave the logs as they are."""
+    handlers = {number: signal.getsignal(number) for number in SIGNALS}
+    listener = SimpleNamespace(stop=lambda: None)
+    monkeypatch.setattr(hosting, "configure_hosted_logs", lambda *_, **__: listener)
+    yield
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
+
+
+def run_until_stopped(path: Path, while_running: Callable[[RecordingProcess], None]):
+    """Run a process, and send it SIGTERM after `while_running`."""
+
+    def stop() -> None:
+        wait_until(lambda: callable(signal.getsignal(signal.SIGTERM)))
+        while_running(process)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    process = RecordingProcess(threading.Thread(target=stop, daemon=True).start)
+    hosting._run_until_signal(path, "entry", lambda settings, metrics: process)
+    return process
+
+
+def test_process_drains_with_a_grace_period_that_was_changed_with_sighup(tmp_path, keep_signals):
+    path = write_settings(tmp_path, "entry", grace_s="8")
+
+    def change(process) -> None:
+        write_settings(tmp_path, "entry", grace_s="24")
+        os.kill(os.getpid(), signal.SIGHUP)
+        wait_until(lambda: process.reloads)
+
+    [grace_s] = run_until_stopped(path, change).graces_s
+    assert 23.0 < grace_s <= 24.0
+
+
+def test_process_drains_with_a_grace_period_that_was_changed_just_before(
+    tmp_path, keep_signals, monkeypatch
+):
+    monkeypatch.setattr(hosting, "RELOAD_INTERVAL_S", 60.0)
+    path = write_settings(tmp_path, "entry", grace_s="8")
+    process = run_until_stopped(path, lambda _: write_settings(tmp_path, "entry", grace_s="24"))
+    assert 23.0 < process.graces_s[0] <= 24.0
+
+
+def test_process_drains_with_the_last_grace_period_if_the_file_is_invalid(tmp_path, keep_signals):
+    path = write_settings(tmp_path, "entry", grace_s="8")
+    process = run_until_stopped(path, lambda _: path.write_text("not ini"))
+    assert 7.0 < process.graces_s[0] <= 8.0
+
+
+class StoppedEntry:
+    """The program of an entry with a replica whose responses take `work_s`."""
+
+    def __init__(self, folder: Path, grace_s: int) -> None:
+        self.work_s = 0.0
+        self.store = StoreStandIn()
+        self.store.put("op", "config", make_configuration())
+        self.replica = ReplicaStandIn("i-0", "booking", self._respond)
+        self.store.put("servers", "i-0", self.replica.make_row())
+        self.program = EntryProgram(0, self.store.address, folder)
+        self.settings = folder / f"{self.program.id}.ini"
+        self.log = folder / f"{self.program.id}.log"
+        self.set_grace(grace_s)
+
+    def __enter__(self) -> StoppedEntry:
+        self.program.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.program.kill()
+        self.store.close()
+        self.replica.close()
+
+    def set_grace(self, grace_s: int) -> None:
+        """Replace the settings file as a whole."""
+        lines = self.settings.read_text().splitlines()
+        lines = [f"grace_s = {grace_s}" if "grace_s" in line else line for line in lines]
+        written = self.settings.with_suffix(".new")
+        written.write_text("\n".join(lines) + "\n")
+        written.replace(self.settings)
+
+    def is_ready(self) -> bool:
+        try:
+            return read_readiness(self.program.readiness_address) == 200
+        except OSError:
+            return False
+
+    def book(self, number: int) -> int:
+        """Make a booking on a new connection and return its status, 0 without a response."""
+        host, _, port = self.program.callers_address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
+        try:
+            return call_entry(
+                connection, "POST", "/book/1", b"x", f"book-{number}", KEY, 4.0
+            ).status
+        except (OSError, http.client.HTTPException):
+            return 0
+
+    def _respond(self, request, connection) -> None:
+        time.sleep(self.work_s)
+        respond_with_body()(request, connection)
+
+
+def test_bookings_that_fit_a_longer_grace_period_set_by_sighup_are_not_cut(tmp_path):
+    with StoppedEntry(tmp_path, grace_s=1) as entry:
+        wait_until(entry.is_ready, START_TIMEOUT_S)
+        entry.set_grace(6)
+        os.kill(entry.program.pid, signal.SIGHUP)
+        wait_until(lambda: "settings reloaded" in entry.log.read_text())
+        entry.work_s = 2.0
+        with ThreadPoolExecutor(6) as pool:
+            bookings = []
+            for number in range(6):
+                if number == 3:
+                    os.kill(entry.program.pid, signal.SIGTERM)
+                bookings.append(pool.submit(entry.book, number))
+                time.sleep(0.4)
+        assert [booking.result() for booking in bookings] == [200] * 6
+
 
 def test_changed_bounds_are_reloaded_and_an_unchanged_file_is_not(tmp_path):
     path = write_settings(tmp_path, "entry")
