Keeps signals that come while a hosted process starts

SIGTERM during the start ended it with no drain. Cause: the handlers were set once all servers ran; until then a signal had its default effect.

--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -75,6 +76,8 @@
 @cli.group()
 def host() -> None:
     """Run a process on a platform that hosts it and provides its settings file."""
+    # The settings are read later, so that a change before that needs no reload.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 HOSTED_SETTINGS_OPTION = click.option(
--- a/tests/commands/test_hosting.py
+++ b/tests/commands/test_hosting.py
@@ -33,6 +33,7 @@
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 START_TIMEOUT_S = 30.0
+LAST_STOP_S = 5.0
 
 
 class RecordingProcess:
@@ -59,20 +60,31 @@
 
 @pytest.fixture
 def keep_signals(monkeypatch):
-    """Restore the handlers of signals, and leave the logs as they are."""
-    handlers = {number: signal.getsignal(number) for number in SIGNALS}
+    """Restore the handlers of signals, and leave the logs as they are.
+
+    A process that misses SIGTERM gets another one later.
+    """
+    handlers = {number: signal.signal(number, ignore_signal) for number in SIGNALS}
+    last_stop = threading.Timer(LAST_STOP_S, os.kill, (os.getpid(), signal.SIGTERM))
+    last_stop.daemon = True
+    last_stop.start()
     listener = SimpleNamespace(stop=lambda: None)
     monkeypatch.setattr(hosting, "configure_hosted_logs", lambda *_, **__: listener)
     yield
+    last_stop.cancel()
     for number, handler in handlers.items():
         signal.signal(number, handler)
 
 
+def ignore_signal(*_: object) -> None:
+    pass
+
+
 def run_until_stopped(path: Path, while_running: Callable[[RecordingProcess], None]):
     """Run a process, and send it SIGTERM after `while_running`."""
 
     def stop() -> None:
-        wait_until(lambda: callable(signal.getsignal(signal.SIGTERM)))
+        wait_until(lambda: signal.getsignal(signal.SIGTERM) is not ignore_signal)
         while_running(process)
         os.kill(os.getpid(), signal.SIGTERM)
 
@@ -199,3 +211,58 @@
         assert _reload_settings(path, "entry", active, process) == active
     assert process.reloads == []
     assert "settings reload failed" in caplog.text
+
+
+def test_sighup_during_the_start_does_not_end_the_process(tmp_path):
+    with StoppedEntry(tmp_path, grace_s=1) as entry:
+        wait_until(lambda: has_begun_imports(entry.program.pid), START_TIMEOUT_S)
+
+        def is_ready_after_sighup() -> bool:
+            os.kill(entry.program.pid, signal.SIGHUP)
+            return entry.is_ready()
+
+        wait_until(is_ready_after_sighup, START_TIMEOUT_S)
+        entry.program.check_running()
+
+
+def has_begun_imports(pid: int) -> bool:
+    """Return whether a program has loaded a module that the command line does not need."""
+    return "msgspec" in Path(f"/proc/{pid}/maps").read_text()
+
+
+def test_process_that_gets_sigterm_before_its_start_does_not_start(tmp_path, keep_signals):
+    path = write_settings(tmp_path, "entry")
+    process = RecordingProcess(lambda: pytest.fail("the process was started"))
+
+    def build(settings, metrics):
+        os.kill(os.getpid(), signal.SIGTERM)
+        return process
+
+    hosting._run_until_signal(path, "entry", build)
+    assert not process.graces_s
+
+
+def test_process_that_gets_sigterm_during_its_start_drains_with_the_rest_of_the_grace_period(
+    tmp_path, keep_signals
+):
+    path = write_settings(tmp_path, "entry", grace_s="8")
+
+    def start() -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.5)
+
+    process = RecordingProcess(start)
+    hosting._run_until_signal(path, "entry", lambda settings, metrics: process)
+    assert 6.0 < process.graces_s[0] <= 7.5
+
+
+def test_second_sigterm_does_not_shorten_the_grace_period(tmp_path):
+    with StoppedEntry(tmp_path, grace_s=6) as entry, ThreadPoolExecutor(1) as pool:
+        wait_until(entry.is_ready, START_TIMEOUT_S)
+        entry.work_s = 1.5
+        booking = pool.submit(entry.book, 1)
+        wait_until(lambda: entry.replica.received)
+        for _ in range(3):
+            os.kill(entry.program.pid, signal.SIGTERM)
+            time.sleep(0.2)
+        assert booking.result() == 200
