Ignores numbers in headers that are too large or in other digits

Callers saw a 500 for a booking that the replica had run, and the entry lost the place of that request: one replica (or one caller) with such a header is enough. Cause: str.isdigit() holds for digits that int() rejects, int() raises ValueError from 4,301 digits on, and a number of 400 digits raises OverflowError once it is divided. The headers are the load and the versions of a replica, and the deadline, the token counts and the length hint of a caller. Change: one reader of numbers with a limit; a number beyond it says nothing, as a malformed one did before.

--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -6,6 +6,7 @@
 
 from hibiscustray.gateway.interface import Headers, OutboundRequest
 from hibiscustray.placement import LoadReport
+from hibiscustray.platform.numbers import read_number, read_numbers
 from hibiscustray.platform.wire import (
     ATTEMPT_ID,
     EXPECTED_REPLICA,
@@ -28,6 +29,9 @@
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
 
 MISDIRECTED_REQUEST, SERVICE_UNAVAILABLE = 421, 503
+MAX_COUNT = 1_000_000
+"""Most requests or slots of a replica."""
+MAX_VERSION = 10**15 - 1
 
 
 class PlatformReplicaResponse:
@@ -47,7 +51,7 @@
         limit, draining = headers.get(RATE_LIMIT.lower()), headers.get(SERVER_LEAVING.lower())
         self.notice = read_notice(limit, pushback, draining)
         self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
-        self.version = _read_integer(headers.get(WEIGHT_VERSIONS.lower(), ""))
+        self.version = read_number(headers.get(WEIGHT_VERSIONS.lower(), ""), MAX_VERSION) or 0
         self.headers: Headers = tuple(
             (name, value) for name, value in headers.items() if name not in HOP_BY_HOP_HEADERS
         )
@@ -105,12 +109,5 @@
 
 def _read_load(text: str) -> LoadReport | None:
     """Parse the running, waiting and slot counts; return None if they are absent or malformed."""
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running, waiting, slots)
-
-
-def _read_integer(text: str) -> int:
-    return int(text) if text.strip().isdigit() else 0
+    counts = read_numbers(text, 3, MAX_COUNT)
+    return None if counts is None else LoadReport(*counts)
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -13,6 +13,7 @@
     RequestForwarder,
     digest_part,
 )
+from hibiscustray.platform.numbers import read_number, read_numbers
 from hibiscustray.platform.wire import (
     ATTEMPT_ID,
     AUTHORIZATION,
@@ -47,6 +48,8 @@
     )
 )
 """Headers that a caller cannot pass to a replica, because the gateway sets them itself."""
+MAX_TIME_LEFT_MS = 86_400_000
+MAX_TOKENS = 1_000_000_000
 HEADER_PREFIX = "HTTP_"
 """Prefix of request headers in the WSGI environment."""
 
@@ -98,18 +101,17 @@
 
 
 def _read_time_left(text: str) -> float | None:
-    return int(text) / MS_PER_S if text.strip().isdigit() else None
+    time_left_ms = read_number(text, MAX_TIME_LEFT_MS)
+    return None if time_left_ms is None else time_left_ms / MS_PER_S
 
 
 def _read_generation(headers: dict[str, str]) -> Generation | None:
     model = headers.get(MODEL.lower(), "")
-    counts = headers.get(TOKEN_COUNTS.lower(), "").split(",")
-    if not model or len(counts) != 2 or not all(count.strip().isdigit() for count in counts):
+    counts = read_numbers(headers.get(TOKEN_COUNTS.lower(), ""), 2, MAX_TOKENS)
+    if not model or counts is None:
         return None
-    hint = headers.get(EXPECTED_OUTPUT_TOKENS.lower(), "")
-    return Generation(
-        model, int(counts[0]), int(counts[1]), int(hint) if hint.strip().isdigit() else 0
-    )
+    hint = read_number(headers.get(EXPECTED_OUTPUT_TOKENS.lower(), ""), MAX_TOKENS)
+    return Generation(model, *counts, hint or 0)
 
 
 def _read_prompt_parts(text: str) -> tuple[str, ...]:
