Passes folded headers of a response on in one line

Callers saw a 500 for a booking that the replica had run: a header of its response was folded over two lines. Cause: http.client leaves the line break in the value, and the server accepts none. Change: a line break and the spaces around it become one space, as HTTP asks of those who pass a response on.

--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import http.client
+import re
 import select
 import socket
 import ssl
@@ -27,6 +28,7 @@
 
 MAX_IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
+LINE_FOLD = re.compile(r"[ \t]*[\r\n]+[ \t\r\n]*")
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_LINE_B = 1024 * 1024
 MAX_BODY_B = 64 * 1024 * 1024
@@ -80,7 +82,8 @@
         self.sent_at = sent_at
         self.read_at = read_clock()
         self.status: int = response.status
-        self.headers = {key.lower(): value for key, value in response.getheaders()}
+        # A folded value cannot be passed on.
+        self.headers = {n.lower(): LINE_FOLD.sub(" ", value) for n, value in response.getheaders()}
         self.framing = _find_framing(response)
 
     def read_lines(self) -> Iterator[bytes]:
--- a/tests/platform/test_odd_headers.py
+++ b/tests/platform/test_odd_headers.py
@@ -34,6 +34,7 @@
     "empty": "",
     "text": "\u00e9",
 }
+ODD_TEXTS = ["a\r\n b", "a\r\n\tb", "a\r\n \r\n b", "a\rb", "a\x0bb", "\x85", "\u00e9", " " * 9000]
 REPLICA_HEADERS = {
     "load": lambda n: {"X-Hibiscustray-Replica-Load": f"{n},{n},{n}"},
     "slots": lambda n: {"X-Hibiscustray-Replica-Load": f"1,0,{n}"},
@@ -112,3 +113,17 @@
                 for kind in ("non_idempotent", "resumable"):
                     assert call(site, kind, headers).status == 200, name
     check_log(caplog)
+
+
+@pytest.mark.parametrize("name", ["X-Odd", "Content-Type", "Keep-Alive", "Connection"])
+def test_folded_header_of_a_replica_loses_no_response(name, caplog):
+    headers: dict[str, str] = {}
+    with run_hosted_site() as site:
+        for service in ("booking", "guide"):
+            site.add_replica(service, respond(headers))
+        for text in ODD_TEXTS:
+            headers |= {name: text}
+            for kind in ("non_idempotent", "resumable"):
+                response = call(site, kind, {})
+                assert (response.status, response.body) == (200, BODY), text
+    check_log(caplog)
