Rejects requests with control characters in the path or an endless Content-Length

Callers saw a 502 for a path with a control character, which was not sent but counted as a loss of the replica, and no response at all to a Content-Length of more than 4,300 digits. Cause: the server passed such a path on and http.client refused it as late as on sending; int() raised a ValueError, which closed the connection. Change: both get a 400 from the parser of the server.

--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -40,6 +40,7 @@
 MAX_OPEN_CONNECTIONS = 4096
 MAX_HEADERS_B = 64 * 1024
 CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
+CONTROL_CHARACTER = re.compile(r"[\x00-\x20\x7f]")
 NO_LINGER = struct.pack("ii", 0, 0)
 RECEIVED_AT = "hibiscustray.received_at"
 """Key in the WSGI environment of the time of `read_clock` at which a request had been received."""
@@ -216,7 +217,12 @@
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the headers of a request."""
-        super().parse_header(header_plus)
+        try:
+            super().parse_header(header_plus)
+        except ValueError as error:
+            raise ParsingError(f"request cannot be parsed: {error}"[:200]) from error
+        if CONTROL_CHARACTER.search(self.request_uri):
+            raise ParsingError("request target has control characters")
         if self.chunked and "CONTENT_LENGTH" in self.headers:
             raise ParsingError("request has both Content-Length and chunked transfer encoding")
 
--- a/tests/platform/test_odd_headers.py
+++ b/tests/platform/test_odd_headers.py
@@ -127,3 +127,25 @@
                 response = call(site, kind, {})
                 assert (response.status, response.body) == (200, BODY), text
     check_log(caplog)
+
+
+@pytest.mark.parametrize("path", ["/book/\x01", "/book/\x7f", "/book/\x00", "/book/1?\x1f"])
+def test_control_character_in_a_path_does_not_count_as_a_loss_of_the_replica(path, caplog):
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", respond({}))
+        fields = {"Host": HOST, ATTEMPT_ID: "a", "Authorization": f"Bearer {KEY}"}
+        for _ in range(3):
+            with site.open_socket() as connection:
+                connection.sendall(encode(f"POST {path} HTTP/1.1", fields))
+                assert read_raw(connection).status == 400
+        assert not replica.received
+        assert call(site, "non_idempotent", {}).status == 200
+    check_log(caplog)
+
+
+@pytest.mark.parametrize("digits", [19, 400, 5000])
+def test_long_content_length_of_a_caller_gets_a_response(digits, caplog):
+    with run_hosted_site() as site:
+        headers = {"Content-Length": "9" * digits}
+        assert call(site, "non_idempotent", headers).status in (400, 413)
+    check_log(caplog)
