Reports requests and addresses that cannot be encoded as not sent

Seen: a port out of range, a host name that is too long or a header with other letters ended the thread that called, with an OverflowError, a UnicodeError or a ValueError; a path with a control character counted as a lost response. Cause: the client expected errors of the operating system only, and http.client encodes a request as it sends it. Change: the client encodes the head before it sends anything, and raises UpstreamUnreachable for all of them.

--- a/hibiscustray/platform/origin.py
+++ b/hibiscustray/platform/origin.py
@@ -71,9 +71,9 @@
         address = self._find_address()
         if not address:
             raise OriginUnavailable("the configuration contains no weights origin")
-        # Each call opens a new connection, so a late response cannot be read by the next call.
-        client = HttpClient(f"http://{address}", CALL_TIMEOUT_S, max_idle_connections=0)
         try:
+            # Each call opens a new connection, so a late response cannot be read by the next call.
+            client = HttpClient(f"http://{address}", CALL_TIMEOUT_S, max_idle_connections=0)
             stream = client.open("GET", path, is_fresh=True, connect_timeout_s=CONNECT_TIMEOUT_S)
             try:
                 response = ClientResponse(stream.status, stream.headers, stream.read_all())
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -29,6 +29,7 @@
 MAX_IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
 LINE_FOLD = re.compile(r"[ \t]*[\r\n]+[ \t\r\n]*")
+METHODS_WITH_BODY = frozenset(("PATCH", "POST", "PUT"))
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_LINE_B = 1024 * 1024
 MAX_BODY_B = 64 * 1024 * 1024
@@ -165,7 +166,10 @@
 
 
 class HttpClient:
-    """Keeps a pool of idle connections to one server and sends one request at a time on each."""
+    """Keeps a pool of idle connections to one server and sends one request at a time on each.
+
+    Raises `UpstreamUnreachable` if there is no such URL.
+    """
 
     def __init__(
         self,
@@ -174,10 +178,12 @@
         context: ssl.SSLContext | None = None,
         max_idle_connections: int = MAX_IDLE_CONNECTIONS,
     ) -> None:
-        url_parts = urlsplit(base_url)
+        try:
+            url_parts = urlsplit(base_url)
+            self._host, self._port = url_parts.hostname or "", url_parts.port
+        except ValueError as error:
+            raise UpstreamUnreachable(f"{base_url[:100]}: {error}"[:200]) from error
         self.base_url = base_url.rstrip("/")
-        self._host = url_parts.hostname or ""
-        self._port = url_parts.port
         self._prefix = url_parts.path.rstrip("/")
         self._timeout_s = timeout_s
         self._is_secure = url_parts.scheme == "https"
@@ -218,7 +224,8 @@
         opens a new connection, since the server may have closed an idle one. `on_connect` is passed
         a function that ends reading and shuts the connection down, even while `open` waits for the
         response; if it raises `SendWithdrawn`, nothing is sent. Raises `UpstreamUnreachable` if no
-        connection could be opened, or `UpstreamConnectionLost` if the connection fails after that.
+        connection could be opened or the request cannot be encoded, so that nothing was sent, or
+        `UpstreamConnectionLost` if the connection fails after that.
         """
         timeout_s = timeout_s or self._timeout_s
         connect_timeout_s = connect_timeout_s or timeout_s
@@ -237,7 +244,12 @@
         # Kept, as `getresponse` clears `connection.sock` if the response ends the connection.
         sock = connection.sock
         try:
-            is_sent = _send(connection, method, self._prefix + path, body, headers or {})
+            _put_head(connection, method, self._prefix + path, body, headers or {})
+        except (ValueError, http.client.HTTPException) as error:
+            connection.close()
+            raise UpstreamUnreachable(f"the request cannot be encoded: {error}"[:200]) from error
+        try:
+            is_sent = _send(connection, body)
             sent_at = read_clock()
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
@@ -275,10 +287,10 @@
             connection.close()
 
     def _connect(self, timeout_s: float, connect_timeout_s: float) -> http.client.HTTPConnection:
-        connection = self._make_connection(connect_timeout_s)
         try:
+            connection = self._make_connection(connect_timeout_s)
             connection.connect()
-        except OSError as error:
+        except (OSError, OverflowError, UnicodeError, http.client.InvalidURL) as error:
             raise UpstreamUnreachable(f"{self.base_url}: {error}") from error
         connection.sock.settimeout(timeout_s)
         set_socket_options(connection.sock)
@@ -302,19 +314,35 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEP_ALIVE_PROBES)
 
 
-def _send(
+def _put_head(
     connection: http.client.HTTPConnection,
     method: str,
     path: str,
     body: bytes,
     headers: Mapping[str, str],
-) -> bool:
+) -> None:
+    """Encode the head of a request, which is sent later."""
+    names = {name.lower() for name in headers}
+    connection.putrequest(
+        method,
+        path,
+        skip_host="host" in names,
+        skip_accept_encoding="accept-encoding" in names,
+    )
+    has_length = "content-length" in names or "transfer-encoding" in names
+    if not has_length and (body or method in METHODS_WITH_BODY):
+        connection.putheader("Content-Length", str(len(body)))
+    for name, value in headers.items():
+        connection.putheader(name, value)
+
+
+def _send(connection: http.client.HTTPConnection, body: bytes) -> bool:
     """Send a request; return False if the connection was lost within its body.
 
     A server may respond and close the connection before it has read the whole body.
     """
     try:
-        connection.request(method, path, body or None, dict(headers))
+        connection.endheaders(body or None)
     except (BrokenPipeError, ConnectionResetError):
         if not body:
             raise
