Decodes what others wrote with one list of errors

Seen: a value that is nested deeply ends the thread or the call that decodes it, with a RecursionError: of the entries' rows, the copy of the table, the messages of peers, manifests, revisions, the pages of the store, the bodies and tickets of callers (a 500 instead of a 400). Numbers of 400 digits, negative counts and ages of 1e300 s were taken. Cause: every decoder had its own list of errors, and only that of the list of replicas was complete. A compressed copy was inflated without limit. Change: hibiscustray/decoding.py has the list and what several decoders did alike; bounds for the numbers of relay rows, reports, blocks, manifests and the engine's report; an engine's staged chunks beyond the manifest are skipped.

--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -222,7 +222,8 @@
         if manifest is None:
             return
         cache.add_version(label, manifest)
-        for index in sorted(self._engine.list_staged(model)):
+        staged = self._engine.list_staged(model)
+        for index in sorted(staged.intersection(range(manifest.count))):
             try:
                 cache.put(label, index, self._engine.read_staged(model, index), "staging area")
             except (ChunkCorrupt, ChunkMissing):
--- a/hibiscustray/agent/upstream_call.py
+++ b/hibiscustray/agent/upstream_call.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import (
     AnswerCrossed,
     UpstreamConnectionLost,
@@ -194,7 +195,7 @@
             return
         try:
             identity = decode_identity(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise AnswerCrossed(f"the completion cannot be decoded: {error}") from error
         # Engines may prepend their own prefix to the request id.
         if not identity.id.endswith(self._request.request_id):
--- a/hibiscustray/commands/report_burn.py
+++ b/hibiscustray/commands/report_burn.py
@@ -10,6 +10,7 @@
 import click
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.deployments import RevisionStore, parse_deployment
 from hibiscustray.exceptions import MetricsUnreadable, NoConfiguration, UpstreamError
 from hibiscustray.protocols import Table
@@ -68,7 +69,7 @@
         health = msgspec.json.decode(client.call("GET", "/health").body)
         body = client.call("GET", "/metrics").body.decode()
         return Sample(health["process"], health["incarnation"], now, parse_exposition(body))
-    except (UpstreamError, msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
+    except (UpstreamError, *DECODE_ERRORS, KeyError) as error:
         raise MetricsUnreadable(f"{url}: {error}") from error
     finally:
         client.close()
--- a/hibiscustray/deployments/revisions.py
+++ b/hibiscustray/deployments/revisions.py
@@ -12,6 +12,7 @@
 import msgspec
 from tenacity import Retrying, retry_if_exception_type, stop_after_delay, wait_random_exponential
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.deployments.signing import sign_change
 from hibiscustray.exceptions import (
     NoConfiguration,
@@ -192,7 +193,7 @@
 def _decode(body: bytes, record_type):
     try:
         return msgspec.msgpack.decode(body, type=record_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"cannot decode {record_type.__name__}: {error}") from error
 
 
--- a/hibiscustray/deployments/snapshots.py
+++ b/hibiscustray/deployments/snapshots.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS, inflate
 from hibiscustray.deployments.revisions import Revision
 from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.protocols import ObjectStore
@@ -47,10 +48,10 @@
         raise RecordInvalid("not a snapshot, or a snapshot of an unknown version")
     if hashlib.sha256(content).digest() != checksum:
         raise RecordInvalid("the snapshot's checksum does not match")
-    plain = _inflate(content) if header[-1] == DEFLATED else content
+    plain = inflate(content, MAX_INFLATED_B) if header[-1] == DEFLATED else content
     try:
         snapshot = msgspec.msgpack.decode(plain, type=Snapshot)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"cannot decode snapshot: {error}") from error
     _check_numbers(snapshot)
     return snapshot
@@ -78,17 +79,6 @@
         return decode_snapshot(self._objects.get(key))
 
 
-def _inflate(content: bytes) -> bytes:
-    inflater = zlib.decompressobj()
-    try:
-        plain = inflater.decompress(content, MAX_INFLATED_B)
-    except zlib.error as error:
-        raise RecordInvalid(f"invalid compressed data: {error}") from error
-    if not inflater.eof:
-        raise RecordInvalid("the snapshot is truncated or too large")
-    return plain
-
-
 def _check_numbers(snapshot: Snapshot) -> None:
     numbers = [revision.number for revision in snapshot.revisions]
     if numbers != list(range(1, len(numbers) + 1)):
--- a/hibiscustray/entry/application.py
+++ b/hibiscustray/entry/application.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.deployments import Configuration, Service
 from hibiscustray.entry.bodies import check_chat_body, read_chat_model
 from hibiscustray.entry.dispatch import Dispatcher
@@ -204,7 +205,7 @@
             return self._limits.default_deadline_s
         try:
             seconds = int(text) / MS_PER_S
-        except ValueError:
+        except (ValueError, OverflowError):
             raise DeadlineInvalid(f"{text[:40]!r} is not a number of milliseconds") from None
         if not 0 < seconds <= self._limits.longest_deadline_s:
             longest = int(self._limits.longest_deadline_s * MS_PER_S)
@@ -237,7 +238,7 @@
 def _decode_body(body: bytes) -> dict:
     try:
         return msgspec.json.decode(body, type=dict)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RequestMalformed(f"the body is not a JSON object: {error}") from error
 
 
@@ -266,4 +267,4 @@
         return False
     if not text.isascii() or not text.isdigit():
         raise RequestMalformed(f"{RETRY_COUNT_HEADER}: found {text[:40]!r}; allowed: 0 or more")
-    return int(text) == 0
+    return not text.strip("0")
--- a/hibiscustray/feeds/formats.py
+++ b/hibiscustray/feeds/formats.py
@@ -4,10 +4,12 @@
 
 import zlib
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 
 from hibiscustray.catalog import WeightsVersion
+from hibiscustray.decoding import DECODE_ERRORS, decode_json, inflate
 from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.feeds.changes import (
     CatalogAnnounced,
@@ -21,6 +23,9 @@
 from hibiscustray.quarantine import decode_block, decode_report, is_request
 
 CATALOG_KEY = "catalog"
+MAX_COPY_B = 16 * 1024 * 1024
+"""Longest copy of a table, many times that of a configuration of thousands of routes."""
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 VERSION_KEY_PREFIX = "version/"
 
 
@@ -47,8 +52,8 @@
 def decode_copy(body: bytes) -> TableCopy:
     """Decode a copy; raise `RecordInvalid` if that is not possible."""
     try:
-        return msgspec.msgpack.decode(zlib.decompress(body), type=TableCopy)
-    except (zlib.error, msgspec.DecodeError) as error:
+        return msgspec.msgpack.decode(inflate(body, MAX_COPY_B), type=TableCopy)
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"cannot decode copy of the table: {error}") from error
 
 
@@ -64,10 +69,7 @@
 
 def decode_relay_row(key: str, value: bytes | None) -> Change:
     """Decode a row of the relay; raise `RecordInvalid` if that is not possible."""
-    try:
-        number = msgspec.json.decode(value or b"", type=int)
-    except msgspec.DecodeError as error:
-        raise RecordInvalid(f"{key}: {error}") from error
+    number = decode_json(value or b"", Number)
     model = find_relay_model(key)
     return TargetVersionSet(WeightsVersion(model, number)) if model else CatalogAnnounced(number)
 
--- a/hibiscustray/peers/codec.py
+++ b/hibiscustray/peers/codec.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import MessageInvalid
 from hibiscustray.peers.messages import (
     AttemptRequest,
@@ -102,7 +103,7 @@
     def decode_message(body: bytes) -> Any:
         try:
             return decoder.decode(unpack(body) if find_codec(body) == PACKED else body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise MessageInvalid(str(error)) from error
 
     return decode_message
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -14,8 +14,9 @@
     OrderRejected,
 )
 from hibiscustray.agent.pushback import PushbackGate
+from hibiscustray.decoding import decode_json
 from hibiscustray.exceptions import ChunkMissing, RecordInvalid, UpstreamRejected
-from hibiscustray.platform.records import WireLayers, WireModel, decode, read_layers
+from hibiscustray.platform.records import Count, ExactNumber, WireLayers, WireModel, read_layers
 from hibiscustray.platform.wire import (
     ORDER_PATH,
     REPORT_PATH,
@@ -37,14 +38,14 @@
     layers: WireLayers | None = None
     # True while a load order is in progress, whether or not requests are running.
     busy: bool = False
-    sequence: int = 0
-    waiting: int = 0
-    running: int = 0
-    born: int = 0
+    sequence: ExactNumber = 0
+    waiting: Count = 0
+    running: Count = 0
+    born: ExactNumber = 0
 
 
 class _StagedChunks(msgspec.Struct, frozen=True):
-    held: tuple[int, ...] = ()
+    held: tuple[Count, ...] = ()
 
 
 class PlatformEngine:
@@ -124,7 +125,7 @@
     @staticmethod
     def _decode(response: ClientResponse, record_type):
         try:
-            return decode(response.body, record_type)
+            return decode_json(response.body, record_type)
         except RecordInvalid as error:
             raise UpstreamRejected(response.status, f"cannot decode response: {error}") from error
 
--- a/hibiscustray/platform/origin.py
+++ b/hibiscustray/platform/origin.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import decode_json
 from hibiscustray.exceptions import (
     ManifestInvalid,
     ObjectMissing,
@@ -14,7 +15,7 @@
     UpstreamConnectionLost,
     UpstreamUnreachable,
 )
-from hibiscustray.platform.records import decode
+from hibiscustray.platform.records import ExactNumber
 from hibiscustray.platform.wire import CHUNK_PATH, MANIFEST_PATH
 from hibiscustray.web import ClientResponse, HttpClient
 from hibiscustray.weights import Manifest
@@ -30,7 +31,7 @@
 class _Manifest(msgspec.Struct, frozen=True, rename="camel"):
     model: str
     version: int
-    chunk_bytes: int
+    chunk_bytes: ExactNumber
     # SHA-256 of each chunk as hexadecimal text.
     digests: tuple[str, ...]
 
@@ -48,7 +49,7 @@
         """
         response = self._get(f"{MANIFEST_PATH}{model}?version={version}")
         try:
-            wire = decode(response.body, _Manifest)
+            wire = decode_json(response.body, _Manifest)
             digests = tuple(bytes.fromhex(text) for text in wire.digests)
         except (RecordInvalid, ValueError) as error:
             raise ManifestInvalid(f"{model} {version}: {error}") from error
--- a/hibiscustray/platform/records.py
+++ b/hibiscustray/platform/records.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import ipaddress
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -23,9 +22,10 @@
     TeamEntry,
     WeightsVersion,
 )
-from hibiscustray.exceptions import RecordInvalid
+from hibiscustray.decoding import decode_json
 from hibiscustray.platform.wire import MS_PER_S
 from hibiscustray.replicas import LayerSpan, ReplicaRecord, ReplicaState, ServedModel
+from hibiscustray.replicas.identity import check_address, check_id
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -33,18 +33,14 @@
     "streaming": RouteKind.STREAMING,
 }
 MAX_COUNT = 1_000_000
-"""Most slots or layers of a replica."""
-MAX_EXACT_INTEGER = 2**53
+"""Most slots, layers or requests of a replica."""
 MAX_WARMUP_MS = 1e9
-MAX_PORT_DIGITS = 5
-MAX_PORT = 65535
 TOKENS_PER_K = 1000.0
 PAIRS_PER_M = 1e6
 
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
-UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+ExactNumber = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 WarmupMs = Annotated[float, msgspec.Meta(ge=-MAX_WARMUP_MS, le=MAX_WARMUP_MS)]
 
 
@@ -144,7 +140,7 @@
 
 class WireModel(_WireRecord, frozen=True):
     name: str
-    version: Version = 0
+    version: ExactNumber = 0
 
 
 class WireLayers(_WireRecord, frozen=True):
@@ -153,7 +149,7 @@
     range_start: Count
     # End of the range, exclusive.
     target: Count
-    version: Version = 0
+    version: ExactNumber = 0
 
 
 class _ReplicaRow(_WireRecord, frozen=True):
@@ -165,12 +161,12 @@
     warmup_left_ms: WarmupMs = 0.0
     models: tuple[WireModel, ...] = ()
     layers: WireLayers | None = None
-    born: UnixMs = 0
+    born: ExactNumber = 0
 
 
 def decode_catalog(body: bytes) -> Catalog:
     """Decode the operator's configuration."""
-    wire = decode(body, _Configuration)
+    wire = decode_json(body, _Configuration)
     return Catalog(
         revision=wire.version,
         routes=tuple(_read_route(route) for route in wire.routes),
@@ -192,7 +188,7 @@
 
 def decode_target_version(body: bytes) -> WeightsVersion:
     """Decode the target version of a model's weights."""
-    wire = decode(body, _TargetVersion)
+    wire = decode_json(body, _TargetVersion)
     return WeightsVersion(wire.model, wire.version)
 
 
@@ -201,10 +197,9 @@
 
     Raises `RecordInvalid` if the row or its key, which may be another writer's, names no replica.
     """
-    wire = decode(body, _ReplicaRow)
-    if not replica_id or not (replica_id.isascii() and replica_id.isprintable()):
-        raise RecordInvalid(f"the id {replica_id[:60]!r} cannot be sent in a header")
-    _check_address(wire.addr)
+    wire = decode_json(body, _ReplicaRow)
+    check_id(replica_id)
+    check_address(wire.addr)
     return ReplicaRecord(
         id=replica_id,
         service=wire.service,
@@ -224,25 +219,6 @@
     return None if wire is None else LayerSpan(wire.range_start, wire.target, wire.version)
 
 
-def decode(body: bytes, record_type: Any) -> Any:
-    """Decode JSON from the platform; raise `RecordInvalid` if it does not fit the record type."""
-    try:
-        return msgspec.json.decode(body, type=record_type)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, OverflowError) as error:
-        raise RecordInvalid(str(error)[:200]) from error
-
-
-def _check_address(address: str) -> None:
-    host, _, port = address.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        is_port = False
-    if not is_port or not 0 < int(port) <= MAX_PORT:
-        raise RecordInvalid(f"address {address[:60]!r} does not have the form IP:port")
-
-
 def _read_route(wire: _Route) -> Route:
     shares = tuple(ServiceShare(s.service, s.weight) for s in wire.split)
     return Route(
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -6,7 +6,7 @@
 
 from hibiscustray.gateway.interface import Headers, OutboundRequest
 from hibiscustray.placement import LoadReport
-from hibiscustray.platform.numbers import read_number, read_numbers
+from hibiscustray.platform.records import MAX_COUNT
 from hibiscustray.platform.wire import (
     ATTEMPT_ID,
     EXPECTED_REPLICA,
@@ -27,11 +27,9 @@
 from hibiscustray.replicas import read_notice
 from hibiscustray.web import HttpClient, HttpStream
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
+from hibiscustray.web.numbers import read_number, read_numbers
 
 MISDIRECTED_REQUEST, SERVICE_UNAVAILABLE = 421, 503
-MAX_COUNT = 1_000_000
-"""Most requests or slots of a replica."""
-MAX_VERSION = 10**15 - 1
 
 
 class PlatformReplicaResponse:
@@ -51,7 +49,7 @@
         limit, draining = headers.get(RATE_LIMIT.lower()), headers.get(SERVER_LEAVING.lower())
         self.notice = read_notice(limit, pushback, draining)
         self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
-        self.version = read_number(headers.get(WEIGHT_VERSIONS.lower(), ""), MAX_VERSION) or 0
+        self.version = read_number(headers.get(WEIGHT_VERSIONS.lower(), "")) or 0
         self.headers: Headers = tuple(
             (name, value) for name, value in headers.items() if name not in HOP_BY_HOP_HEADERS
         )
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import logging
 from collections.abc import Callable
 from urllib.parse import urlencode
 
 import msgspec
 
+from hibiscustray.decoding import decode_json
 from hibiscustray.exceptions import (
     HistoryLost,
     RecordInvalid,
@@ -160,7 +160,7 @@
             return ()
         if response.status != PRECONDITION_FAILED:
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
-        return _decode_page(current).rows
+        return decode_json(current, _Page, StoreUnavailable).rows
 
     def read_object(self, name: str) -> bytes | None:
         """Return an object's bytes, None if it does not exist; raise `StoreUnavailable`."""
@@ -186,7 +186,7 @@
         if response.status != OK:
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
         return msgspec.structs.replace(
-            _decode_page(body),
+            decode_json(body, _Page, StoreUnavailable),
             call_sent_at=response.sent_at,
             read_at=response.read_at,
             size_b=len(body),
@@ -209,13 +209,6 @@
             raise StoreUnavailable(str(error)) from error
 
 
-def _decode_page(body: bytes) -> _Page:
-    try:
-        return msgspec.json.decode(body, type=_Page)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise StoreUnavailable(f"cannot decode response of the store: {error}") from error
-
-
 class _TableFeed:
     """Converts a table's rows into changes; an invalid row becomes a `RowRejected`."""
 
@@ -352,7 +345,7 @@
     try:
         value = None if row.tombstone else base64.b64decode(row.value, validate=True)
         return read_row(row.key, value)
-    except (binascii.Error, ValueError, RecordInvalid) as error:
+    except (ValueError, RecordInvalid) as error:
         return RowRejected(row.key, str(error)[:200])
 
 
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -13,7 +13,6 @@
     RequestForwarder,
     digest_part,
 )
-from hibiscustray.platform.numbers import read_number, read_numbers
 from hibiscustray.platform.wire import (
     ATTEMPT_ID,
     AUTHORIZATION,
@@ -31,6 +30,7 @@
     URGENCY,
 )
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
+from hibiscustray.web.numbers import read_number, read_numbers
 from hibiscustray.web.server import END_WITH_CONNECTION, REASON_PHRASES, RECEIVED_AT
 
 REPLACED_HEADERS = frozenset(
--- a/hibiscustray/protocols/engine.py
+++ b/hibiscustray/protocols/engine.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import (
     DigestMismatch,
     FencingRejected,
@@ -109,5 +110,5 @@
             raise UpstreamRejected(response.status, response.body.decode(errors="replace")[:200])
         try:
             return msgspec.json.decode(response.body, type=record_type)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise UpstreamConnectionLost(f"cannot decode response from {path}: {error}") from error
--- a/hibiscustray/protocols/table.py
+++ b/hibiscustray/protocols/table.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import (
     PreconditionFailed,
     RecordInvalid,
@@ -122,7 +123,7 @@
             raise StoreUnavailable(f"table returned HTTP status {response.status}")
         try:
             return msgspec.json.decode(response.body, type=dict)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise StoreUnavailable(f"table returned invalid JSON: {error}") from error
 
     def _send(self, operation: str, body: dict[str, Any]) -> ClientResponse:
--- a/hibiscustray/protocols/vm_list.py
+++ b/hibiscustray/protocols/vm_list.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import (
     RecordInvalid,
     StoreUnavailable,
@@ -78,7 +79,7 @@
 def _decode_list(body: bytes) -> _InstanceList:
     try:
         return msgspec.json.decode(body, type=_InstanceList)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"cannot decode VM list: {error}") from error
 
 
--- a/hibiscustray/quarantine/report.py
+++ b/hibiscustray/quarantine/report.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import RecordInvalid
 
 MAX_REPORTED_LOSSES = 192
@@ -19,14 +21,22 @@
 """Limits of one report, which occupies at most about 30 kB however many parts callers invent."""
 
 
+MAX_AGE_S = 1e6
+MAX_AHEAD_S = 60.0
+"""Bounds of ages, which may be somewhat negative."""
+
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_AHEAD_S, le=MAX_AGE_S)]
+Trials = Annotated[int, msgspec.Meta(ge=0, le=1000)]
+
+
 @dataclass(frozen=True)
 class ReportedLoss:
     """A part that was lost at a replica; `sent_s` and `lost_s` are ages in seconds."""
 
     part: str
     replica: str
-    sent_s: float
-    lost_s: float
+    sent_s: Seconds
+    lost_s: Seconds
 
 
 @dataclass(frozen=True)
@@ -34,7 +44,7 @@
     """A suspected part of a request that completed `age_s` seconds ago."""
 
     part: str
-    age_s: float
+    age_s: Seconds
 
 
 @dataclass(frozen=True)
@@ -42,8 +52,8 @@
     """Parts whose requests are refused if they have all of them, for `hold_s` from `age_s` ago."""
 
     parts: tuple[str, ...]
-    hold_s: float
-    age_s: float
+    hold_s: Seconds
+    age_s: Seconds
 
 
 @dataclass(frozen=True)
@@ -69,7 +79,7 @@
     `write_id` identifies the write that counted the last one.
     """
 
-    trials: int = 0
+    trials: Trials = 0
     write_id: str = ""
 
 
@@ -82,7 +92,7 @@
     """Decode a report; raise `RecordInvalid` if it cannot be read or exceeds the limits."""
     try:
         report = msgspec.json.decode(body, type=EntryReport)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"entry report: {error}") from error
     if (
         len(report.losses) > MAX_REPORTED_LOSSES
@@ -104,5 +114,5 @@
     """Decode a blocked request; raise `RecordInvalid` if it cannot be read."""
     try:
         return msgspec.json.decode(body, type=StoredBlock)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"blocked request: {error}") from error
--- a/hibiscustray/reports/capacity.py
+++ b/hibiscustray/reports/capacity.py
@@ -12,6 +12,7 @@
 import jinja2
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import MeasurementMissing
 
 SECONDS_PER_DAY = 86_400
@@ -152,7 +153,7 @@
 def _read_result(path: Path, command: str) -> dict[str, Any]:
     try:
         return msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
-    except (OSError, msgspec.DecodeError) as error:
+    except (OSError, *DECODE_ERRORS) as error:
         raise MeasurementMissing(
             f"{path}: run `{command}` and store its JSON output there"
         ) from error
--- a/hibiscustray/reports/samples.py
+++ b/hibiscustray/reports/samples.py
@@ -16,6 +16,7 @@
 import msgspec
 import xxhash
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import MetricsUnreadable, PlatformError
 from hibiscustray.protocols import Delete, Put, Row, Table
 from hibiscustray.reports.series import Series, parse_exposition
@@ -85,7 +86,7 @@
         for row in self._table.query(partition):
             try:
                 samples.append(msgspec.msgpack.decode(row.body, type=Sample))
-            except msgspec.DecodeError:
+            except DECODE_ERRORS:
                 log.warning("skipped a sample that cannot be decoded", extra={"source": row.sort})
         return samples
 
--- a/hibiscustray/requests/claims.py
+++ b/hibiscustray/requests/claims.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import (
     PlatformError,
     PreconditionFailed,
@@ -214,7 +215,7 @@
 def _decode_body(row: Row) -> ClaimBody:
     try:
         return msgspec.msgpack.decode(row.body, type=ClaimBody)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"cannot decode claim {row.partition}: {error}") from error
 
 
--- a/hibiscustray/requests/tickets.py
+++ b/hibiscustray/requests/tickets.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import hmac
 import secrets
 import time
@@ -12,6 +11,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.requests.ledger import RECORD_TTL_S
 
 TICKET_PREFIX = "hbt1."
@@ -109,7 +109,7 @@
     """Return the unverified content of a ticket, None if it cannot be decoded."""
     try:
         return msgspec.msgpack.decode(_decode_key(key)[1], type=Ticket)
-    except (msgspec.DecodeError, binascii.Error, ValueError):
+    except (*DECODE_ERRORS, ValueError):
         return None
 
 
--- a/hibiscustray/rollout/leases.py
+++ b/hibiscustray/rollout/leases.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hibiscustray.clock import read_clock
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import (
     LeaseHeld,
     PreconditionFailed,
@@ -166,5 +167,5 @@
 def _decode_body(body: bytes) -> LeaseBody:
     try:
         return msgspec.msgpack.decode(body, type=LeaseBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise RecordInvalid(f"the lease row cannot be decoded: {error}") from error
--- a/hibiscustray/platform/numbers.py
+++ b/hibiscustray/web/numbers.py
@@ -5,9 +5,10 @@
 import re
 
 NUMBER = re.compile(r"\s*([0-9]{1,15})\s*", re.ASCII)
+MAX_NUMBER = 10**15 - 1
 
 
-def read_number(text: str, largest: int) -> int | None:
+def read_number(text: str, largest: int = MAX_NUMBER) -> int | None:
     """Return a number from 0 to `largest`, None if a text holds no such number."""
     match = NUMBER.fullmatch(text)
     number = int(match[1]) if match else largest + 1
--- a/hibiscustray/weights/manifest.py
+++ b/hibiscustray/weights/manifest.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hibiscustray.decoding import DECODE_ERRORS
 from hibiscustray.exceptions import ChunkCorrupt, ManifestInvalid
 
 MIN_CHUNK_B = 64 * 1024
@@ -65,7 +66,7 @@
     """Decode a manifest and check the consistency of its sizes."""
     try:
         manifest = msgspec.msgpack.decode(body, type=Manifest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ManifestInvalid(str(error)) from error
     if manifest.size <= 0 or manifest.chunk_size <= 0:
         raise ManifestInvalid("the file size and the chunk size must be greater than zero")
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -74,6 +74,8 @@
         (b"[1]", "malformed"),
         (b"", "malformed"),
         (b"\xff\xfe", "malformed"),
+        (b'{"model":' + b"[" * 20_000, "malformed"),
+        (b'{"messages":' + b"[" * 20_000 + b"]" * 20_000 + b"}", "malformed"),
         (b'{"model": 5, "messages": []}', "malformed"),
         (b'{"messages": []}', "malformed"),
         (b'{"model": "guide-llm", "messages": "hello"}', "malformed"),
@@ -89,7 +91,10 @@
     assert problem["outcome"] == "not_run"
 
 
-@pytest.mark.parametrize("deadline", ["0", "-5", "soon", "1e99", "999999999999", "", "1.5", "nan"])
+@pytest.mark.parametrize(
+    "deadline",
+    ["0", "-5", "soon", "1e99", "999999999999", "", "1.5", "nan", "\xb2", "9" * 400, "9" * 5000],
+)
 def test_an_invalid_deadline_is_refused(site, client, deadline):
     before = count_runs(site)
     headers = AUTHORIZED | {"Hibiscustray-Deadline-Ms": deadline}
