Rejects rows whose address is not that of one machine

Seen: a row with the address ::1:80 ended calls to that replica with a ValueError; rows with 0.0.0.0, a multicast or a broadcast address got requests (0.0.0.0 reaches whatever runs on the entry's own machine). Cause: any IP number was taken, also where no URL can hold it or no replica can have it. Evidence: tests/platform/test_odd_rows.py, the 8 tests of these four rows failed before. Change: an address is IPv4:port, as the other interfaces of the platform name it, and that of a single machine. Result: tests/platform/test_odd_rows.py passes.

--- a/hibiscustray/replicas/identity.py
+++ b/hibiscustray/replicas/identity.py
@@ -21,8 +21,9 @@
     host, _, port = address.rpartition(":")
     is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
     try:
-        ipaddress.ip_address(host)
+        ip = ipaddress.IPv4Address(host)
+        is_machine = not (ip.is_unspecified or ip.is_multicast or ip.is_reserved)
     except ValueError:
-        is_port = False
-    if not is_port or not 0 < int(port) <= MAX_PORT:
+        is_machine = False
+    if not is_port or not is_machine or not 0 < int(port) <= MAX_PORT:
         raise RecordInvalid(f"address {address[:60]!r} does not have the form IP:port")
