Rejects rows with the addresses of the entry itself

Callers got 401 or 404 for requests that other replicas could have served: a row of the list named the address at which the entry takes callers, or its address for readiness. Cause: the entry sent the requests to itself, without their key. Evidence: tests/platform/test_odd_rows.py::test_row_with_the_address_of_the_entry_gets_no_requests (4 cases) and test_row_that_takes_the_address_of_the_entry_replaces_the_replica failed before. The tests of two rows with one address are new and found nothing. Change: such a row names no replica. The address of another entry is not known to this one, and still counts. Result: tests/platform/test_odd_rows.py (the new tests, 19 with those of rows that break off), tests/replicas and tests/feeds/test_entry_listener.py pass.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -260,11 +260,25 @@
         store, OperatorListener(catalogs, versions, on_version), wait_s, metrics
     )
     replicas = FeedFollower(
-        ReplicaFeed(store), ReplicaListener(directory), wait_s, metrics, pause_s
+        ReplicaFeed(store),
+        ReplicaListener(directory, _list_entry_addresses(settings)),
+        wait_s,
+        metrics,
+        pause_s,
     )
     return _FeedState(catalogs, versions, directory, (operator, replicas))
 
 
+def _list_entry_addresses(settings: HostedSettings) -> frozenset[str]:
+    """Return the addresses of an entry's servers; an agent sends nothing to those of replicas."""
+    entry, process = settings.entry, settings.process
+    if entry is None:
+        return frozenset()
+    ports = [address.rpartition(":")[2] for address in (entry.callers, entry.readiness)]
+    on_host = {f"{process.address}:{port}" for port in (*ports, process.metrics_port)}
+    return frozenset(on_host | {entry.callers, entry.readiness})
+
+
 def _build_relay_writer(
     store: PlatformStore, listener: OperatorListener, wait_s: float, metrics: Metrics
 ) -> FeedFollower:
--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -68,18 +68,28 @@
 
 
 class ReplicaListener:
-    """Applies the replica list."""
+    """Applies the replica list.
 
-    def __init__(self, directory: ReplicaDirectory) -> None:
+    Rows with one of `own_addresses`, those of this process, count as rejected: a request that is
+    sent there would come back.
+    """
+
+    def __init__(
+        self, directory: ReplicaDirectory, own_addresses: frozenset[str] = frozenset()
+    ) -> None:
         self._directory = directory
+        self._own_addresses = own_addresses
 
     def replace(self, changes: tuple[Change, ...], earliest_at: float) -> None:
         """Replace the whole replica list."""
-        self._directory.replace(c.record for c in changes if isinstance(c, ReplicaListed))
+        records = [c.record for c in changes if isinstance(c, ReplicaListed)]
+        self._directory.replace(r for r in records if r.address not in self._own_addresses)
 
     def apply(self, change: Change, earliest_at: float) -> None:
         """Apply the change of one row."""
         match change:
+            case ReplicaListed(record=record) if record.address in self._own_addresses:
+                self._directory.remove(record.id)
             case ReplicaListed(record=record):
                 self._directory.update(record)
             case ReplicaUnlisted(replica_id=replica_id) | RowRejected(key=replica_id):
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -7,9 +7,11 @@
 
 import pytest
 
+from hibiscustray.composition import build_hosted_entry
 from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.platform.records import decode_replica
-from hibiscustray.platform.standins import respond_with_body
+from hibiscustray.platform.standins import reject, respond_with_body
+from hibiscustray.telemetry import Metrics
 from tests.platform.site import HostedSite, build_entry, run_hosted_site
 from tests.waiting import wait_until
 
@@ -64,13 +66,19 @@
 }
 
 
-def check_site(site: HostedSite) -> None:
-    """Check that the list is followed, that requests are served and that a new entry gets ready."""
+def check_requests(site: HostedSite) -> None:
+    """Check that requests are served by two replicas that are added."""
     first = site.add_replica("booking", respond_with_body(body=b"seat"))
     second = site.add_replica("booking", respond_with_body(body=b"seat"))
     for path in ["/book/1", "/book/look/1"] * 6:
         assert site.call("POST", path, b"x")[0].status == 200
     assert first.received and second.received
+
+
+def check_site(site: HostedSite) -> None:
+    """Check that the list is followed, that requests are served and that a new entry gets ready."""
+    check_requests(site)
+    first, second = site.replicas
     site.update_replica(first, state="draining")
     wait_until(lambda: len(site.process._directory.list_ready("booking")) == 1)
     _, restarted = build_entry(site.store, threads=4)
@@ -117,3 +125,54 @@
 
 def test_sound_row_names_a_replica():
     assert decode_replica("i-1", encode()).address == "127.0.0.1:9"
+
+
+@pytest.mark.parametrize("port", ["callers", "readiness"])
+@pytest.mark.parametrize("state", ["ready", "draining"])
+def test_row_with_the_address_of_the_entry_gets_no_requests(port, state, caplog):
+    with run_hosted_site() as site:
+        address = getattr(site.settings.entry, port)
+        site.store.put("servers", "i-odd", encode(addr=address, state=state))
+        check_requests(site)
+        assert site.process._directory.get("i-odd") is None
+        site.process.stop()
+        restarted = build_hosted_entry(site.settings, Metrics("edge-1"))
+        restarted.start()
+        try:
+            wait_until(restarted.is_ready)
+            assert [r.id for r in restarted._directory.list_all("booking")] == ["i-0", "i-1"]
+            assert site.call("POST", "/book/1", b"x")[0].status == 200
+        finally:
+            restarted.stop()
+    check_log(caplog)
+
+
+def test_row_that_takes_the_address_of_the_entry_replaces_the_replica():
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", respond_with_body(body=b"seat"))
+        site.store.put("servers", replica.id, encode(addr=site.settings.entry.callers))
+        wait_until(lambda: site.process._directory.get(replica.id) is None)
+        assert site.call("POST", "/book/1", b"x")[0].status == 503
+
+
+@pytest.mark.parametrize("key", ["i-", "i-00", "zz"])
+@pytest.mark.parametrize("state", ["ready", "draining"])
+@pytest.mark.parametrize("service", ["booking", "guide"])
+def test_second_row_with_the_address_of_a_replica_stops_no_requests(key, state, service, caplog):
+    def respond_if_expected(request, connection) -> None:
+        is_expected = request.headers["x-hibiscustray-expect-instance"] == replica.id
+        script = respond_with_body(body=b"seat") if is_expected else reject(421)
+        script(request, connection)
+
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", respond_if_expected)
+        row = encode(addr=replica.address, service=service, state=state)
+        site.store.put("servers", key, row)
+        wait_until(lambda: site.process._directory.get(key) is not None)
+        for path in ["/book/1", "/book/look/1"] * 6:
+            assert site.call("POST", path, b"x")[0].status == 200
+        site.store.remove("servers", key)
+        wait_until(lambda: site.process._directory.get(key) is None)
+        assert site.process._directory.list_ready("booking")[0].id == replica.id
+        assert site.call("POST", "/book/1", b"x")[0].status == 200
+    check_log(caplog)
