Updates the region of an agent once its row changes

Seen: the region of another agent stayed wrong for as long as its machine was listed, after another writer's row had named the same machine in another availability zone; chunks were then fetched over the links between regions. Cause: the roster of agents added machines and removed them, but never changed one. Evidence: tests/platform/test_odd_rows_of_agents.py:: test_second_row_with_the_address_of_a_replica_does_not_change_the_region_for_good failed before. Change: a machine whose availability zone has changed is merged again. Result: tests/platform/test_odd_rows_of_agents.py and tests/membership pass (64).

--- a/hibiscustray/agent/roster.py
+++ b/hibiscustray/agent/roster.py
@@ -35,14 +35,15 @@
         directory.add_listener(self.refresh)
 
     def refresh(self) -> None:
-        """Add agents of newly listed replicas to the view; mark those of unlisted ones as left."""
+        """Add agents of newly listed or moved replicas; mark those of unlisted ones as left."""
         with self._lock:
             self._sequence += 1
             listed = {r.host: self._make_record(r) for r in self._directory.list_all(self._service)}
             listed.pop(self._view.own.id, None)
             known = {m.id: m for m in self._view.members() if m.id != self._view.own.id}
             self._view.merge(
-                (record for host, record in listed.items() if host not in known), is_queued=False
+                (r for host, r in listed.items() if not _is_same_place(r, known.get(host))),
+                is_queued=False,
             )
             departed = (member for host, member in known.items() if host not in listed)
             self._view.merge(
@@ -77,3 +78,7 @@
             status=LEFT,
             service=member.service,
         )
+
+
+def _is_same_place(record: MemberRecord, known: MemberRecord | None) -> bool:
+    return known is not None and known.availability_zone == record.availability_zone
