--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -2,15 +2,28 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import logging
+import time
+from contextlib import closing, suppress
 
 import pytest
 
 from hibiscustray.composition import build_hosted_entry
 from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.platform.records import decode_replica
-from hibiscustray.platform.standins import reject, respond_with_body
+from hibiscustray.platform.standins import (
+    KEY,
+    ReplicaStandIn,
+    StoreStandIn,
+    call_entry,
+    make_configuration,
+    read_readiness,
+    reject,
+    respond_with_body,
+)
+from hibiscustray.soak.programs import EntryProgram
 from hibiscustray.telemetry import Metrics
 from tests.platform.site import HostedSite, build_entry, run_hosted_site
 from tests.waiting import wait_until
@@ -26,11 +39,13 @@
     return b"[" * depth + b"]" * depth
 
 
+BROKEN_OFF = b'{"labels":' + b"[" * 4000
 ODD_ROWS = {
     "not JSON": b"{",
     "not UTF-8": b'{"service":"\xff"}',
     "empty": b"",
     "breaks off within lists": b'{"service":' + b"[" * 4000,
+    "breaks off within lists of an unknown field": BROKEN_OFF,
     "nested in a field": encode().replace(b'"z1"', nest(20_000)),
     "nested in an unknown field": encode(x=0).replace(b'"x": 0', b'"x":' + nest(20_000)),
     "slots of 400 digits": encode(slots=0).replace(b'"slots": 0', b'"slots":' + b"9" * 400),
@@ -66,6 +81,11 @@
 }
 
 
+READY_TIMEOUT_S = 40.0
+RECOVER_S = 12.0
+"""Time after its start from which an entry must serve requests again."""
+
+
 def check_requests(site: HostedSite) -> None:
     """Check that requests are served by two replicas that are added."""
     first = site.add_replica("booking", respond_with_body(body=b"seat"))
@@ -176,3 +196,44 @@
         assert site.process._directory.list_ready("booking")[0].id == replica.id
         assert site.call("POST", "/book/1", b"x")[0].status == 200
     check_log(caplog)
+
+
+def test_entry_that_is_killed_beside_a_row_that_breaks_off_serves_again(tmp_path):
+    def send(number: int) -> int:
+        connection = http.client.HTTPConnection(entry.callers_address, timeout=5.0)
+        with closing(connection):
+            return call_entry(connection, "POST", "/book/1", b"x", f"a{number}", KEY, 2.5).status
+
+    store = StoreStandIn()
+    store.put("op", "config", make_configuration(3))
+    replicas = [ReplicaStandIn(f"i-{n}", "booking", respond_with_body()) for n in range(3)]
+    for replica in replicas:
+        store.put("servers", replica.id, replica.make_row())
+    entry = EntryProgram(0, store.address, tmp_path)
+    try:
+        entry.start()
+        wait_until(lambda: is_ready(entry), READY_TIMEOUT_S)
+        store.put("servers", "i-of-another-writer", BROKEN_OFF)
+        assert [send(number) for number in range(10)] == [200] * 10
+        store.put("op", "config", make_configuration(7))
+        entry.kill()
+        entry.start()
+        wait_until(lambda: is_ready(entry), RECOVER_S)
+        assert [send(number) for number in range(10, 40)] == [200] * 30
+        for replica in replicas[1:]:
+            store.remove("servers", replica.id)
+        time.sleep(0.5)
+        received = len(replicas[1].received) + len(replicas[2].received)
+        assert [send(number) for number in range(40, 50)] == [200] * 10
+        assert len(replicas[1].received) + len(replicas[2].received) == received
+    finally:
+        entry.kill()
+        store.close()
+        for replica in replicas:
+            replica.close()
+
+
+def is_ready(entry: EntryProgram) -> bool:
+    with suppress(OSError, http.client.HTTPException):
+        return read_readiness(entry.readiness_address) == 200
+    return False
