Writes the rows of requests though one of them is unreadable

Seen: one row of a blocked request that cannot be decoded kept an entry from renewing, removing and counting trials in those of all other requests. Cause: the first error of any kind ended the round, as one of a store that is away should. Evidence: tests/quarantine/test_publisher.py:: test_unreadable_row_of_a_request_does_not_keep_those_of_others_from_being_written failed before. Change: an unreadable row is logged and skipped. Result: tests/quarantine/test_publisher.py passes.

--- a/hibiscustray/quarantine/publisher.py
+++ b/hibiscustray/quarantine/publisher.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from hibiscustray.clock import read_clock
-from hibiscustray.exceptions import PlatformError
+from hibiscustray.exceptions import PlatformError, RecordInvalid
 from hibiscustray.membership.roster import EntryRoster
 from hibiscustray.quarantine.quarantine import PartQuarantine
 from hibiscustray.quarantine.report import EntryReport, StoredBlock
@@ -172,6 +172,8 @@
         for request, change in self._quarantine.list_row_changes().items():
             try:
                 self._change_block(request, change)
+            except RecordInvalid as error:
+                log.warning("row of a request unreadable", extra={"reason": str(error)[:200]})
             except PlatformError as error:
                 log.warning("row of a request not changed", extra={"reason": str(error)[:200]})
                 return
