Removes a replica at once if only a connection to the store was lost

Cause: the entry notices the silence by the time-out of its call, up to 3.5 s after its start, took it for an outage of the store, and then kept missing replicas for 2 s more, though the store had never been away. Change: the store counts as away if two calls in a row fail, or if the first call after a failure has to wait for more than 0.75 s; the grace period of 2 s is for that case alone. Limit: an outage without any response that begins and ends within one call for changes, or up to 0.75 s after its time-out, looks the same as a silent connection; replicas that expired in it get no requests until they are listed again.

--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -33,6 +33,8 @@
 the store sent its own response, since the store responds within a few milliseconds."""
 MAX_IMMEDIATE_RESPONSE_S = 0.25
 """Longest time in which a slow store responds without a wait; a later response ended a wait."""
+MAX_RETRY_S = 0.75
+"""Longest time in which a store that has not been away answers the first call after a failure."""
 MAX_CHANGE_AGE_AFTER_OUTAGE_S = 3.0
 """Maximum age of a change in the first response after an outage, unless the last failed call began
 earlier: no change is made while the store is down, but a congested link delays responses."""
@@ -55,7 +57,7 @@
         ...
 
     def record_outage(self) -> None:
-        """Record that the table cannot be read."""
+        """Record that the table cannot be read, or could not for a time that has just ended."""
         ...
 
     def record_recovery(self) -> None:
@@ -87,6 +89,7 @@
         self._store_clock = StoreClock()
         self._last_response: ResponseTimes | None = None
         self._outage_started_at: float | None = None
+        self._is_outage_reported = False
         self._last_failed_call_at = float("-inf")
         self._frozen_call_at = float("inf")
         self._rejected = 0
@@ -149,7 +152,7 @@
         self._log_target_versions(page, called_at)
         response = self._record_times(page, called_at)
         earliest_at = self._compute_earliest_change(page, response, wait_s=0.0)
-        self._record_recovery()
+        self._record_recovery(called_at)
         self._listener.replace(self._process_changes(page), earliest_at)
         self._record_page(page, response)
 
@@ -157,7 +160,7 @@
         self._log_target_versions(page, called_at)
         response = self._record_times(page, called_at)
         earliest_at = self._compute_earliest_change(page, response, wait_s)
-        self._record_recovery()
+        self._record_recovery(called_at)
         for change in self._process_changes(page):
             self._listener.apply(change, earliest_at)
         self._record_page(page, response)
@@ -247,15 +250,31 @@
         if self._outage_started_at is None:
             self._outage_started_at = read_clock()
             log.warning("feed unavailable", extra={"feed": self._source.name, "reason": str(error)})
+        else:
+            # One lost connection alone, reset or silent, does not mean that the store was away.
+            self._report_outage()
+
+    def _report_outage(self) -> None:
+        if not self._is_outage_reported:
+            self._is_outage_reported = True
             self._listener.record_outage()
 
-    def _record_recovery(self) -> None:
-        if self._outage_started_at is not None:
-            outage_s = read_clock() - self._outage_started_at
-            self._outage_started_at = None
-            self._frozen_call_at = float("inf")
-            log.info(
-                "feed available again",
-                extra={"feed": self._source.name, "outage_s": round(outage_s, 3)},
-            )
+    def _record_recovery(self, called_at: float) -> None:
+        if self._outage_started_at is None:
+            return
+        now = read_clock()
+        if now - called_at > MAX_RETRY_S:
+            self._report_outage()
+        log.info(
+            "feed available again",
+            extra={
+                "feed": self._source.name,
+                "outage_s": round(now - self._outage_started_at, 3),
+                "store_away": self._is_outage_reported,
+            },
+        )
+        self._outage_started_at = None
+        self._frozen_call_at = float("inf")
+        if self._is_outage_reported:
+            self._is_outage_reported = False
             self._listener.record_recovery()
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -21,6 +21,7 @@
     RowRejected,
     TargetVersionSet,
 )
+from hibiscustray.feeds.follower import MAX_RETRY_S
 from hibiscustray.replicas import ReplicaDirectory, ReplicaRecord, ReplicaState
 from hibiscustray.telemetry import Metrics
 
@@ -256,3 +257,27 @@
     left_at = started_at + 2.2
     time.sleep(max(0.0, left_at + 2.5 - time.monotonic()))
     assert directory.list_ready("s") == ()
+
+
+def test_one_lost_connection_does_not_defer_the_removal_of_a_replica():
+    directory = ReplicaDirectory()
+    source = ScriptedSource(
+        FeedPage((ReplicaListed(RECORD),), 4),
+        StoreUnavailable("connection reset"),
+        FeedPage((ReplicaUnlisted("i-1"),), 6),
+    )
+    follow(source, ReplicaListener(directory))
+    assert directory.list_ready("s") == ()
+
+
+def test_removal_is_deferred_if_the_first_call_after_a_failure_waited_for_the_store():
+    def respond_late() -> FeedPage:
+        time.sleep(MAX_RETRY_S + 0.1)
+        return FeedPage((ReplicaUnlisted("i-1"),), 6)
+
+    directory = ReplicaDirectory()
+    source = ScriptedSource(
+        FeedPage((ReplicaListed(RECORD),), 4), StoreUnavailable("no response"), respond_late
+    )
+    follow(source, ReplicaListener(directory))
+    assert [r.id for r in directory.list_ready("s")] == ["i-1"]
