--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -2,14 +2,29 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import logging
+import time
+from contextlib import closing, suppress
 
 import pytest
 
+from hibiscustray.composition import build_hosted_entry
 from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.platform.records import decode_replica
-from hibiscustray.platform.standins import respond_with_body
+from hibiscustray.platform.standins import (
+    KEY,
+    ReplicaStandIn,
+    StoreStandIn,
+    call_entry,
+    make_configuration,
+    read_readiness,
+    reject,
+    respond_with_body,
+)
+from hibiscustray.soak.programs import EntryProgram
+from hibiscustray.telemetry import Metrics
 from tests.platform.site import HostedSite, build_entry, run_hosted_site
 from tests.waiting import wait_until
 
@@ -24,11 +39,13 @@
     return b"[" * depth + b"]" * depth
 
 
+BROKEN_OFF = b'{"labels":' + b"[" * 4000
 ODD_ROWS = {
     "not JSON": b"{",
     "not UTF-8": b'{"service":"\xff"}',
     "empty": b"",
     "breaks off within lists": b'{"service":' + b"[" * 4000,
+    "breaks off within lists of an unknown field": BROKEN_OFF,
     "nested in a field": encode().replace(b'"z1"', nest(20_000)),
     "nested in an unknown field": encode(x=0).replace(b'"x": 0', b'"x":' + nest(20_000)),
     "slots of 400 digits": encode(slots=0).replace(b'"slots": 0', b'"slots":' + b"9" * 400),
@@ -49,6 +66,10 @@
     "port in other digits": encode(addr="127.0.0.1:\u0661\u0662"),
     "no port": encode(addr="127.0.0.1"),
     "no IP number": encode(addr="a" * 300 + ":80"),
+    "IPv6": encode(addr="::1:80"),
+    "address of all machines": encode(addr="0.0.0.0:80"),
+    "multicast": encode(addr="224.0.0.1:80"),
+    "broadcast": encode(addr="255.255.255.255:80"),
     "line break in the address": encode(addr="127.0.0.1\r\nX-A: b:80"),
     "unnamed state": encode(state="gone"),
     "unnamed service": encode(service="elsewhere"),
@@ -60,13 +81,24 @@
 }
 
 
-def check_site(site: HostedSite) -> None:
-    """Check that the list is followed, that requests are served and that a new entry gets ready."""
+READY_TIMEOUT_S = 40.0
+RECOVER_S = 12.0
+"""Time after its start from which an entry must serve requests again."""
+
+
+def check_requests(site: HostedSite) -> None:
+    """Check that requests are served by two replicas that are added."""
     first = site.add_replica("booking", respond_with_body(body=b"seat"))
     second = site.add_replica("booking", respond_with_body(body=b"seat"))
     for path in ["/book/1", "/book/look/1"] * 6:
         assert site.call("POST", path, b"x")[0].status == 200
     assert first.received and second.received
+
+
+def check_site(site: HostedSite) -> None:
+    """Check that the list is followed, that requests are served and that a new entry gets ready."""
+    check_requests(site)
+    first, second = site.replicas
     site.update_replica(first, state="draining")
     wait_until(lambda: len(site.process._directory.list_ready("booking")) == 1)
     _, restarted = build_entry(site.store, threads=4)
@@ -113,3 +145,95 @@
 
 def test_sound_row_names_a_replica():
     assert decode_replica("i-1", encode()).address == "127.0.0.1:9"
+
+
+@pytest.mark.parametrize("port", ["callers", "readiness"])
+@pytest.mark.parametrize("state", ["ready", "draining"])
+def test_row_with_the_address_of_the_entry_gets_no_requests(port, state, caplog):
+    with run_hosted_site() as site:
+        address = getattr(site.settings.entry, port)
+        site.store.put("servers", "i-odd", encode(addr=address, state=state))
+        check_requests(site)
+        assert site.process._directory.get("i-odd") is None
+        site.process.stop()
+        restarted = build_hosted_entry(site.settings, Metrics("edge-1"))
+        restarted.start()
+        try:
+            wait_until(restarted.is_ready)
+            assert [r.id for r in restarted._directory.list_all("booking")] == ["i-0", "i-1"]
+            assert site.call("POST", "/book/1", b"x")[0].status == 200
+        finally:
+            restarted.stop()
+    check_log(caplog)
+
+
+def test_row_that_takes_the_address_of_the_entry_replaces_the_replica():
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", respond_with_body(body=b"seat"))
+        site.store.put("servers", replica.id, encode(addr=site.settings.entry.callers))
+        wait_until(lambda: site.process._directory.get(replica.id) is None)
+        assert site.call("POST", "/book/1", b"x")[0].status == 503
+
+
+@pytest.mark.parametrize("key", ["i-", "i-00", "zz"])
+@pytest.mark.parametrize("state", ["ready", "draining"])
+@pytest.mark.parametrize("service", ["booking", "guide"])
+def test_second_row_with_the_address_of_a_replica_stops_no_requests(key, state, service, caplog):
+    def respond_if_expected(request, connection) -> None:
+        is_expected = request.headers["x-hibiscustray-expect-instance"] == replica.id
+        script = respond_with_body(body=b"seat") if is_expected else reject(421)
+        script(request, connection)
+
+    with run_hosted_site() as site:
+        replica = site.add_replica("booking", respond_if_expected)
+        row = encode(addr=replica.address, service=service, state=state)
+        site.store.put("servers", key, row)
+        wait_until(lambda: site.process._directory.get(key) is not None)
+        for path in ["/book/1", "/book/look/1"] * 6:
+            assert site.call("POST", path, b"x")[0].status == 200
+        site.store.remove("servers", key)
+        wait_until(lambda: site.process._directory.get(key) is None)
+        assert site.process._directory.list_ready("booking")[0].id == replica.id
+        assert site.call("POST", "/book/1", b"x")[0].status == 200
+    check_log(caplog)
+
+
+def test_entry_that_is_killed_beside_a_row_that_breaks_off_serves_again(tmp_path):
+    def send(number: int) -> int:
+        connection = http.client.HTTPConnection(entry.callers_address, timeout=5.0)
+        with closing(connection):
+            return call_entry(connection, "POST", "/book/1", b"x", f"a{number}", KEY, 2.5).status
+
+    store = StoreStandIn()
+    store.put("op", "config", make_configuration(3))
+    replicas = [ReplicaStandIn(f"i-{n}", "booking", respond_with_body()) for n in range(3)]
+    for replica in replicas:
+        store.put("servers", replica.id, replica.make_row())
+    entry = EntryProgram(0, store.address, tmp_path)
+    try:
+        entry.start()
+        wait_until(lambda: is_ready(entry), READY_TIMEOUT_S)
+        store.put("servers", "i-of-another-writer", BROKEN_OFF)
+        assert [send(number) for number in range(10)] == [200] * 10
+        store.put("op", "config", make_configuration(7))
+        entry.kill()
+        entry.start()
+        wait_until(lambda: is_ready(entry), RECOVER_S)
+        assert [send(number) for number in range(10, 40)] == [200] * 30
+        for replica in replicas[1:]:
+            store.remove("servers", replica.id)
+        time.sleep(0.5)
+        received = len(replicas[1].received) + len(replicas[2].received)
+        assert [send(number) for number in range(40, 50)] == [200] * 10
+        assert len(replicas[1].received) + len(replicas[2].received) == received
+    finally:
+        entry.kill()
+        store.close()
+        for replica in replicas:
+            replica.close()
+
+
+def is_ready(entry: EntryProgram) -> bool:
+    with suppress(OSError, http.client.HTTPException):
+        return read_readiness(entry.readiness_address) == 200
+    return False
