Shows that a malformed header line hides the length of a response

http.client takes a line that is no header for the end of the headers, and splits lines at a bare CR.

--- a/tests/web/test_framing.py
+++ b/tests/web/test_framing.py
@@ -123,6 +123,16 @@
         serve_bytes(HEAD + lines + b"\r\n" + BODY).open("GET", "/")
 
 
+@pytest.mark.parametrize(
+    "line",
+    [b"garbage", b"Content-Length : 20", b"X-\xc3\xa9: b", b"X-A: b\r", b"X-A: b\r\rX-B: c"],
+)
+def test_malformed_header_line_does_not_hide_the_length(line):
+    data = HEAD + line + b"\r\nContent-Length: 20\r\n\r\n" + BODY[:10]
+    with pytest.raises(UpstreamConnectionLost):
+        serve_bytes(data).call("GET", "/")
+
+
 @pytest.mark.parametrize(
     "head, framing",
     [
