Rejects header lines that http.client takes for the end of the headers

Change: while headers are read, a line must be a header, a continuation or empty, without a bare CR. Header names are checked no further than http.client does, so that nothing that it parses is rejected, apart from bare CRs.

--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -17,6 +17,8 @@
 """Time for what follows the last chunk. If nothing does, the body is whole all the same."""
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,12}")
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+HEADER_LINE = re.compile(rb"(?:(?:[!-9;-~]*:|[ \t])[^\r\n]*)?\r?\n")
+"""A header, its continuation or the empty line; http.client drops what follows any other line."""
 
 
 class ReadGuard:
@@ -95,9 +97,13 @@
 
 
 class LineReader(io.BufferedReader):
-    """A buffered reader that, while `requires_lines`, takes no end of the connection for a line."""
+    """A buffered reader that, while `requires_lines`, takes no end of the connection for a line.
+
+    While `requires_headers`, it raises `HTTPException` on a line that http.client cannot parse.
+    """
 
     requires_lines = True
+    requires_headers = False
 
     def readline(self, size: int | None = -1) -> bytes:
         """Return a line, or `size` bytes of it; raise `RemoteDisconnected` if it is cut."""
@@ -105,6 +111,8 @@
         is_limited = size is not None and 0 <= size <= len(line)
         if self.requires_lines and not line.endswith(b"\n") and not is_limited:
             raise RemoteDisconnected("the connection ended within the head or a chunk size")
+        if self.requires_headers and not HEADER_LINE.fullmatch(line):
+            raise HTTPException(f"invalid header: {line[:40]!r}")
         return line
 
 
@@ -124,6 +132,7 @@
         """Read the head; the timeout of the socket applies to each wait in the body again."""
         timeout_s = self._sock.gettimeout()
         super().begin()
+        self.fp.requires_headers = False
         _check_framing(self.headers)
         # Lines of a body that is not sent in chunks may end with the connection.
         self.fp.requires_lines = self.chunked
@@ -131,6 +140,13 @@
         self._guard.limit_time(None)
         self._sock.settimeout(timeout_s)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return the protocol version, the status and the reason; headers follow."""
+        self.fp.requires_headers = False
+        status_line = super()._read_status()
+        self.fp.requires_headers = True
+        return status_line
+
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk or of the next one, None after the last.
 
