--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -105,6 +105,17 @@
     assert len(replica.received) == 1
 
 
+@pytest.mark.parametrize("kind", PLAIN)
+def test_interim_response_is_not_forwarded_as_the_final_one(site, kind):
+    def respond(request: ReceivedRequest, connection: socket.socket) -> None:
+        connection.sendall(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
+        connection.sendall(encode_head(request, f"Content-Length: {len(BODY)}") + BODY)
+
+    site.add_replica(KINDS[kind][2], respond)
+    response = call_raw(site, kind)
+    assert (response.status, response.body, response.end) == (200, BODY, End.WHOLE)
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks", "connection"])
 def test_log_and_metrics_tell_how_a_replica_framed_its_response(site, framing, caplog):
     caplog.set_level(logging.INFO)
--- a/tests/web/test_framing.py
+++ b/tests/web/test_framing.py
@@ -57,6 +57,21 @@
             serve_bytes(interim[:cut]).open("GET", "/")
 
 
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_interim_response_is_not_taken_for_the_final_one(status):
+    interim = f"HTTP/1.1 {status} Interim\r\nLink: a\r\n\r\n".encode()
+    data = 2 * interim + HEAD + b"Content-Length: 20\r\n\r\n" + BODY
+    response = serve_bytes(data).call("GET", "/")
+    assert (response.status, response.body) == (200, BODY)
+    with pytest.raises(UpstreamConnectionLost):
+        serve_bytes(interim).call("GET", "/")
+
+
+def test_switch_of_protocols_that_was_not_asked_for_raises():
+    with pytest.raises(UpstreamConnectionLost):
+        serve_bytes(b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + BODY).open("GET", "/")
+
+
 def test_body_with_a_length_cut_at_any_byte_raises():
     for cut in range(len(BODY)):
         with pytest.raises(UpstreamConnectionLost):
