Skips all interim responses, not 100 alone

Callers saw: a 103 and the end of the connection in place of the response, also where the request had run. Change: responses from 100 to 199 are skipped within the limits of the head; 101 is no response, as no switch is asked for. Result: tests/web, tests/platform/test_early_ends.py and test_endless_bytes.py pass.

--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import time
+from http import HTTPStatus
 from http.client import HTTPException, RemoteDisconnected
 
 MAX_HEAD_B = 65536
@@ -141,11 +142,18 @@
         self._sock.settimeout(timeout_s)
 
     def _read_status(self) -> tuple[str, int, str]:
-        """Return the protocol version, the status and the reason; headers follow."""
-        self.fp.requires_headers = False
-        status_line = super()._read_status()
-        self.fp.requires_headers = True
-        return status_line
+        """Return the version, the status and the reason of the final response; headers follow."""
+        while True:
+            self.fp.requires_headers = False
+            version, status, reason = super()._read_status()
+            self.fp.requires_headers = True
+            if status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise HTTPException("the protocol was switched without a request for it")
+            if status >= HTTPStatus.OK:
+                return version, status, reason
+            # http.client would skip 100 alone.
+            while self.fp.readline(MAX_HEAD_B) not in (b"\r\n", b"\n"):
+                pass
 
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk or of the next one, None after the last.
