--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -215,6 +215,15 @@
     assert SERVER_SEAL not in response.headers
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_promise_not_to_have_run_without_a_seal_is_not_forwarded(site, status):
+    site.add_replica(
+        "booking", respond_with_bytes(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
+    )
+    assert site.call("POST", "/book/1", b"x")[0].status == 502
+    assert count_received_requests(site) == 1
+
+
 def test_bytes_after_a_response_are_discarded(site):
     extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
 
