Passes no promise on that a request has not run without a seal

Callers saw: a 503 (408, 429) of an unknown sender, which promises that a request that runs once at most has not run. Cause: only a success had to be authentic; other responses were forwarded whoever had sent them. Change: such a response needs the mark that the request has not run, or a seal. Otherwise the attempt is lost: 502, or a repeat where the route allows it.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -68,6 +68,8 @@
 """Relative jitter of that time, so that callers do not retry at the same time."""
 TURNED_AWAY_STATUSES = frozenset((408, 425, 429))
 """Responses that do not show that the replica began to run the request."""
+NOT_RUN_STATUSES = frozenset((408, 429, 503))
+"""Responses that callers take for the promise that a request has not run and will not."""
 LATE_URGENCY = 7
 """Urgency of requests past their objective, lower than the engines' default of 5."""
 
@@ -464,7 +466,8 @@
             context.record_attempt(placement, f"refused-{response.status}")
             self._metrics.count("attempts_refused_total", {"service": context.service.name})
             return NotRun(response.status, response.is_misdirected)
-        if 200 <= response.status < 300 and not response.is_authentic:
+        needs_proof = 200 <= response.status < 300 or response.status in NOT_RUN_STATUSES
+        if needs_proof and not response.is_authentic:
             raise ResponseInvalid("the response does not authenticate its replica")
         if response.version:
             context.answered_version = response.version
