--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 
+import pytest
+
 from hibiscustray.web import HttpServer
 from tests.waiting import wait_until
 
@@ -30,5 +33,31 @@
     assert all(line.idle_timeout_s == 1 and line.late_headers == 0 for line in lines)
 
 
+@pytest.mark.parametrize("version", ["1.0", "1.2", "2.0"])
+@pytest.mark.parametrize("length", ["", "Content-Length: 4\r\n"], ids=["no length", "length"])
+def test_chunked_body_of_another_version_is_not_run_without_its_body(version, length):
+    requests = []
+
+    def record(environ, start_response):
+        requests.append((environ["REQUEST_URI"], environ["wsgi.input"].read()))
+        return respond(environ, start_response)
+
+    hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n"
+    head = f"POST /a HTTP/{version}\r\nHost: a\r\nConnection: keep-alive\r\n{length}"
+    body = f"{len(hidden):x}\r\n{hidden}\r\n0\r\n\r\n"
+    server = HttpServer(record, "127.0.0.1", 0, threads=1)
+    server.start()
+    try:
+        with socket.create_connection(("127.0.0.1", server.port), timeout=5.0) as connection:
+            connection.sendall(f"{head}Transfer-Encoding: chunked\r\n\r\n{body}".encode())
+            data = b""
+            with contextlib.suppress(ConnectionResetError):
+                while block := connection.recv(65536):
+                    data += block
+    finally:
+        server.stop()
+    assert (requests, data.split(b" ")[1]) == ([], b"400")
+
+
 def list_lines(caplog):
     return [r for r in caplog.records if r.message == "connections closed"]
