Rejects transfer encodings in requests of other versions than HTTP/1.1

Callers saw: nothing certain; a request in a chunked body of HTTP/1.0 could run as one of its own. Change: such a request gets 400 and the end of its connection, as RFC 9112, 6.1, asks.

--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -203,7 +203,7 @@
 
 
 class StrictParser(HTTPRequestParser):
-    """Rejects requests with a Content-Length and a chunked body, which allow request smuggling."""
+    """Rejects requests whose body has no certain end, which allows request smuggling."""
 
     received_at: float | None = None
 
@@ -219,6 +219,9 @@
         super().parse_header(header_plus)
         if self.chunked and "CONTENT_LENGTH" in self.headers:
             raise ParsingError("request has both Content-Length and chunked transfer encoding")
+        # Waitress removes the header only from requests of HTTP/1.1, whose chunks it reads.
+        if "TRANSFER_ENCODING" in self.headers:
+            raise ParsingError("transfer encoding requires HTTP/1.1")
 
 
 class ServerChannel(HTTPChannel):
