--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -224,6 +224,39 @@
     assert count_received_requests(site) == 1
 
 
+UNREADABLE_NUMBERS = ["\xb2", "9" * 400, "9" * 5000]
+
+
+@pytest.mark.parametrize("number", UNREADABLE_NUMBERS, ids=["superscript", "400", "5000"])
+@pytest.mark.parametrize(
+    "header", ["X_Hibiscustray_Replica_Load", "X_Hibiscustray_Weight_Versions"]
+)
+def test_unreadable_number_of_a_replica_does_not_lose_its_response(site, header, number):
+    value = f"{number},1,1" if header.endswith("Load") else number
+    respond = respond_with_body(body=b"seat", **{header: value})
+
+    class Latin1Connection:
+        def __init__(self, connection):
+            self.sendall = lambda data: connection.sendall(data.decode().encode("latin-1"))
+
+    site.add_replica("booking", lambda request, c: respond(request, Latin1Connection(c)))
+    for _ in range(2):
+        response, body = site.call("POST", "/book/1", b"x")
+        assert (response.status, body) == (200, b"seat")
+
+
+@pytest.mark.parametrize("number", UNREADABLE_NUMBERS, ids=["superscript", "400", "5000"])
+def test_unreadable_number_of_a_caller_counts_as_none(site, number):
+    site.add_replica("booking", respond_with_body(body=b"seat"))
+    headers = {
+        "X-Hibiscustray-Deadline-Ms": number,
+        "X-Hibiscustray-Model": "m",
+        "X-Hibiscustray-Token-Count": f"{number},1",
+    }
+    response, body = site.call("POST", "/book/1", b"x", **headers)
+    assert (response.status, body) == (200, b"seat")
+
+
 def test_bytes_after_a_response_are_discarded(site):
     extra = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
 
