Reads numbers in headers of replicas and callers only as far as int() does

Callers saw: a 500 in place of the 200 of a replica with an unreadable load or version in its head. Change: a count has 1 to 15 ASCII digits; any other text counts as none, as an absent header does.

--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -22,6 +22,7 @@
     TIME_LEFT_MS,
     URGENCY,
     WEIGHT_VERSIONS,
+    read_count,
 )
 from hibiscustray.replicas import read_notice
 from hibiscustray.web import HttpClient, HttpStream
@@ -47,7 +48,7 @@
         limit, draining = headers.get(RATE_LIMIT.lower()), headers.get(SERVER_LEAVING.lower())
         self.notice = read_notice(limit, pushback, draining)
         self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
-        self.version = _read_integer(headers.get(WEIGHT_VERSIONS.lower(), ""))
+        self.version = read_count(headers.get(WEIGHT_VERSIONS.lower(), "")) or 0
         self.headers: Headers = tuple(
             (name, value) for name, value in headers.items() if name not in HOP_BY_HOP_HEADERS
         )
@@ -105,12 +106,7 @@
 
 def _read_load(text: str) -> LoadReport | None:
     """Parse the running, waiting and slot counts; return None if they are absent or malformed."""
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running, waiting, slots)
-
-
-def _read_integer(text: str) -> int:
-    return int(text) if text.strip().isdigit() else 0
+    match [read_count(part) for part in text.split(",")]:
+        case [int(running), int(waiting), int(slots)]:
+            return LoadReport(running, waiting, slots)
+    return None
--- a/hibiscustray/platform/wire.py
+++ b/hibiscustray/platform/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 from pathlib import Path
 
 from hibiscustray.exceptions import SettingsError
@@ -52,6 +53,8 @@
 VERSION_KEY_PREFIX = "version/"
 
 MS_PER_S = 1000.0
+COUNT = re.compile(r"[0-9]{1,15}")
+"""A whole number in a header; one with more digits could exceed a float."""
 
 
 def find_settings_path() -> Path:
@@ -60,3 +63,9 @@
     if not text:
         raise SettingsError((f"{SETTINGS_VARIABLE}: found nothing; allowed: a settings file",))
     return Path(text)
+
+
+def read_count(text: str) -> int | None:
+    """Return the whole number in a header, None if it has none."""
+    text = text.strip()
+    return int(text) if COUNT.fullmatch(text) else None
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -28,6 +28,7 @@
     TIME_LEFT_MS,
     TOKEN_COUNTS,
     URGENCY,
+    read_count,
 )
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
 from hibiscustray.web.server import END_WITH_CONNECTION, REASON_PHRASES, RECEIVED_AT
@@ -98,18 +99,18 @@
 
 
 def _read_time_left(text: str) -> float | None:
-    return int(text) / MS_PER_S if text.strip().isdigit() else None
+    time_left_ms = read_count(text)
+    return time_left_ms / MS_PER_S if time_left_ms is not None else None
 
 
 def _read_generation(headers: dict[str, str]) -> Generation | None:
     model = headers.get(MODEL.lower(), "")
-    counts = headers.get(TOKEN_COUNTS.lower(), "").split(",")
-    if not model or len(counts) != 2 or not all(count.strip().isdigit() for count in counts):
+    prompt, _, output = headers.get(TOKEN_COUNTS.lower(), "").partition(",")
+    prompt_tokens, output_tokens = read_count(prompt), read_count(output)
+    if not model or prompt_tokens is None or output_tokens is None:
         return None
-    hint = headers.get(EXPECTED_OUTPUT_TOKENS.lower(), "")
-    return Generation(
-        model, int(counts[0]), int(counts[1]), int(hint) if hint.strip().isdigit() else 0
-    )
+    expected_tokens = read_count(headers.get(EXPECTED_OUTPUT_TOKENS.lower(), "")) or 0
+    return Generation(model, prompt_tokens, output_tokens, expected_tokens)
 
 
 def _read_prompt_parts(text: str) -> tuple[str, ...]:
