Shows that unknown results of the store are taken for known ones

A conditional write of a row that was removed meanwhile returns 412 without rows, which counts as written: the announcement is not repeated.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,7 @@
 
 from hibiscustray.catalog import WeightsVersion
 from hibiscustray.clock import read_clock
-from hibiscustray.exceptions import RecordInvalid
+from hibiscustray.exceptions import RecordInvalid, StoreUnavailable
 from hibiscustray.feeds import (
     Announcement,
     CatalogAnnounced,
@@ -132,3 +132,24 @@
     feed = OperatorFeed(PlatformStore(store.address))
     followed = feed.follow(feed.read().revision, 0.0)
     assert TargetVersionSet(WeightsVersion("a", 2)) in followed.changes
+
+
+def test_announcement_is_not_taken_as_written_after_its_row_was_removed(store):
+    feed = OperatorFeed(PlatformStore(store.address))
+    feed.write_announcements((Announcement("m", 2),))
+    (row,) = feed._store.read_table("hibiscustray").rows
+    feed._store.put_row("hibiscustray", row.key, b"")
+    (current,) = feed.write_announcements((Announcement("m", 3, row.revision),))
+    assert (current.model, current.number, current.row_revision) == ("m", 0, 0)
+    assert feed.write_announcements((Announcement("m", 3),)) == ()
+
+
+@pytest.mark.parametrize(
+    "page",
+    [{}, {"error": "none"}, {"rows": []}, {"rows": [], "revision": 2, "truncated": True}],
+    ids=["empty", "other", "no revision", "truncated before its first row"],
+)
+def test_page_that_is_not_known_to_be_whole_is_not_an_empty_table(store, monkeypatch, page):
+    monkeypatch.setattr(store, "_read_table", lambda query: dict(page))
+    with pytest.raises(StoreUnavailable):
+        OperatorFeed(PlatformStore(store.address)).read()
