Takes only what the store states for known

Callers saw: nothing certain; agents far from the store could miss a configuration that was never announced. Change: 412 gives a tombstone for each row that is missing, so that an announcement is written again with revision 0. A response about rows needs a revision, and a page that is cut before its first row is an error.

--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -86,8 +86,9 @@
 
 
 class _Page(msgspec.Struct, frozen=True):
+    # All responses of the store about rows have it; others are not those of a table without rows.
+    revision: int
     rows: tuple[_Row, ...] = ()
-    revision: int = 0
     truncated: bool = False
     # Time on the store's monotonic clock.
     server_time_ms: float = msgspec.field(default=0.0, name="serverTimeMs")
@@ -116,8 +117,10 @@
             page = self._get(ROWS_GET_PATH, query, READ_TIMEOUT_S)
             first = first or page
             rows.extend(page.rows)
-            if not page.truncated or not page.rows:
+            if not page.truncated:
                 return msgspec.structs.replace(first, rows=tuple(rows))
+            if not page.rows:
+                raise StoreUnavailable(f"a page of the table {table} ended before its first row")
             # The start of a range is inclusive: continue with the smallest key after the last one.
             query["rangeStart"] = page.rows[-1].key + "\0"
 
@@ -133,7 +136,8 @@
     def write_rows(self, table: str, rows: dict[str, tuple[bytes, int]]) -> tuple[_Row, ...]:
         """Write values in one transaction if each row still has the given revision, 0 for no row.
 
-        Returns an empty tuple on success, else the current rows. Raises `StoreUnavailable`.
+        Returns an empty tuple on success, else the current rows, a tombstone for each missing one.
+        Raises `StoreUnavailable`.
         """
         conditions, puts = [], []
         for key, (value, revision) in rows.items():
@@ -160,7 +164,9 @@
             return ()
         if response.status != PRECONDITION_FAILED:
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
-        return _decode_page(current).rows
+        found = {row.key: row for row in _decode_page(current).rows}
+        keys = [condition["key"] for condition in conditions]
+        return tuple(found.get(key, _Row(key, tombstone=True)) for key in keys)
 
     def read_object(self, name: str) -> bytes | None:
         """Return an object's bytes, None if it does not exist; raise `StoreUnavailable`."""
@@ -301,7 +307,7 @@
             return None
         copy = decode_copy(body)
         rows = tuple(_Row(row.key, base64.b64encode(row.value).decode()) for row in copy.rows)
-        return _convert_page(_Page(rows, copy.revision), _read_operator_row)
+        return _convert_page(_Page(copy.revision, rows), _read_operator_row)
 
     def _read_operator(self, key_prefix: str) -> FeedPage:
         page = self._store.read_table(OPERATOR_TABLE, key_prefix)
