Shows that headers of replicas change the framing or lose the response

Where a response has A-Transfer-Encoding: chunked and only its connection ends it, that header is removed in place of the framing: callers get a chunked head and a body without chunks.

--- a/tests/web/test_framing.py
+++ b/tests/web/test_framing.py
@@ -148,6 +148,13 @@
         serve_bytes(data).call("GET", "/")
 
 
+@pytest.mark.parametrize("fold", [b"\r\n ", b"\n\t", b" \r\n  \r\n "])
+def test_folded_header_is_read_as_one_line(fold):
+    data = HEAD + b"X-A: b" + fold + b"c\r\nContent-Length:" + fold + b"20\r\n\r\n" + BODY
+    response = serve_bytes(data).call("GET", "/")
+    assert (response.headers["x-a"], response.body) == ("b c", BODY)
+
+
 @pytest.mark.parametrize(
     "head, framing",
     [
--- a/tests/web/test_response_ends.py
+++ b/tests/web/test_response_ends.py
@@ -99,6 +99,18 @@
     assert (response.body, response.end) == (BLOCKS[0], End.CLOSED)
 
 
+@pytest.mark.parametrize("name", ["A-Transfer-Encoding", "X-Transfer-Encoding"])
+def test_header_that_resembles_the_framing_is_kept(name):
+    def application(environ, start_response):
+        environ[END_WITH_CONNECTION]()
+        start_response("200 OK", [(name, "chunked")])
+        return iter(BLOCKS)
+
+    response = call(application)
+    assert (response.body, response.end) == (b"".join(BLOCKS), End.CLOSED)
+    assert response.headers[name.lower()] == "chunked"
+
+
 def test_long_response_that_ends_with_the_connection_is_sent_whole_before_the_server_stops():
     body = b"seat" * 1024 * 1024
 
