Removes only the framing itself from a head, and unfolds headers

Callers saw: a 500 in place of a response with a folded header; a chunked head before a body without chunks. Change: the line of the framing is matched with the end of the line before it; folds count as one space.

--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import http.client
+import re
 import select
 import socket
 import ssl
@@ -27,6 +28,8 @@
 
 MAX_IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
+FOLD = re.compile(r"[ \t]*\r?\n[ \t\r\n]*")
+"""The end of a line within a header and the space around it, which stand for one space."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_LINE_B = 1024 * 1024
 MAX_BODY_B = 64 * 1024 * 1024
@@ -80,7 +83,9 @@
         self.sent_at = sent_at
         self.read_at = read_clock()
         self.status: int = response.status
-        self.headers = {key.lower(): value for key, value in response.getheaders()}
+        self.headers = {
+            key.lower(): FOLD.sub(" ", value).strip(" \t") for key, value in response.getheaders()
+        }
         self.framing = _find_framing(response)
 
     def read_lines(self) -> Iterator[bytes]:
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -39,7 +39,7 @@
 CLEANUP_INTERVAL_S = 5
 MAX_OPEN_CONNECTIONS = 4096
 MAX_HEADERS_B = 64 * 1024
-CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
+CHUNKED_HEADER = b"\r\nTransfer-Encoding: chunked\r\n"
 NO_LINGER = struct.pack("ii", 0, 0)
 RECEIVED_AT = "hibiscustray.received_at"
 """Key in the WSGI environment of the time of `read_clock` at which a request had been received."""
@@ -190,7 +190,7 @@
         head = super().build_response_header()
         if self.ends_with_connection and self.chunked_response:
             self.chunked_response = False
-            head = head.replace(CHUNKED_HEADER, b"", 1)
+            head = head.replace(CHUNKED_HEADER, b"\r\n", 1)
         names = {name for name, _ in self.response_headers}
         if self.has_body and not self.chunked_response and "Content-Length" not in names:
             self.channel.reset_unless_finished()
