Shows that a response that breaks off ends over TLS as a whole one does

Over TLS, the server has one end of a socket pair, where a reset has no effect, and the end of the TLS session is never sent.

--- a/tests/web/test_tls.py
+++ b/tests/web/test_tls.py
@@ -4,11 +4,12 @@
 
 import http.client
 import socket
+import ssl
 
 import pytest
 import trustme
 
-from hibiscustray.exceptions import SettingsError, UpstreamError
+from hibiscustray.exceptions import SettingsError, UpstreamConnectionLost, UpstreamError
 from hibiscustray.web import (
     HttpClient,
     HttpServer,
@@ -17,6 +18,7 @@
     make_client_context,
     make_server_context,
 )
+from hibiscustray.web.server import END_WITH_CONNECTION
 
 ADDRESS = "127.0.0.1"
 BODY = b"x" * 3_000_000
@@ -100,3 +102,51 @@
 def test_missing_key_file_raises_settings_error(files):
     with pytest.raises(SettingsError):
         make_server_context(files.certificate, "absent.pem")
+
+
+@pytest.mark.parametrize("is_broken", [False, True], ids=["whole", "broken"])
+def test_response_that_breaks_off_does_not_end_as_a_whole_one(files, is_broken):
+    def application(environ, start_response):
+        environ[END_WITH_CONNECTION]()
+        start_response("200 OK", [])
+        yield BODY
+        if is_broken:
+            raise UpstreamConnectionLost("lost")
+
+    context = make_server_context(files.certificate, files.key)
+    server = HttpServer(application, ADDRESS, 0, 1, context=context)
+    server.start()
+    try:
+        if is_broken:
+            with pytest.raises(ConnectionResetError):
+                _read_session(server, files)
+        else:
+            assert _read_session(server, files).endswith(b"\r\n\r\n" + BODY)
+    finally:
+        server.stop()
+
+
+def _read_session(server: HttpServer, files: CertificateFiles) -> bytes:
+    """Send a request and return what is received before the server ends the TLS session.
+
+    Raises `SSLEOFError` if its connection ends before that. OpenSSL would hide a reset.
+    """
+    received, sent = ssl.MemoryBIO(), ssl.MemoryBIO()
+    context = make_client_context(files.authority)
+    session = context.wrap_bio(received, sent, server_hostname=ADDRESS)
+    data = b""
+    with socket.create_connection((ADDRESS, server.port), timeout=5.0) as connection:
+        steps = [session.do_handshake, lambda: session.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")]
+        while True:
+            try:
+                if steps:
+                    steps[0]()
+                    steps.pop(0)
+                elif block := session.read(65536):
+                    data += block
+                else:
+                    return data
+            except ssl.SSLWantReadError:
+                connection.sendall(sent.read())
+                block = connection.recv(65536)
+                received.write(block) if block else received.write_eof()
