Ends a TLS session only after a response that has not broken off

Callers saw over TLS: the same end of a connection after a whole response of HTTP/1.0 and after one that broke off. Change: what the server sets for its end of the socket pair is set for the connection of the client: a response that breaks off, also when the process is killed, is followed by a reset, any other end by the end of the TLS session.

--- a/hibiscustray/web/tls.py
+++ b/hibiscustray/web/tls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import select
 import socket
@@ -10,6 +11,7 @@
 from collections.abc import Callable
 
 from hibiscustray.exceptions import SettingsError
+from hibiscustray.web.client import RESET_ON_CLOSE
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +59,28 @@
     return context
 
 
+class ServerEnd(socket.socket):
+    """The server's end of a socket pair, whose `SO_LINGER` is that of the client's connection.
+
+    The connection is reset on close from the time at which the server sets that. What the server
+    sets later is kept in `linger` until all of its data has been copied.
+    """
+
+    def __init__(self, plain: socket.socket, connection: socket.socket) -> None:
+        super().__init__(plain.family, plain.type, plain.proto, plain.detach())
+        self.linger: bytes | None = None
+        self._connection = connection
+
+    def setsockopt(self, level: int, name: int, value) -> None:
+        """Set an option."""
+        if (level, name) != (socket.SOL_SOCKET, socket.SO_LINGER):
+            super().setsockopt(level, name, value)
+            return
+        self.linger = value
+        if value == RESET_ON_CLOSE:
+            self._connection.setsockopt(level, name, value)
+
+
 class TlsTerminator:
     """Terminates TLS on accepted connections and passes the plain sockets to a callback."""
 
@@ -108,27 +132,47 @@
                 self._connections.add(new)
 
     def _forward(self, tls_socket: ssl.SSLSocket, address: tuple[str, int]) -> None:
-        local_end, server_end = socket.socketpair()
+        local_end, plain_end = socket.socketpair()
+        server_end = ServerEnd(plain_end, tls_socket)
         with local_end:
             self._on_connection(server_end, address)
             tls_socket.setblocking(False)
             local_end.setblocking(False)
-            _copy_bidirectional(tls_socket, local_end)
+            is_ended_by_server = _copy_bidirectional(tls_socket, local_end)
+        if is_ended_by_server and server_end.linger != RESET_ON_CLOSE:
+            _end_session(tls_socket, server_end.linger)
+
 
+def _copy_bidirectional(tls_socket: ssl.SSLSocket, plain: socket.socket) -> bool:
+    """Copy data in both directions until one end closes or the idle timeout passes.
 
-def _copy_bidirectional(tls_socket: ssl.SSLSocket, plain: socket.socket) -> None:
-    """Copy data in both directions until one end closes or the idle timeout passes."""
+    Returns whether the plain end has closed.
+    """
     poller = select.poll()
     poller.register(tls_socket, select.POLLIN)
     poller.register(plain, select.POLLIN)
     while True:
         ready = {fd for fd, _ in poller.poll(IDLE_TIMEOUT_MS)}
         if not ready:
-            return
+            return False
         if tls_socket.fileno() in ready and not _copy_available(tls_socket, plain):
-            return
+            return False
         if plain.fileno() in ready and not _copy_available(plain, tls_socket):
-            return
+            return True
+
+
+def _end_session(tls_socket: ssl.SSLSocket, linger: bytes | None) -> None:
+    """Tell the client that nothing was cut off; do not wait for its reply."""
+    if linger is not None:
+        tls_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    try:
+        tls_socket.unwrap()
+    except ssl.SSLWantWriteError:
+        _wait_until_ready(tls_socket, select.POLLOUT)
+        with contextlib.suppress(OSError):
+            tls_socket.unwrap()
+    except OSError:
+        return
 
 
 def _copy_available(source: socket.socket, target: socket.socket) -> bool:
