--- a/tests/agent/test_attempts.py
+++ b/tests/agent/test_attempts.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -232,6 +234,43 @@
 CONTENT_LENGTH = ("Content-Length", "500")
 
 
+def test_late_second_response_of_a_service_is_not_that_to_the_next_request():
+    bodies = [b"first", b"second"]
+    count = iter(range(len(bodies)))
+
+    def serve(connection):
+        with connection, contextlib.suppress(OSError):
+            sent = b""
+            while data := connection.recv(65536):
+                if not data.endswith(b"{}"):
+                    continue
+                body = bodies[next(count)]
+                chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+                response = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+                # What was sent before comes once more, where the next response is expected.
+                connection.sendall(sent + response)
+                sent = response
+
+    def accept(listener):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                threading.Thread(target=serve, args=(connection,), daemon=True).start()
+
+    received = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threading.Thread(target=accept, args=(listener,), daemon=True).start()
+        engine = EngineClient(f"http://127.0.0.1:{listener.getsockname()[1]}")
+        for _ in bodies:
+            request = make_attempt(digest="", is_idempotent=True)
+            deadline = time.monotonic() + 5.0
+            call = UpstreamCall(engine, request, deadline, lambda: None, lambda o: o, False)
+            call.run()
+            received.append(call.items.get_nowait())
+        listener.shutdown(socket.SHUT_RDWR)
+    assert received == bodies
+
+
 def test_waiting_attempt_sends_keep_alive_frames_and_counts_as_running(server, upstream, state):
     released = threading.Event()
     upstream.respond = lambda request: released.wait(5.0) and Response.json(CHUNK)
