Opens a new connection for each call to the upstream

Callers saw: the response of a plain service to an earlier request that may be repeated. Change: as for requests that run once, a kept connection is not used; the upstream is on the same VM.

--- a/hibiscustray/agent/upstream_call.py
+++ b/hibiscustray/agent/upstream_call.py
@@ -142,18 +142,19 @@
 
     def _call(self) -> AttemptOutcome:
         request = self._request
+        # Nothing else tells for certain to which request the response of a plain service belongs.
         stream = self._engine.open(
             request.path,
             request.body,
             _make_headers(request),
             KEYED_CALL_TIMEOUT_S if self._runs_to_completion else request.timeout_s,
-            is_fresh=not request.is_idempotent,
+            is_fresh=True,
             on_connect=self._set_close_connection,
         )
         try:
             return self._read(stream)
         finally:
-            # The connection may be reused by another call from here on.
+            # Once it is closed, a late abort must not shut its socket down.
             self._set_close_connection(None)
             stream.close()
 
