Reads all pages of the VM list

Callers saw: nothing yet; a process of a site with more VMs than a page holds could serve an older revision. Change: pages are read to the last one; without it the list counts as unavailable. Result: tests/protocols and tests/membership pass.

--- a/hibiscustray/protocols/vm_list.py
+++ b/hibiscustray/protocols/vm_list.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from urllib.parse import urlencode
 
 import msgspec
 
@@ -19,6 +20,8 @@
 
 RUNNING = "RUNNING"
 HTTP_OK = 200
+MAX_PAGES = 100
+"""Most pages of a list; a page has up to 500 VMs."""
 PEER_KEY = "hibiscustray-peer"
 """Metadata key under which the process on a VM publishes its peer address, as ``IP:port``."""
 
@@ -50,7 +53,9 @@
 
 
 class _InstanceList(msgspec.Struct, frozen=True):
+    # The service leaves the field out if it has no VMs.
     items: tuple[_Instance, ...] = ()
+    next_page_token: str = msgspec.field(default="", name="nextPageToken")
 
 
 class VmList:
@@ -61,18 +66,30 @@
 
     def read(self) -> list[VirtualMachine]:
         """Return the VMs with a peer address; raise `StoreUnavailable` or `RecordInvalid`."""
+        instances: list[_Instance] = []
+        page_token = ""
+        for _ in range(MAX_PAGES):
+            page = self._read_page(page_token)
+            instances.extend(page.items)
+            page_token = page.next_page_token
+            if not page_token:
+                vms = [_decode_instance(instance) for instance in instances]
+                return [vm for vm in vms if vm.peer_address]
+        raise StoreUnavailable(f"VM list has more than {MAX_PAGES} pages")
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._http.close()
+
+    def _read_page(self, page_token: str) -> _InstanceList:
+        query = f"?{urlencode({'pageToken': page_token})}" if page_token else ""
         try:
-            response = self._http.call("GET", "/instances")
+            response = self._http.call("GET", f"/instances{query}")
         except (UpstreamUnreachable, UpstreamConnectionLost) as error:
             raise StoreUnavailable(str(error)) from error
         if response.status != HTTP_OK:
             raise StoreUnavailable(f"VM list returned HTTP status {response.status}")
-        vms = [_decode_instance(item) for item in _decode_list(response.body).items]
-        return [vm for vm in vms if vm.peer_address]
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._http.close()
+        return _decode_list(response.body)
 
 
 def _decode_list(body: bytes) -> _InstanceList:
