--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -59,5 +59,31 @@
     assert (requests, data.split(b" ")[1]) == ([], b"400")
 
 
+@pytest.mark.parametrize("length", [True, False], ids=["length", "chunks"])
+def test_response_to_head_has_no_body_that_could_be_taken_for_the_next_one(length):
+    def application(environ, start_response):
+        start_response("404 Not Found", [("Content-Length", "4")] * length)
+        return iter([b"seat"])
+
+    server = HttpServer(application, "127.0.0.1", 0, threads=1)
+    server.start()
+    try:
+        with socket.create_connection(("127.0.0.1", server.port), timeout=5.0) as connection:
+            data = b""
+            connection.sendall(b"HEAD / HTTP/1.1\r\nHost: a\r\n\r\n")
+            while b"\r\n\r\n" not in data:
+                data += connection.recv(65536)
+            if length:
+                connection.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            while block := connection.recv(65536):
+                data += block
+    finally:
+        server.stop()
+    head, _, rest = data.partition(b"\r\n\r\n")
+    framing = b"Content-Length: 4" if length else b"Transfer-Encoding: chunked"
+    assert framing in head
+    assert rest.startswith(b"HTTP/1.1 404") if length else rest == b""
+
+
 def list_lines(caplog):
     return [r for r in caplog.records if r.message == "connections closed"]
