Sends no body in a response to HEAD

Callers saw: bytes of an error page before the next response of a connection. Change: the head is sent as it is, and neither the body nor a last chunk.

--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -194,13 +194,24 @@
         names = {name for name, _ in self.response_headers}
         if self.has_body and not self.chunked_response and "Content-Length" not in names:
             self.channel.reset_unless_finished()
+        if self._is_head:
+            # Waitress would send the last chunk.
+            self.chunked_response = False
         return head
 
+    def write(self, data: bytes) -> None:
+        """Send the head before the first data, and the data unless the request is for the head."""
+        super().write(b"" if self._is_head else data)
+
     def finish(self) -> None:
         """End the response."""
         super().finish()
         self.channel.is_response_finished = True
 
+    @property
+    def _is_head(self) -> bool:
+        return self.request.command == "HEAD"
+
 
 class StrictParser(HTTPRequestParser):
     """Rejects requests whose body has no certain end, which allows request smuggling."""
