--- a/hibiscustray/commands/hosting.py
+++ b/hibiscustray/commands/hosting.py
@@ -12,8 +12,8 @@
 from hibiscustray.clock import read_clock
 from hibiscustray.composition import build_hosted_agent, build_hosted_entry
 from hibiscustray.exceptions import SettingsError
-from hibiscustray.platform import find_settings_path
-from hibiscustray.settings import HostedSettings, load_hosted_settings
+from hibiscustray.platform import SETTINGS_VARIABLE
+from hibiscustray.settings import HostedSettings, find_settings_path, load_hosted_settings
 from hibiscustray.telemetry import Metrics, configure_hosted_logs
 
 log = logging.getLogger(__name__)
@@ -71,7 +71,7 @@
 
 def _run_until_signal(path: Path | None, role: Role, build) -> None:
     signals = _Signals()
-    path = path or find_settings_path()
+    path = path or find_settings_path(SETTINGS_VARIABLE)
     settings = load_hosted_settings(path, role)
     identity = settings.process
     metrics = Metrics(identity.id)
--- a/hibiscustray/platform/__init__.py
+++ b/hibiscustray/platform/__init__.py
@@ -10,11 +10,12 @@
     RelayedOperatorFeed,
     ReplicaFeed,
 )
-from hibiscustray.platform.wire import READY_PATH, find_settings_path
+from hibiscustray.platform.wire import READY_PATH, SETTINGS_VARIABLE
 from hibiscustray.platform.wsgi import GatewayApplication
 
 __all__ = [
     "READY_PATH",
+    "SETTINGS_VARIABLE",
     "EntryFeed",
     "GatewayApplication",
     "OperatorFeed",
@@ -24,5 +25,4 @@
     "PlatformStore",
     "RelayedOperatorFeed",
     "ReplicaFeed",
-    "find_settings_path",
 ]
--- a/hibiscustray/platform/wire.py
+++ b/hibiscustray/platform/wire.py
@@ -2,11 +2,6 @@
 
 from __future__ import annotations
 
-import os
-from pathlib import Path
-
-from hibiscustray.exceptions import SettingsError
-
 SETTINGS_VARIABLE = "HIBISCUSTRAY_BOOT"
 """Environment variable with the path of the settings file."""
 
@@ -52,11 +47,3 @@
 VERSION_KEY_PREFIX = "version/"
 
 MS_PER_S = 1000.0
-
-
-def find_settings_path() -> Path:
-    """Return the path of this process's settings file; raise `SettingsError`."""
-    text = os.environ.get(SETTINGS_VARIABLE, "")
-    if not text:
-        raise SettingsError((f"{SETTINGS_VARIABLE}: found nothing; allowed: a settings file",))
-    return Path(text)
--- a/hibiscustray/settings/__init__.py
+++ b/hibiscustray/settings/__init__.py
@@ -8,6 +8,7 @@
     HostedSettings,
     HostedStore,
     HostedUpstream,
+    find_settings_path,
     load_hosted_settings,
 )
 from hibiscustray.settings.ini import IniFile, read_ini
@@ -50,6 +51,7 @@
     "OperatorSettings",
     "PlatformStandInFile",
     "ServiceStandInSettings",
+    "find_settings_path",
     "load_callers",
     "load_engine_standin",
     "load_operator_settings",
--- a/hibiscustray/settings/hosted.py
+++ b/hibiscustray/settings/hosted.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Literal
 
+from hibiscustray.exceptions import SettingsError
 from hibiscustray.settings.ini import IniFile
 from hibiscustray.settings.model import NonNegativeFloat, Port, PositiveFloat, PositiveInt
 from hibiscustray.settings.reading import read_settings_file
@@ -106,6 +108,14 @@
 }
 
 
+def find_settings_path(variable: str) -> Path:
+    """Return the path in an environment variable; raise `SettingsError` if it holds none."""
+    text = os.environ.get(variable, "")
+    if not text:
+        raise SettingsError((f"{variable}: found nothing; allowed: a settings file",))
+    return Path(text)
+
+
 def load_hosted_settings(path: Path, role: Literal["entry", "agent"]) -> HostedSettings:
     """Read and validate the settings of a hosted entry or agent, or raise `SettingsError`."""
     ini = read_settings_file(path)
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -29,6 +29,7 @@
 MAX_IDLE_CONNECTIONS = 32
 READ_SIZE_B = 65536
 LINE_FOLD = re.compile(r"[ \t]*[\r\n]+[ \t\r\n]*")
+"""The end of a line within a header and the space around it, which stand for one space."""
 METHODS_WITH_BODY = frozenset(("PATCH", "POST", "PUT"))
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_LINE_B = 1024 * 1024
@@ -84,7 +85,10 @@
         self.read_at = read_clock()
         self.status: int = response.status
         # A folded value cannot be passed on.
-        self.headers = {n.lower(): LINE_FOLD.sub(" ", value) for n, value in response.getheaders()}
+        self.headers = {
+            name.lower(): LINE_FOLD.sub(" ", value).strip(" \t")
+            for name, value in response.getheaders()
+        }
         self.framing = _find_framing(response)
 
     def read_lines(self) -> Iterator[bytes]:
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -40,7 +40,7 @@
 CLEANUP_INTERVAL_S = 5
 MAX_OPEN_CONNECTIONS = 4096
 MAX_HEADERS_B = 64 * 1024
-CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
+CHUNKED_HEADER = b"\r\nTransfer-Encoding: chunked\r\n"
 CONTROL_CHARACTER = re.compile(r"[\x00-\x20\x7f]")
 NO_LINGER = struct.pack("ii", 0, 0)
 RECEIVED_AT = "hibiscustray.received_at"
@@ -189,20 +189,31 @@
         head = super().build_response_header()
         if self.ends_with_connection and self.chunked_response:
             self.chunked_response = False
-            head = head.replace(CHUNKED_HEADER, b"", 1)
+            head = head.replace(CHUNKED_HEADER, b"\r\n", 1)
         names = {name for name, _ in self.response_headers}
         if self.has_body and not self.chunked_response and "Content-Length" not in names:
             self.channel.reset_unless_finished()
+        if self._is_head:
+            # Waitress would send the last chunk.
+            self.chunked_response = False
         return head
 
+    def write(self, data: bytes) -> None:
+        """Send the head before the first data, and the data unless the request is for the head."""
+        super().write(b"" if self._is_head else data)
+
     def finish(self) -> None:
         """End the response."""
         super().finish()
         self.channel.is_response_finished = True
 
+    @property
+    def _is_head(self) -> bool:
+        return self.request.command == "HEAD"
+
 
 class StrictParser(HTTPRequestParser):
-    """Rejects requests with a Content-Length and a chunked body, which allow request smuggling."""
+    """Rejects requests whose body has no certain end, which allows request smuggling."""
 
     received_at: float | None = None
 
@@ -223,6 +234,9 @@
             raise ParsingError("request target has control characters")
         if self.chunked and "CONTENT_LENGTH" in self.headers:
             raise ParsingError("request has both Content-Length and chunked transfer encoding")
+        # Waitress removes the header only from requests of HTTP/1.1, whose chunks it reads.
+        if "TRANSFER_ENCODING" in self.headers:
+            raise ParsingError("transfer encoding requires HTTP/1.1")
 
 
 class ServerChannel(HTTPChannel):
