Applies changed retry bounds while an entry runs

Cause: as with the grace period, a reload applied version_ms only; the retry budgets kept retry_share and retry_slack of the start. Evidence: test_retries_stay_within_a_budget_that_was_changed_while_the_entry_ran in tests/platform/test_hosted_entry.py (2 arrivals of a request after the budget was set to 0 before, for services with and without a budget in use).

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -29,6 +29,7 @@
     RequestForwarder,
     RequestReporter,
     VersionLimits,
+    find_retry_limits,
 )
 from hibiscustray.membership import MemberView
 from hibiscustray.membership.roster import EntryRoster
@@ -74,10 +75,6 @@
 HOSTED_PEER_THREADS = 12
 HOSTED_WATCHDOG_INTERVAL_S = 0.05
 """Interval between checks for disconnected callers and passed deadlines."""
-RETRY_BUDGET_SHARE = 0.75
-"""Share of the platform's bound on retries that is used, as entries do not count them together."""
-RETRY_SLACK_ENTRIES = 12
-"""Number of entries among which the retry slack is divided."""
 REPORT_PAUSE_S = 0.1
 """Pause between reads of the entries' reports, so that one read carries those of one event."""
 UPLINK_SHARE = 0.85
@@ -125,10 +122,7 @@
     notices = ReplicaNotices(metrics)
     placer = Placer(feed_state.directory, notices, zone, settings.regions, settings.process.id)
     bounds = settings.bounds
-    budgets = RetryBudgets(
-        bounds.retry_share * RETRY_BUDGET_SHARE,
-        bounds.retry_slack * RETRY_BUDGET_SHARE / RETRY_SLACK_ENTRIES,
-    )
+    budgets = RetryBudgets(*find_retry_limits(bounds))
     pauses = PauseDetector(metrics, HOSTED_WATCHDOG_INTERVAL_S)
     watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check, read_clock)
     reporter = RequestReporter(metrics)
@@ -169,6 +163,7 @@
         feed_state.catalogs,
         feed_state.directory,
         forwarder,
+        budgets,
         watchdog,
     )
     readiness.target = StatusApplication(READY_PATH, process.is_ready, metrics.render_text)
--- a/hibiscustray/gateway/__init__.py
+++ b/hibiscustray/gateway/__init__.py
@@ -11,7 +11,7 @@
     ReplicaResponse,
     digest_part,
 )
-from hibiscustray.gateway.process import GatewayProcess
+from hibiscustray.gateway.process import GatewayProcess, find_retry_limits
 from hibiscustray.gateway.reporter import RequestReporter
 
 __all__ = [
@@ -27,4 +27,5 @@
     "RequestReporter",
     "VersionLimits",
     "digest_part",
+    "find_retry_limits",
 ]
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -14,7 +14,8 @@
 from hibiscustray.gateway.forwarder import RequestForwarder
 from hibiscustray.quarantine import ReportPublisher
 from hibiscustray.replicas import ReplicaDirectory
-from hibiscustray.settings import HostedSettings
+from hibiscustray.routing import RetryBudgets
+from hibiscustray.settings import HostedBounds, HostedSettings
 from hibiscustray.web import HttpServer
 
 log = logging.getLogger(__name__)
@@ -25,6 +26,10 @@
 KEEP_ALIVE_DRAIN_S = 0.4
 """Time after `BALANCER_LAG_S` in which callers may still reuse idle connections, and requests are
 taken whatever their deadline."""
+RETRY_BUDGET_SHARE = 0.75
+"""Share of the platform's bound on retries that is used, as entries do not count them together."""
+RETRY_SLACK_ENTRIES = 12
+"""Number of entries among which the retry slack is divided."""
 IDLE_MARGIN_S = 5.0
 """Time for which the server keeps an idle connection beyond the idle timeout for callers."""
 
@@ -42,6 +47,7 @@
         catalogs: CatalogHolder,
         directory: ReplicaDirectory,
         forwarder: RequestForwarder,
+        budgets: RetryBudgets,
         watchdog: Watchdog,
     ) -> None:
         self._caller_server = caller_server
@@ -52,6 +58,7 @@
         self._catalogs = catalogs
         self._directory = directory
         self._forwarder = forwarder
+        self._budgets = budgets
         self._watchdog = watchdog
         self._is_draining = False
         self._is_stopped = False
@@ -100,6 +107,7 @@
     def reload(self, settings: HostedSettings) -> None:
         """Apply changed bounds; addresses do not change while the process runs."""
         self._forwarder.set_limits(VersionLimits(settings.bounds.version_ms / MS_PER_S))
+        self._budgets.set_limits(*find_retry_limits(settings.bounds))
 
     def stop(self) -> None:
         """Stop all servers and threads; a second call does nothing."""
@@ -123,5 +131,11 @@
         )
 
 
+def find_retry_limits(bounds: HostedBounds) -> tuple[float, float]:
+    """Return the share and the capacity of an entry's retry budgets."""
+    share, slack = bounds.retry_share, bounds.retry_slack
+    return share * RETRY_BUDGET_SHARE, slack * RETRY_BUDGET_SHARE / RETRY_SLACK_ENTRIES
+
+
 def _sleep_until(at: float) -> None:
     time.sleep(max(0.0, at - read_clock()))
--- a/hibiscustray/routing/budget.py
+++ b/hibiscustray/routing/budget.py
@@ -20,6 +20,13 @@
         self._tokens = capacity
         self._lock = threading.Lock()
 
+    def set_limits(self, share: float, capacity: float) -> None:
+        """Apply changed limits; tokens over the capacity are lost."""
+        with self._lock:
+            self._share = share
+            self._capacity = capacity
+            self._tokens = min(capacity, self._tokens)
+
     def deposit(self) -> None:
         """Add the share of one request."""
         with self._lock:
@@ -51,3 +58,11 @@
         """Return the budget of a service."""
         with self._lock:
             return self._budgets.setdefault(service, RetryBudget(self._share, self._capacity))
+
+    def set_limits(self, share: float, capacity: float) -> None:
+        """Apply changed limits to all services."""
+        with self._lock:
+            self._share = share
+            self._capacity = capacity
+            for budget in self._budgets.values():
+                budget.set_limits(share, capacity)
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 import time
 
@@ -153,6 +154,20 @@
     assert count_received_requests(site) == 2
 
 
+@pytest.mark.parametrize("begins_before", [False, True])
+def test_retries_stay_within_a_budget_that_was_changed_while_the_entry_ran(site, begins_before):
+    for _ in range(2):
+        site.add_replica("booking", close_without_response)
+    if begins_before:
+        assert site.call("GET", "/book/look/1")[0].status == 502
+        assert count_received_requests(site) == 2
+    bounds = dataclasses.replace(site.settings.bounds, retry_share=0.0, retry_slack=0.0)
+    site.process.reload(dataclasses.replace(site.settings, bounds=bounds))
+    before = count_received_requests(site)
+    site.call("GET", "/book/look/2")
+    assert count_received_requests(site) <= before + 1
+
+
 def test_a_request_rejected_by_all_replicas_is_reported_as_not_run(site):
     site.add_replica("booking", reject())
     response, _ = site.call("POST", "/book/1", b"x")
