Applies a changed version bound while an agent runs

Cause: the reload of an agent did nothing, as if its settings could not change; version_ms of the start timed its loads. Result: tests/agent passes.

--- a/hibiscustray/agent/hosted.py
+++ b/hibiscustray/agent/hosted.py
@@ -13,6 +13,7 @@
 
 log = logging.getLogger(__name__)
 
+MS_PER_S = 1000.0
 STOP_GRACE_S = 1.0
 
 
@@ -49,7 +50,8 @@
         return True
 
     def reload(self, settings: HostedSettings) -> None:
-        """Do nothing, since the settings of an agent do not change while it runs."""
+        """Apply changed bounds; addresses do not change while the process runs."""
+        self._stager.set_version_bound(settings.bounds.version_ms / MS_PER_S)
 
     def stop(self) -> None:
         """Stop all servers and threads."""
--- a/hibiscustray/agent/loader.py
+++ b/hibiscustray/agent/loader.py
@@ -100,6 +100,10 @@
         self._changed = threading.Event()
         self._thread = threading.Thread(target=self._run, name="loader", daemon=True)
 
+    def set_version_bound(self, seconds: float) -> None:
+        """Set the time after which requests may no longer begin on an older version."""
+        self._version_bound_s = seconds
+
     def start(self) -> None:
         """Start the thread."""
         self._thread.start()
--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -118,6 +118,11 @@
         self._changed = threading.Event()
         self._thread = threading.Thread(target=self._run, name="stager", daemon=True)
 
+    def set_version_bound(self, seconds: float) -> None:
+        """Set the time after which requests may no longer begin on an older version."""
+        self._version_bound_s = seconds
+        self._loader.set_version_bound(seconds)
+
     def start(self) -> None:
         """Start the thread."""
         self._loader.start()
