--- a/tests/platform/raw_caller.py
+++ b/tests/platform/raw_caller.py
@@ -10,7 +10,7 @@
 
 from hibiscustray.platform.standins import ATTEMPT_ID, HOST, KEY, MODEL_HEADERS
 from hibiscustray.web import Framing
-from tests.platform.quiet import KINDS
+from tests.platform.quiet import KINDS, STREAM
 from tests.platform.site import HostedSite
 
 READ_TIMEOUT_S = 5.0
@@ -62,9 +62,15 @@
         return read_raw(connection, timeout_s)
 
 
-def open_raw(site: HostedSite, kind: str, version: str = "1.1", **headers: str) -> socket.socket:
-    """Send a request of a kind on a new connection and return the connection."""
-    method, path, _ = KINDS[kind]
+def open_raw(
+    site: HostedSite, kind: str, version: str = "1.1", path: str = "", **headers: str
+) -> socket.socket:
+    """Send a request of a kind, to its usual path or another one, on a new connection.
+
+    Returns the connection.
+    """
+    method, usual_path, service = KINDS[kind]
+    path = path or usual_path
     body = b"" if method == "GET" else b"p" * 50
     fields = {
         "Host": HOST,
@@ -73,7 +79,7 @@
         "X-Hibiscustray-Deadline-Ms": "4000",
         "Content-Length": str(len(body)),
     }
-    if path.startswith("/draft/"):
+    if service == STREAM:
         fields |= MODEL_HEADERS
     fields |= {name.replace("_", "-"): value for name, value in headers.items()}
     lines = [f"{method} {path} HTTP/{version}", *(f"{n}: {v}" for n, v in fields.items())]
--- /dev/null
+++ b/tests/platform/test_end_table.py
@@ -0,0 +1,130 @@
+"""Each way in which a replica's response may end, and what callers are shown of it."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+
+import pytest
+
+from hibiscustray.platform.standins import (
+    ReceivedRequest,
+    ReplicaStandIn,
+    make_configuration,
+    make_engine,
+)
+from tests.platform.ends import MAX_LATE_S, Cell, Form, Sent, Stop, list_faults, list_places
+from tests.platform.quiet import BOOKING, KINDS, STREAM
+from tests.platform.raw_caller import RawResponse, open_raw, read_raw
+from tests.platform.site import HostedSite, run_hosted_site
+from tests.waiting import wait_until
+
+CONCURRENT = 16
+VERSIONS = itertools.count(2)
+NUMBERS = itertools.count(1)
+FOLLOWED = (Stop.SECOND, Stop.GARBAGE)
+
+
+@pytest.fixture(scope="module")
+def site():
+    with run_hosted_site(threads=2 * CONCURRENT) as running:
+        yield running
+
+
+def list_cells(kind: str, form: Form, status: int) -> list[Cell]:
+    """Return the cells of a kind of request, a form and a status of the response."""
+    sample = Cell(kind, form, status, "whole", Stop.CLOSE, "1.1", 1)
+    return [
+        Cell(kind, form, status, place, stop, version, replicas, next(NUMBERS))
+        for place, sent in list_places(sample, "").items()
+        for stop in Stop
+        for version in ("1.1", "1.0")
+        for replicas in (1, 2)
+        if _is_in_table(Cell(kind, form, status, place, stop, version, replicas), sent)
+    ]
+
+
+def _is_in_table(cell: Cell, sent: Sent) -> bool:
+    """Return whether a cell is possible and differs from others by more than its name."""
+    if cell.replicas > 1 and not cell.may_repeat and cell.stop is not Stop.CLOSE:
+        return False
+    if cell.form is Form.OLD and not sent.has_head and cell.stop is not Stop.CLOSE:
+        return False
+    if cell.version == "1.0" and not (cell.status == 200 and sent.has_head):
+        return False
+    match cell.stop:
+        case Stop.SECOND | Stop.GARBAGE:
+            return sent.has_mark and cell.place == "whole"
+        case Stop.PAUSE:
+            return cell.may_repeat and cell.place != "whole" and not sent.has_mark
+        case Stop.SHUT:
+            return cell.status == 200 and sent.has_head
+    return True
+
+
+@contextmanager
+def run_cells(site: HostedSite, cells: list[Cell]) -> Iterator[None]:
+    """Give each cell a route and a service with replicas of its own."""
+    by_path = {cell.path: cell for cell in cells}
+
+    def respond(request: ReceivedRequest, connection: socket.socket) -> None:
+        by_path[request.path].respond(request, connection)
+
+    hosts = {name: ReplicaStandIn(name, name, respond) for name in (STREAM, BOOKING)}
+    usual = {route["name"]: route for route in make_configuration()["routes"]}
+    names = {"resumable": "draft", "plain_stream": "draft", "idempotent": "look"}
+    names["non_idempotent"] = "book"
+    routes, services, rows = [], [], {}
+    for cell in cells:
+        changes = {"name": f"route-{cell.number}", "prefix": f"/cell-{cell.number}/"}
+        changes |= {"service": cell.service, "timeoutMs": 8000}
+        if cell.is_stream:
+            changes["streamResume"] = cell.kind == "resumable"
+        routes.append(usual[names[cell.kind]] | changes)
+        engine = {"engine": make_engine()} if cell.is_stream else {}
+        services.append({"name": cell.service, "maxConnections": 64} | engine)
+        host = hosts[KINDS[cell.kind][2]]
+        for number in range(cell.replicas):
+            rows[f"i-{cell.number}-{number}"] = host.make_row(service=cell.service)
+    for replica_id, row in rows.items():
+        site.store.put("servers", replica_id, row)
+    site.configure(next(VERSIONS), routes=routes, services=services)
+    wait_until(lambda: all(site.process._directory.get(replica_id) for replica_id in rows))
+    try:
+        yield
+    finally:
+        for replica_id in rows:
+            site.store.remove("servers", replica_id)
+        for host in hosts.values():
+            host.close()
+
+
+def call(site: HostedSite, cell: Cell) -> tuple[RawResponse, float]:
+    """Send the request of a cell; return its response and the seconds until it ended."""
+    started_at = time.monotonic()
+    deadline_s = cell.find_deadline_s()
+    headers = {"X_Hibiscustray_Deadline_Ms": str(int(deadline_s * 1000))}
+    with open_raw(site, cell.kind, cell.version, cell.path, **headers) as connection:
+        seen = read_raw(connection, deadline_s + 2 * MAX_LATE_S)
+        return seen, time.monotonic() - started_at
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+@pytest.mark.parametrize("form", Form)
+@pytest.mark.parametrize("kind", KINDS)
+def test_response_that_ends_early_does_not_look_whole_and_a_whole_one_does(
+    site, kind, form, status
+):
+    cells = list_cells(kind, form, status)
+    with run_cells(site, cells), ThreadPoolExecutor(CONCURRENT) as pool:
+        results = list(pool.map(lambda cell: call(site, cell), cells))
+    faults = [
+        f"{cell.name}: {fault}"
+        for cell, (seen, took_s) in zip(cells, results, strict=True)
+        for fault in list_faults(cell, seen, took_s)
+    ]
+    assert not faults, "\n".join([f"{len(faults)} faults in {len(cells)} cells", *faults])
