Passes on no 408, 429 or 503 of a replica that may have run the request

Callers saw: a replica's 408, 429 or 503 without X-Hibiscustray-Not-Executed, also one that only its connection ends and that may be cut. To them these statuses promise that the request has not run and never will (rule REFUSED), so that they may repeat one that has run. Cause: only the header was read; a response without it was passed on with whatever status it had. Change: such a response counts as lost: a repeatable request goes on to another replica, others get 502 without the replica's seal.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -68,6 +68,8 @@
 """Relative jitter of that time, so that callers do not retry at the same time."""
 TURNED_AWAY_STATUSES = frozenset((408, 425, 429))
 """Responses that do not show that the replica began to run the request."""
+PROMISE_STATUSES = frozenset((408, 429, 503))
+"""Responses by which callers know that a request has not run and will not."""
 LATE_URGENCY = 7
 """Urgency of requests past their objective, lower than the engines' default of 5."""
 
@@ -464,6 +466,8 @@
             context.record_attempt(placement, f"refused-{response.status}")
             self._metrics.count("attempts_refused_total", {"service": context.service.name})
             return NotRun(response.status, response.is_misdirected)
+        if response.status in PROMISE_STATUSES:
+            raise ResponseInvalid(f"status {response.status} of a request that may have run")
         if 200 <= response.status < 300 and not response.is_authentic:
             raise ResponseInvalid("the response does not authenticate its replica")
         if response.version:
