Rejects heads of responses with lines that are no headers

Callers saw: 200 with the seal, and chunk sizes or a second head in the body, framed by the connection's end. A replica that breaks off within its head and sends a response, or sends other bytes there, does this. Cause: http.client joins the lines of a head and lets email.parser end it at the first one that is no header, so that the length or the chunks named below are dropped; a bare CR counts as the end of a line. Status lines are read with int(), which takes "2_00". Change: each line of a head must be a status line or a header; folded headers are rejected (RFC 9112, 5.2).

--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -15,6 +15,10 @@
 """Longest line with the size of a chunk."""
 TRAILER_TIMEOUT_S = 0.1
 """Time for what follows the last chunk. If nothing does, the body is whole all the same."""
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: [^\0\r\n]*)?\r?\n")
+HEADER_LINE = re.compile(rb"(?:[!#-'*+.^_`|~0-9A-Za-z-]+:[^\0\r\n]*)?\r?\n")
+"""A header or the empty line after them. Folded headers are not accepted (RFC 9112, 5.2)."""
+ANY_LINE = re.compile(rb"[^\n]*\n")
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,12}")
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 
@@ -95,16 +99,26 @@
 
 
 class LineReader(io.BufferedReader):
-    """A buffered reader that, while `requires_lines`, takes no end of the connection for a line."""
+    """A buffered reader that takes neither the end of the connection nor other bytes for a line.
 
-    requires_lines = True
+    Lines must match `pattern`, or may be anything if it is None.
+    """
+
+    pattern: re.Pattern[bytes] | None = ANY_LINE
 
     def readline(self, size: int | None = -1) -> bytes:
-        """Return a line, or `size` bytes of it; raise `RemoteDisconnected` if it is cut."""
+        """Return a line, or `size` bytes of it.
+
+        Raises `RemoteDisconnected` if it is cut, or `HTTPException` if it is malformed.
+        """
         line = super().readline(size)
         is_limited = size is not None and 0 <= size <= len(line)
-        if self.requires_lines and not line.endswith(b"\n") and not is_limited:
+        if self.pattern is None or is_limited:
+            return line
+        if not line.endswith(b"\n"):
             raise RemoteDisconnected("the connection ended within the head or a chunk size")
+        if not self.pattern.fullmatch(line):
+            raise HTTPException(f"malformed line: {line[:40]!r}")
         return line
 
 
@@ -126,11 +140,21 @@
         super().begin()
         _check_framing(self.headers)
         # Lines of a body that is not sent in chunks may end with the connection.
-        self.fp.requires_lines = self.chunked
+        self.fp.pattern = ANY_LINE if self.chunked else None
         self._guard.bytes_left = None
         self._guard.limit_time(None)
         self._sock.settimeout(timeout_s)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line; http.client calls this before it reads headers.
+
+        http.client would take the first line that is no header for the end of the head.
+        """
+        self.fp.pattern = STATUS_LINE
+        status = super()._read_status()
+        self.fp.pattern = HEADER_LINE
+        return status
+
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk or of the next one, None after the last.
 
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -105,6 +105,21 @@
     assert len(replica.received) == 1
 
 
+@pytest.mark.parametrize("kind", PLAIN)
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_chunks_and_heads_are_not_forwarded_as_a_body_after_a_line_that_is_no_header(
+    site, kind, framing
+):
+    def respond(request: ReceivedRequest, connection: socket.socket) -> None:
+        body = encode_chunk(BODY) + b"0\r\n\r\n" if framing == "chunks" else BODY
+        cut_head = encode_head(request).removesuffix(b"\r\n")
+        connection.sendall(cut_head + encode_head(request, FRAMINGS[framing]) + body)
+
+    site.add_replica(KINDS[kind][2], respond)
+    response = call_raw(site, kind)
+    assert (response.status, response.is_certain) == (502, True)
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks", "connection"])
 def test_log_and_metrics_tell_how_a_replica_framed_its_response(site, framing, caplog):
     caplog.set_level(logging.INFO)
--- a/tests/web/test_framing.py
+++ b/tests/web/test_framing.py
@@ -123,6 +123,33 @@
         serve_bytes(HEAD + lines + b"\r\n" + BODY).open("GET", "/")
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"no header\r\n",
+        b"X-A : b\r\n",
+        b": b\r\n",
+        b"X\xe9: b\r\n",
+        b"\0\0: b\r\n",
+        b"X-A: b\0\r\n",
+        b"X-A: b\rX-B: c\r\n",
+        b" folded\r\n",
+        b"From a\r\n",
+    ],
+)
+@pytest.mark.parametrize("lines", [b"Content-Length: 20\r\n", b"Transfer-Encoding: chunked\r\n"])
+def test_line_that_is_no_header_raises_rather_than_that_it_ends_the_head(line, lines):
+    with pytest.raises(UpstreamConnectionLost):
+        serve_bytes(HEAD + line + lines + b"\r\n" + CHUNKS).open("GET", "/")
+
+
+@pytest.mark.parametrize("line", [b"HTTP/1.1 2_00", b"HTTP/1.1 200\0", b"HTTP/1.7 200 OK", b"seat"])
+def test_malformed_status_line_raises(line):
+    with pytest.raises(UpstreamConnectionLost):
+        serve_bytes(line + b"\r\nContent-Length: 20\r\n\r\n" + BODY).open("GET", "/")
+
+
 @pytest.mark.parametrize(
     "head, framing",
     [
@@ -132,6 +159,8 @@
         (HEAD + b"\r\n", Framing.CONNECTION),
         (HEAD.replace(b"1.1", b"1.0") + b"\r\n", Framing.CONNECTION),
         (b"HTTP/1.1 204 No Content\r\n\r\n", Framing.LENGTH),
+        (b"HTTP/1.1 200\nX-A:b\nContent-Length:20\n\n", Framing.LENGTH),
+        (HEAD + b"Content-Type: multipart/mixed\r\nContent-Length: 20\r\n\r\n", Framing.LENGTH),
     ],
 )
 def test_framing_tells_what_marks_the_end_of_the_body(head, framing):
