Shows that a response of a process that is killed does not look whole

A real process serves a body and is killed by SIGKILL in the middle of it: a caller of a body that only the connection ends sees a reset, one that reads chunks sees no last chunk.

--- a/tests/web/test_response_ends.py
+++ b/tests/web/test_response_ends.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import socket
+import subprocess
+import sys
 import threading
 import time
+from pathlib import Path
 
 import pytest
 
@@ -14,6 +17,14 @@
 from tests.platform.raw_caller import End, RawResponse, read_raw
 
 BLOCKS = [b"seat" * 10, b"host" * 10]
+ROOT = Path(__file__).parents[2]
+SERVE = """
+from tests.web.test_response_ends import Application, HttpServer
+server = HttpServer(Application({ends_with_connection}), "127.0.0.1", 0, threads=2)
+server.start()
+print(server.port, flush=True)
+input()
+"""
 
 
 class Application:
@@ -89,6 +100,33 @@
     application.resume.set()
 
 
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("ends_with_connection", [False, True])
+def test_response_under_way_when_the_process_is_killed_does_not_look_whole(
+    version, ends_with_connection
+):
+    script = SERVE.format(ends_with_connection=ends_with_connection)
+    with subprocess.Popen(
+        [sys.executable, "-c", script], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    ) as process:
+        try:
+            port = int(process.stdout.readline())
+            with socket.create_connection(("127.0.0.1", port), timeout=5.0) as connection:
+                connection.sendall(f"GET / HTTP/{version}\r\nHost: a\r\n\r\n".encode())
+                received = b""
+                while BLOCKS[0] not in received:
+                    received += connection.recv(65536)
+                process.kill()
+                if ends_with_connection or version == "1.0":
+                    with pytest.raises(ConnectionResetError):
+                        connection.recv(65536)
+                else:
+                    assert connection.recv(65536) == b""
+        finally:
+            process.kill()
+    assert b"\r\n0\r\n" not in received
+
+
 def test_one_block_that_ends_with_the_connection_has_no_length():
     def application(environ, start_response):
         environ[END_WITH_CONNECTION]()
