--- a/tests/platform/ends.py
+++ b/tests/platform/ends.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
@@ -85,6 +86,7 @@
     """A request whose first response stops at a place; further ones are sound.
 
     `version` is the caller's version of HTTP, and `received` has the requests that replicas got.
+    `left_at` is the monotonic time at which the entry left a replica that kept its connection open.
     """
 
     kind: str
@@ -96,6 +98,7 @@
     replicas: int
     number: int = 0
     received: list[ReceivedRequest] = field(default_factory=list)
+    left_at: float = 0.0
     lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
     is_answered: threading.Event = field(default_factory=threading.Event, repr=False)
 
@@ -167,7 +170,10 @@
             case Stop.GARBAGE:
                 connection.sendall(b"\0seat\r\n" * 20)
         connection.settimeout(HOLD_S)
-        connection.recv(1)
+        try:
+            connection.recv(1)
+        finally:
+            self.left_at = time.monotonic()
 
 
 @dataclass(frozen=True)
--- a/tests/platform/test_end_table.py
+++ b/tests/platform/test_end_table.py
@@ -17,7 +17,16 @@
     make_configuration,
     make_engine,
 )
-from tests.platform.ends import MAX_LATE_S, Cell, Form, Sent, Stop, list_faults, list_places
+from tests.platform.ends import (
+    MAX_LATE_S,
+    RESET_ON_CLOSE,
+    Cell,
+    Form,
+    Sent,
+    Stop,
+    list_faults,
+    list_places,
+)
 from tests.platform.quiet import BOOKING, KINDS, STREAM
 from tests.platform.raw_caller import RawResponse, open_raw, read_raw
 from tests.platform.site import HostedSite, run_hosted_site
@@ -25,6 +34,8 @@
 
 CONCURRENT = 16
 VERSIONS = itertools.count(2)
+LEAVE_AFTER_S = 0.1
+"""Time after which a caller leaves once a replica has its request."""
 NUMBERS = itertools.count(1)
 FOLLOWED = (Stop.SECOND, Stop.GARBAGE)
 
@@ -113,6 +124,37 @@
         return seen, time.monotonic() - started_at
 
 
+def leave(site: HostedSite, cell: Cell, is_reset: bool) -> str:
+    """Send the request of a cell and leave; return what is wrong after that, or an empty text."""
+    with open_raw(site, cell.kind, cell.version, cell.path) as connection:
+        wait_until(lambda: cell.received)
+        time.sleep(LEAVE_AFTER_S)
+        if is_reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    left_at = time.monotonic()
+    wait_until(lambda: cell.left_at)
+    took_s = cell.left_at - left_at
+    if took_s > MAX_LATE_S:
+        return f"{cell.name}: left after {took_s:.2f} s"
+    return "" if len(cell.received) == 1 else f"{cell.name}: sent {len(cell.received)} times"
+
+
+@pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("form", [Form.LENGTH, Form.CHUNKS, Form.CONNECTION])
+@pytest.mark.parametrize("kind", KINDS)
+def test_replica_whose_response_stops_is_left_when_the_caller_leaves(site, kind, form, is_reset):
+    sample = Cell(kind, form, 200, "whole", Stop.SILENCE, "1.1", 1)
+    cells = [
+        Cell(kind, form, 200, place, Stop.SILENCE, version, replicas, next(NUMBERS))
+        for place, sent in list_places(sample, "").items()
+        for version, replicas in (("1.1", 1), ("1.0", 2))
+        if not sent.has_mark
+    ]
+    with run_cells(site, cells), ThreadPoolExecutor(CONCURRENT) as pool:
+        faults = list(filter(None, pool.map(lambda cell: leave(site, cell, is_reset), cells)))
+    assert not faults, "\n".join([f"{len(faults)} faults in {len(cells)} cells", *faults])
+
+
 @pytest.mark.parametrize("status", [408, 429, 503])
 @pytest.mark.parametrize("kind", KINDS)
 def test_promise_that_a_replica_does_not_make_is_not_passed_on(site, kind, status):
