--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -71,8 +71,8 @@
 """Responses that do not show that the replica began to run the request."""
 STOPPING_RETRY_AFTER_S = 0.1
 """Retry delay after a request that another entry has to run; the balancer connects to it next."""
-NOT_RUN_STATUSES = frozenset((408, 429, 503))
-"""Responses that callers take for the promise that a request has not run and will not."""
+PROMISE_STATUSES = frozenset((408, 429, 503))
+"""Responses by which callers know that a request has not run and will not."""
 LATE_URGENCY = 7
 """Urgency of requests past their objective, lower than the engines' default of 5."""
 
@@ -494,8 +494,9 @@
             context.record_attempt(placement, f"refused-{response.status}")
             self._metrics.count("attempts_refused_total", {"service": context.service.name})
             return NotRun(response.status, response.is_misdirected)
-        needs_proof = 200 <= response.status < 300 or response.status in NOT_RUN_STATUSES
-        if needs_proof and not response.is_authentic:
+        if response.status in PROMISE_STATUSES:
+            raise ResponseInvalid(f"status {response.status} of a request that may have run")
+        if 200 <= response.status < 300 and not response.is_authentic:
             raise ResponseInvalid("the response does not authenticate its replica")
         if response.version:
             context.answered_version = response.version
--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -16,12 +16,14 @@
 """Longest line with the size of a chunk."""
 TRAILER_TIMEOUT_S = 0.1
 """Time for what follows the last chunk. If nothing does, the body is whole all the same."""
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: [^\0\r\n]*)?\r?\n")
+ANY_LINE = re.compile(rb"[^\n]*\n")
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,12}")
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 BARE_CR = re.compile(rb"\r(?!\n)")
 """Stands for a space (RFC 9112, 2.2). http.client would take it for the end of a line."""
-HEADER_LINE = re.compile(rb"(?:(?:[!-9;-~]*:|[ \t])[^\r\n]*)?\r?\n")
-"""A header, its continuation or the empty line; http.client drops what follows any other line."""
+HEADER_LINE = re.compile(rb"(?:(?:[!#-'*+.^_`|~0-9A-Za-z-]+:|[ \t])[^\0\r\n]*)?\r?\n")
+"""A header, its continuation, or the empty line after them."""
 
 
 class ReadGuard:
@@ -100,24 +102,27 @@
 
 
 class LineReader(io.BufferedReader):
-    """A buffered reader that, while `requires_lines`, takes no end of the connection for a line.
+    """A buffered reader that takes neither the end of the connection nor other bytes for a line.
 
-    While `requires_headers`, it raises `HTTPException` on a line that http.client cannot parse.
+    Lines must match `pattern`, or may be anything if it is None.
     """
 
-    requires_lines = True
-    requires_headers = False
+    pattern: re.Pattern[bytes] | None = ANY_LINE
 
     def readline(self, size: int | None = -1) -> bytes:
-        """Return a line, or `size` bytes of it; raise `RemoteDisconnected` if it is cut."""
+        """Return a line, or `size` bytes of it.
+
+        Raises `RemoteDisconnected` if it is cut, or `HTTPException` if it is malformed.
+        """
         line = super().readline(size)
         is_limited = size is not None and 0 <= size <= len(line)
-        if self.requires_lines and not line.endswith(b"\n") and not is_limited:
+        if self.pattern is None or is_limited:
+            return line
+        if not line.endswith(b"\n"):
             raise RemoteDisconnected("the connection ended within the head or a chunk size")
-        if self.requires_headers:
-            line = BARE_CR.sub(b" ", line)
-            if not HEADER_LINE.fullmatch(line):
-                raise HTTPException(f"invalid header: {line[:40]!r}")
+        line = BARE_CR.sub(b" ", line)
+        if not self.pattern.fullmatch(line):
+            raise HTTPException(f"malformed line: {line[:40]!r}")
         return line
 
 
@@ -137,25 +142,27 @@
         """Read the head; the timeout of the socket applies to each wait in the body again."""
         timeout_s = self._sock.gettimeout()
         super().begin()
-        self.fp.requires_headers = False
         _check_framing(self.headers)
         # Lines of a body that is not sent in chunks may end with the connection.
-        self.fp.requires_lines = self.chunked
+        self.fp.pattern = ANY_LINE if self.chunked else None
         self._guard.bytes_left = None
         self._guard.limit_time(None)
         self._sock.settimeout(timeout_s)
 
     def _read_status(self) -> tuple[str, int, str]:
-        """Return the version, the status and the reason of the final response; headers follow."""
+        """Return the version, the status and the reason of the final response; headers follow.
+
+        http.client would take the first line that is no header for the end of the head, and skip
+        the interim response 100 alone.
+        """
         while True:
-            self.fp.requires_headers = False
+            self.fp.pattern = STATUS_LINE
             version, status, reason = super()._read_status()
-            self.fp.requires_headers = True
+            self.fp.pattern = HEADER_LINE
             if status == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise HTTPException("the protocol was switched without a request for it")
             if status >= HTTPStatus.OK:
                 return version, status, reason
-            # http.client would skip 100 alone.
             while self.fp.readline(MAX_HEAD_B) not in (b"\r\n", b"\n"):
                 pass
 
