Resets connections in the soak's proxy without an orderly end before it

Seen: a reset, by the link or by a replica, reached entries as an orderly end, so that a body whose end only the connection marks would look ended behind a reset link, and no soak could tell the two apart. Cause: the proxy shut both sides down, which sends an orderly end, and left the reset to the collection of its sockets. Evidence: test_a_reset_of_the_target_does_not_look_like_an_orderly_end failed before, and so did test_a_reset_affects_only_open_connections once it required a reset; it had accepted an orderly end. Change: only reading is shut down, which wakes the other direction; the last direction closes both sides, with a reset.

--- a/hibiscustray/soak/proxy.py
+++ b/hibiscustray/soak/proxy.py
@@ -125,6 +125,9 @@
         self._server = server
         self.mirror: socket.socket | None = None
         self.is_silent = False
+        self._is_reset = False
+        self._open_ways = 2
+        self._lock = threading.Lock()
 
     def start(self) -> None:
         """Start the threads."""
@@ -138,37 +141,57 @@
 
     def reset(self) -> None:
         """Reset the connections to the client and to the server."""
+        self._is_reset = True
         for side in (self._client, self._server):
             with contextlib.suppress(OSError):
                 side.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                side.shutdown(socket.SHUT_RDWR)
+                # Wakes the reader. Shutting down both ways would send an orderly end first.
+                side.shutdown(socket.SHUT_RD)
 
     def _forward(self, source: socket.socket, sink: socket.socket, hold_state: LinkState) -> None:
-        with contextlib.suppress(OSError):
-            while block := source.recv(BLOCK_SIZE_B):
-                while self._proxy.state is hold_state:
-                    time.sleep(POLL_INTERVAL_S)
-                if self._proxy.state is LinkState.DELAY:
-                    time.sleep(self._proxy.delay_s)
-                if self._wait_until_heard() and source is self._client and _is_closed(source):
-                    break
-                if self.is_silent:
-                    continue
-                sink.sendall(block)
-                if self.mirror is not None and source is self._client:
-                    self.mirror.sendall(block)
+        try:
+            self._forward_blocks(source, sink, hold_state)
             self._wait_until_heard()
-            if not self.is_silent:
+            if not self.is_silent and not self._is_reset:
                 sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            if not self.is_silent:
+                self.reset()
+        finally:
+            self._end_way()
+
+    def _forward_blocks(
+        self, source: socket.socket, sink: socket.socket, hold_state: LinkState
+    ) -> None:
+        while block := source.recv(BLOCK_SIZE_B):
+            while self._proxy.state is hold_state and not self._is_reset:
+                time.sleep(POLL_INTERVAL_S)
+            if self._proxy.state is LinkState.DELAY:
+                time.sleep(self._proxy.delay_s)
+            if self._wait_until_heard() and source is self._client and _is_closed(source):
+                return
+            if self._is_reset:
                 return
-        if not self.is_silent:
-            self.reset()
+            if self.is_silent:
+                continue
+            sink.sendall(block)
+            if self.mirror is not None and source is self._client:
+                self.mirror.sendall(block)
+
+    def _end_way(self) -> None:
+        """Close both sides once neither direction is forwarded any more."""
+        with self._lock:
+            self._open_ways -= 1
+            if self._open_ways:
+                return
+        for side in (self._client, self._server):
+            side.close()
         self._proxy.remove_connection(self)
 
     def _wait_until_heard(self) -> bool:
         """Wait while the target is quiet; return whether it was."""
         was_quiet = False
-        while time.monotonic() < self._proxy.quiet_until:
+        while time.monotonic() < self._proxy.quiet_until and not self._is_reset:
             was_quiet = True
             time.sleep(POLL_INTERVAL_S)
         return was_quiet
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -9,6 +10,7 @@
 import pytest
 
 from hibiscustray.soak import LinkState, LoopbackProxy
+from hibiscustray.soak.proxy import RESET_ON_CLOSE
 
 
 @pytest.fixture
@@ -18,7 +20,7 @@
     received: list[bytes] = []
 
     def serve(connection: socket.socket) -> None:
-        with connection:
+        with contextlib.suppress(ConnectionResetError), connection:
             while data := connection.recv(100):
                 received.append(data)
                 connection.sendall(data)
@@ -105,10 +107,8 @@
     proxy, client, _ = link
     assert exchange(client) == b"hello"
     proxy.apply_state(LinkState.RESET)
-    try:
-        assert client.recv(100) == b""
-    except ConnectionResetError as error:
-        assert error.errno
+    with pytest.raises(ConnectionResetError):
+        client.recv(100)
     host, _, port = proxy.address.rpartition(":")
     with socket.create_connection((host, int(port)), timeout=1.0) as other:
         assert exchange(other) == b"hello"
@@ -123,3 +123,23 @@
     host, _, port = proxy.address.rpartition(":")
     with socket.create_connection((host, int(port)), timeout=1.0) as other:
         assert exchange(other) == b"hello"
+
+
+@pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+def test_a_reset_of_the_target_does_not_look_like_an_orderly_end(is_reset):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        proxy = LoopbackProxy(f"127.0.0.1:{listener.getsockname()[1]}")
+        host, _, port = proxy.address.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=2.0) as client:
+            target, _ = listener.accept()
+            client.sendall(b"hello")
+            assert target.recv(100) == b"hello"
+            if is_reset:
+                target.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            target.close()
+            if is_reset:
+                with pytest.raises(ConnectionResetError):
+                    client.recv(100)
+            else:
+                assert client.recv(100) == b""
+        proxy.close()
