Tells marked ends of responses from ends of connections in the soak

Change: callers tell a certain end (length reached, last chunk), an orderly end of the connection alone, a cut, a reset and a silence. MIXED requires a certain body to be the replica's whole one, as before; one that only its connection ends has to be whole, or all that a replica sent which closed there in order, for a stream up to the end of an event. HARM counts only certain bodies as served. is_ended means what it meant: certain, or ended by the connection. Not whole any more is a body whose last line of a head or of a chunk size is cut. Reports count outcomes with an uncertain end by themselves.

--- a/hibiscustray/platform/standins.py
+++ b/hibiscustray/platform/standins.py
@@ -15,6 +15,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+from hibiscustray.soak.reading import CallerResponse, StrictResponse, read_body
+
 SERVER_SEAL = "X-Hibiscustray-Server-Seal"
 ATTEMPT_ID = "X-Hibiscustray-Attempt-Id"
 NOT_RUN = "X-Hibiscustray-Not-Executed"
@@ -349,17 +351,19 @@
     return script
 
 
-def _encode_stream_head(request: ReceivedRequest, version: int = 1, **headers: str) -> bytes:
-    head = {
-        "Content-Type": "text/event-stream",
-        "Transfer-Encoding": "chunked",
-        ATTEMPT_ID: request.id,
-        SERVER_SEAL: "seal-1",
-        "X-Hibiscustray-Weight-Versions": str(version),
-    }
+def encode_success(request: ReceivedRequest, version: int = 0, **headers: str) -> bytes:
+    """Return the head of a sealed response, for a version of the weights that of a stream."""
+    head = {ATTEMPT_ID: request.id, SERVER_SEAL: "seal-1"}
+    if version:
+        head["Content-Type"] = "text/event-stream"
+        head["X-Hibiscustray-Weight-Versions"] = str(version)
     return _encode_head(200, head | headers)
 
 
+def _encode_stream_head(request: ReceivedRequest, version: int = 1, **headers: str) -> bytes:
+    return encode_success(request, version, Transfer_Encoding="chunked", **headers)
+
+
 def _encode_chunk(data: bytes) -> bytes:
     return f"{len(data):X}\r\n".encode() + data + b"\r\n"
 
@@ -443,18 +447,6 @@
 }
 
 
-@dataclass(frozen=True)
-class CallerResponse:
-    """A response as a caller received it; `is_ended` is true if it appeared complete."""
-
-    status: int
-    is_sealed: bool
-    body: bytes
-    is_ended: bool
-    retry_after_s: float = 0.0
-    is_connection_closed: bool = False
-
-
 def call_entry(
     connection: http.client.HTTPConnection,
     method: str,
@@ -474,20 +466,18 @@
     }
     if path.startswith("/draft/"):
         headers |= MODEL_HEADERS | {"X-Hibiscustray-Prompt-Prefix": prompt}
+    connection.response_class = StrictResponse
     connection.request(method, path, body or None, headers)
     response = connection.getresponse()
-    data, is_ended = b"", True
-    try:
-        while block := response.read1(65536):
-            data += block
-    except (OSError, http.client.HTTPException):
-        is_ended = False
-    is_ended = is_ended and not response.length
+    data, end = read_body(response)
     # Reading in blocks does not close the response, which would keep the connection open.
     response.close()
-    is_sealed, is_closed = SERVER_SEAL in response.headers, response.will_close or not is_ended
+    is_sealed, is_closed = (
+        SERVER_SEAL in response.headers,
+        response.will_close or not end.appears_complete,
+    )
     retry_after_s = float(response.headers.get("Retry-After", 0))
-    return CallerResponse(response.status, is_sealed, data, is_ended, retry_after_s, is_closed)
+    return CallerResponse(response.status, is_sealed, data, end, retry_after_s, is_closed)
 
 
 def read_readiness(address: str) -> int:
--- a/hibiscustray/soak/callers.py
+++ b/hibiscustray/soak/callers.py
@@ -13,6 +13,7 @@
 from hibiscustray.soak.guarantees import NOT_RUN_STATUSES, GuaranteeChecker
 from hibiscustray.soak.interface import StandIns
 from hibiscustray.soak.programs import EntryProgram
+from hibiscustray.soak.reading import ResponseEnd
 from hibiscustray.soak.records import SoakOutcome, SoakRequest
 from hibiscustray.soak.replicas import EVENTS_PER_STREAM
 from hibiscustray.soak.schedule import HarmfulRequest
@@ -110,7 +111,7 @@
         except (OSError, http.client.HTTPException):
             connection.close()
             self._checker.record_outcome(
-                SoakOutcome(request, 0, False, b"", False, time.monotonic())
+                SoakOutcome(request, 0, False, b"", ResponseEnd.CUT, time.monotonic())
             )
             return 0.0
         self._checker.record_outcome(
@@ -119,7 +120,7 @@
                 response.status,
                 response.is_sealed,
                 response.body,
-                response.is_ended,
+                response.end,
                 time.monotonic(),
             )
         )
--- a/hibiscustray/soak/guarantees.py
+++ b/hibiscustray/soak/guarantees.py
@@ -6,7 +6,9 @@
 - `TWICE`: a booking runs at most once.
 - `REFUSED`: a booking that was refused with one of `NOT_RUN_STATUSES` never runs.
 - `MIXED`: a successful response is sealed (it has the replica's seal header) and belongs to its own
-  request, which has run.
+  request, which has run. If it looks certain to be whole, it is. If only the orderly end of its
+  connection ends it, it is whole, or ends where a replica's response ended in that way; a stream
+  then ends between events.
 - `ENDED`: a response ends by the caller's deadline.
 - `CONFIG`: a revoked team key is not admitted after `MAX_CONFIGURATION_DELAY_S`.
 - `DRAIN`: a draining replica gets no requests after `MAX_DRAIN_DELAY_S`.
@@ -34,7 +36,9 @@
 from hibiscustray.soak.limits import LimitCheck
 from hibiscustray.soak.notices import NoticeCheck
 from hibiscustray.soak.quiet import QuietCheck, is_unanswered
+from hibiscustray.soak.reading import ResponseEnd
 from hibiscustray.soak.records import (
+    EVENT_END,
     MAX_VERSION_AGE_S,
     SoakOutcome,
     SoakRequest,
@@ -75,6 +79,7 @@
     run_count: int = 0
     refusal_status: int = 0
     replicas: set[int] = field(default_factory=set)
+    closed_bodies: set[bytes] = field(default_factory=set)
 
 
 class GuaranteeChecker:
@@ -197,6 +202,16 @@
             if version is not None:
                 self._check_version(request, replica, version, at)
 
+    def record_closed(self, request_id: str, body: bytes) -> None:
+        """Record that only the orderly end of a replica's connection ends the body of a response.
+
+        The body of a stream begins with its first event, also if a caller had a part of it.
+        """
+        with self._lock:
+            record = self._records.get(request_id)
+            if record is not None:
+                record.closed_bodies.add(body)
+
     def record_outcome(self, outcome: SoakOutcome) -> None:
         """Record how a request ended."""
         request, at = outcome.request, outcome.ended_at
@@ -204,7 +219,9 @@
             self._outcomes.append(outcome)
             record = self._records[request.id]
             kind = f"harmful {request.kind}" if request.harm else request.kind
-            self.outcomes[f"{kind} {outcome.status}"] += 1
+            is_marked = outcome.end is ResponseEnd.CERTAIN or not outcome.status
+            end = "" if is_marked else f" {outcome.end}"
+            self.outcomes[f"{kind} {outcome.status}{end}"] += 1
             self._check_response(outcome, record)
             if 200 <= outcome.status < 300 and outcome.is_ended:
                 self._notices.record_passed_on(request.id, request.entry, at)
@@ -293,11 +310,18 @@
                 "MIXED", outcome.ended_at, f"response to {request.id} has no server seal"
             )
         expected = make_body(request.id, request.body, request.event_count)
-        if outcome.is_ended and outcome.body != expected:
+        is_split = bool(request.event_count) and not outcome.body.endswith(EVENT_END)
+        may_be_short = (
+            outcome.end is ResponseEnd.CLOSED
+            and outcome.body in record.closed_bodies
+            and not is_split
+        )
+        if outcome.is_ended and outcome.body != expected and not may_be_short:
             self._add_violation(
                 "MIXED",
                 outcome.ended_at,
-                f"response to {request.id} appears complete but ends in {outcome.body[-60:]!r}",
+                f"response to {request.id} appears complete ({outcome.end}) but ends after "
+                f"{len(outcome.body)} of {len(expected)} bytes in {outcome.body[-60:]!r}",
             )
         if not expected.startswith(outcome.body):
             self._add_violation(
--- a/hibiscustray/soak/harm.py
+++ b/hibiscustray/soak/harm.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from hibiscustray.soak.disturbances import DisturbanceLog
+from hibiscustray.soak.reading import ResponseEnd
 from hibiscustray.soak.records import SoakOutcome
 
 MAX_ENDS = 3
@@ -97,7 +98,7 @@
             if self._entries.is_undisturbed(
                 request.entry, request.sent_at - CONTACT_S, outcome.ended_at
             ):
-                is_served = 200 <= outcome.status < 300 and outcome.is_ended
+                is_served = 200 <= outcome.status < 300 and outcome.end is ResponseEnd.CERTAIN
                 served.setdefault(request.kind, []).append(is_served)
         for kind, results in served.items():
             count = sum(results)
--- a/hibiscustray/soak/interface.py
+++ b/hibiscustray/soak/interface.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from hibiscustray.soak.reading import CallerResponse
+
 
 class StoreStandIn(Protocol):
     """A stand-in for the platform's store that simulates faults.
@@ -65,17 +67,6 @@
 """Handles one request at a replica stand-in by writing a raw response to the connection."""
 
 
-class CallerResponse(Protocol):
-    """A response as a caller received it; `is_ended` is true if it appeared complete."""
-
-    status: int
-    is_sealed: bool
-    body: bytes
-    is_ended: bool
-    retry_after_s: float
-    is_connection_closed: bool
-
-
 class StandIns(Protocol):
     """The stand-ins of a platform; can be a module that defines these functions and classes."""
 
@@ -102,6 +93,10 @@
         """
         ...
 
+    def encode_success(self, request: Any, version: int = 0, **headers: str) -> bytes:
+        """Return the head of a sealed response, for a version of the weights that of a stream."""
+        ...
+
     def respond_with_bytes(self, data: bytes) -> Script:
         """Return a script that sends these bytes and closes the connection."""
         ...
--- a/hibiscustray/soak/records.py
+++ b/hibiscustray/soak/records.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from hibiscustray.soak.reading import ResponseEnd
+
 SOUND_PROMPT = "aa:40,bb:60"
 """Parts of the prompt of a sound stream with their sizes; the last one is its own."""
 MAX_VERSION_AGE_S = 5.0
@@ -14,6 +16,9 @@
 """
 
 
+EVENT_END = b"\n\n"
+
+
 @dataclass(frozen=True)
 class SoakRequest:
     """A request of a caller; `event_count` is the number of events of its stream, 0 for a body.
@@ -39,16 +44,22 @@
 class SoakOutcome:
     """How a request ended for its caller; `status` is 0 if the connection failed.
 
-    `is_ended` is true if the response appeared complete. `ended_at` is a monotonic time in seconds.
+    `end` is what the caller could tell of the response's end. `ended_at` is a monotonic time in
+    seconds.
     """
 
     request: SoakRequest
     status: int
     is_sealed: bool
     body: bytes
-    is_ended: bool
+    end: ResponseEnd
     ended_at: float
 
+    @property
+    def is_ended(self) -> bool:
+        """Return whether the response appeared complete."""
+        return self.end.appears_complete
+
 
 @dataclass(frozen=True)
 class Violation:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -8,11 +8,12 @@
 
 from hibiscustray.soak.disturbances import DisturbanceLog
 from hibiscustray.soak.guarantees import GuaranteeChecker
+from hibiscustray.soak.reading import ResponseEnd
 from hibiscustray.soak.records import SoakOutcome, SoakRequest, make_body, make_event
 
 REQUEST = SoakRequest("r1", "book", 0, "/book/1", b"seat", "key", sent_at=10.0, deadline_s=2.5)
 COMPLETE_BODY = make_body("r1", b"seat", 0)
-SUCCESS = SoakOutcome(REQUEST, 200, True, COMPLETE_BODY, True, 10.1)
+SUCCESS = SoakOutcome(REQUEST, 200, True, COMPLETE_BODY, ResponseEnd.CERTAIN, 10.1)
 
 
 @pytest.fixture
@@ -116,12 +117,47 @@
     checker.record_request(draft)
     record_run(checker, draft)
     truncated = dataclasses.replace(
-        SUCCESS, request=draft, body=make_event("r3", 1), is_ended=False
+        SUCCESS, request=draft, body=make_event("r3", 1), end=ResponseEnd.CUT
     )
     checker.record_outcome(truncated)
     assert get_violated_rules(checker) == []
 
 
+@pytest.mark.parametrize("end", ResponseEnd)
+@pytest.mark.parametrize("is_sent", [False, True], ids=["sent whole", "sent short"])
+def test_a_short_body_must_not_look_whole_unless_a_replica_closed_there(checker, end, is_sent):
+    record_run(checker)
+    body = COMPLETE_BODY[:-3]
+    if is_sent:
+        checker.record_closed("r1", body)
+    checker.record_outcome(dataclasses.replace(SUCCESS, body=body, end=end))
+    is_violation = end is ResponseEnd.CERTAIN or (end is ResponseEnd.CLOSED and not is_sent)
+    assert get_violated_rules(checker) == ["MIXED"] * is_violation
+
+
+@pytest.mark.parametrize(
+    ("cut", "is_violation"), [(0, False), (3, True)], ids=["between events", "within an event"]
+)
+def test_a_stream_that_its_connection_ends_must_end_between_events(checker, cut, is_violation):
+    draft = dataclasses.replace(REQUEST, id="r3", kind="draft", event_count=3)
+    checker.record_request(draft)
+    record_run(checker, draft)
+    body = make_body("r3", b"", 2)[: -cut or None]
+    checker.record_closed("r3", body)
+    checker.record_outcome(
+        dataclasses.replace(SUCCESS, request=draft, body=body, end=ResponseEnd.CLOSED)
+    )
+    assert get_violated_rules(checker) == ["MIXED"] * is_violation
+
+
+@pytest.mark.parametrize("body", [COMPLETE_BODY[:-5], COMPLETE_BODY + b"more", b""])
+def test_a_body_that_its_connection_ends_must_be_all_that_the_replica_sent(checker, body):
+    record_run(checker)
+    checker.record_closed("r1", COMPLETE_BODY[:-3])
+    checker.record_outcome(dataclasses.replace(SUCCESS, body=body, end=ResponseEnd.CLOSED))
+    assert "MIXED" in get_violated_rules(checker)
+
+
 @pytest.mark.parametrize(
     "changes", [{"id": "r8"}, {"path": "/book/2"}, {"body": b"other"}], ids=str
 )
--- a/tests/soak/test_harm.py
+++ b/tests/soak/test_harm.py
@@ -12,6 +12,7 @@
 from hibiscustray.soak.callers import HarmfulCaller
 from hibiscustray.soak.disturbances import DisturbanceLog
 from hibiscustray.soak.guarantees import GuaranteeChecker
+from hibiscustray.soak.reading import ResponseEnd
 from hibiscustray.soak.records import SOUND_PROMPT, SoakOutcome, SoakRequest
 from hibiscustray.soak.replicas import SoakReplica
 from hibiscustray.soak.schedule import HARMFUL_KINDS, HarmfulRequest
@@ -111,7 +112,9 @@
         request = dataclasses.replace(request, **changes)
         checker.record_request(request)
         is_served = number < served
-        outcome = SoakOutcome(request, 200 if is_served else status, is_served, b"", True, 37.1)
+        outcome = SoakOutcome(
+            request, 200 if is_served else status, is_served, b"", ResponseEnd.CERTAIN, 37.1
+        )
         checker.record_outcome(outcome)
     checker.violations.clear()
     return judge(checker, ())
--- a/tests/soak/test_notices.py
+++ b/tests/soak/test_notices.py
@@ -10,6 +10,7 @@
 from hibiscustray.soak import ReplicaFault, ReplicaPushback, SoakOptions, run_soak
 from hibiscustray.soak.disturbances import DisturbanceLog
 from hibiscustray.soak.guarantees import GuaranteeChecker
+from hibiscustray.soak.reading import ResponseEnd
 from hibiscustray.soak.records import SoakOutcome, SoakRequest, make_body
 from hibiscustray.soak.replicas import SoakReplica
 
@@ -112,7 +113,8 @@
     checker.record_run(request.id, request.path, request.body, REPLICA, at)
     checker.record_leaving(request.id, REPLICA)
     body = make_body(request.id, b"", 0)
-    checker.record_outcome(SoakOutcome(request, status, True, body, status == 200, at + 0.1))
+    end = ResponseEnd.CERTAIN if status == 200 else ResponseEnd.CUT
+    checker.record_outcome(SoakOutcome(request, status, True, body, end, at + 0.1))
 
 
 @pytest.mark.parametrize(("sent_at", "is_violation"), [(22.05, False), (22.15, True)])
--- a/tests/soak/test_quiet.py
+++ b/tests/soak/test_quiet.py
@@ -8,12 +8,13 @@
 
 from hibiscustray.soak.disturbances import DisturbanceLog
 from hibiscustray.soak.guarantees import GuaranteeChecker
+from hibiscustray.soak.reading import ResponseEnd
 from hibiscustray.soak.records import SoakOutcome, SoakRequest, make_event
 
 REQUEST = SoakRequest("r1", "look", 0, "/book/look/1", b"", "key", sent_at=10.0, deadline_s=2.5)
-FAILED = SoakOutcome(REQUEST, 502, False, b"", True, 11.2)
+FAILED = SoakOutcome(REQUEST, 502, False, b"", ResponseEnd.CERTAIN, 11.2)
 STREAM = dataclasses.replace(REQUEST, id="r2", kind="draft", path="/draft/1", event_count=8)
-TRUNCATED = SoakOutcome(STREAM, 200, True, make_event("r2", 1), False, 11.2)
+TRUNCATED = SoakOutcome(STREAM, 200, True, make_event("r2", 1), ResponseEnd.CUT, 11.2)
 
 
 @pytest.fixture
