Ends responses of replicas early in soaks

Change: a new group of steps, early, with a generator of its own: replicas, one or up to all, at once or in series, frame responses by a length, chunks or the end of the connection, by HTTP/1.0 or 1.1, and end them within the head, after it, within or between parts of the body, within a chunk size, before the last chunk or after it, in order, by a reset or silently; some whole ones are followed by a second response. Half of the times, a replica has orderly ends without a mark only, after which entries do not avoid it.

--- a/hibiscustray/__main__.py
+++ b/hibiscustray/__main__.py
@@ -51,7 +51,7 @@
 @click.option("--known", is_flag=True, help="Run the seeds that failed in earlier soaks.")
 @click.option(
     "--without",
-    type=click.Choice(("quiet", "harm", "limit", "pushback")),
+    type=click.Choice(("quiet", "harm", "limit", "pushback", "early")),
     multiple=True,
     help="Omit these steps.",
 )
--- a/hibiscustray/soak/__init__.py
+++ b/hibiscustray/soak/__init__.py
@@ -1,10 +1,12 @@
 """Randomized soak tests: injects faults into real entry processes and checks their guarantees."""
 
 from hibiscustray.soak.cases import FAILED_SEEDS, FailedSeed
+from hibiscustray.soak.early import EarlyEnd
 from hibiscustray.soak.proxy import LinkState, LoopbackProxy
 from hibiscustray.soak.runs import SoakOptions, SoakReport, run_soak
 from hibiscustray.soak.schedule import (
     GROUPS,
+    EarlyEnds,
     EntryFault,
     HarmfulRequest,
     LinkFault,
@@ -20,6 +22,8 @@
 __all__ = [
     "FAILED_SEEDS",
     "GROUPS",
+    "EarlyEnd",
+    "EarlyEnds",
     "EntryFault",
     "FailedSeed",
     "HarmfulRequest",
--- a/hibiscustray/soak/replicas.py
+++ b/hibiscustray/soak/replicas.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import socket
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 
+from hibiscustray.soak.early import EarlyEnd, send_response
 from hibiscustray.soak.guarantees import GuaranteeChecker
 from hibiscustray.soak.interface import StandIns, StoreStandIn
 from hibiscustray.soak.proxy import LoopbackProxy
@@ -20,6 +23,8 @@
 """Longest time for which a silent replica keeps a connection open without a response."""
 SLOTS = 16
 EVENTS_PER_STREAM = 8
+EARLY_PART_B = 16
+"""Size of the parts between which a plain body may end early."""
 STREAM_PATH = "/draft/"
 MISDIRECTED_REQUEST = 421
 """Status for a request that expects another version of the weights."""
@@ -32,7 +37,8 @@
     responds correctly. `on_end` is called with the replica, its `start_count` and the harm when it
     begins a request that ends it. `limit` is the limit that its responses name, "" for none. While
     `pushback` is set, requests are turned away with it as Retry-After. `is_leaving` is set while
-    responses say that the replica leaves, whatever the list says.
+    responses say that the replica leaves, whatever the list says. `early_ends` are used in turn by
+    responses to requests that were run, as long as no `fault` but "extra" spoils them.
     """
 
     def __init__(
@@ -59,6 +65,8 @@
         self._previous_request_id = ""
         self.limit = self.pushback = ""
         self.is_leaving = False
+        self.early_ends: tuple[EarlyEnd, ...] = ()
+        self._early_numbers = itertools.count()
         self.on_end: Callable[[SoakReplica, int, str], None] = lambda *_: None
         self._standin = standins.ReplicaStandIn(f"i-{number}", service, self._respond)
         self.proxy = LoopbackProxy(self._standin.address)
@@ -161,6 +169,7 @@
         is_stream = request.path.startswith(STREAM_PATH)
         body = make_body(request.id, request.body, EVENTS_PER_STREAM if is_stream else 0)
         previous_id, self._previous_request_id = self._previous_request_id, request.id
+        early_ends = self.early_ends
         match self.fault:
             case "silent":
                 connection.settimeout(MAX_SILENCE_S)
@@ -180,6 +189,9 @@
             case "unsealed":
                 head = self._encode_head(len(body))
                 self._standins.respond_with_bytes(head + body)(request, connection)
+            case _ if early_ends:
+                early = early_ends[next(self._early_numbers) % len(early_ends)]
+                self._end_early(request, connection, early, version if is_stream else 0)
             case fault:
                 if self.is_leaving:
                     self._checker.record_leaving(request.id, self.number)
@@ -191,3 +203,21 @@
                 script(request, connection)
                 if fault == "extra":
                     connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+
+    def _end_early(self, request, connection: socket.socket, early: EarlyEnd, version: int) -> None:
+        """Respond with an early end; `version` is that of the weights of a stream, or 0."""
+        received = b""
+        if version:
+            events = [make_event(request.id, n) for n in range(1, EVENTS_PER_STREAM + 1)]
+            received = b"".join(events[: request.resume_after])
+            parts = events[request.resume_after :]
+        else:
+            body = make_body(request.id, request.body, 0)
+            parts = [body[n : n + EARLY_PART_B] for n in range(0, len(body), EARLY_PART_B)]
+        send_response(
+            connection,
+            early,
+            partial(self._standins.encode_success, request, version, **self._headers),
+            parts,
+            lambda sent: self._checker.record_closed(request.id, received + sent),
+        )
--- a/hibiscustray/soak/runs.py
+++ b/hibiscustray/soak/runs.py
@@ -22,6 +22,7 @@
 from hibiscustray.soak.records import Violation
 from hibiscustray.soak.replicas import SoakReplica
 from hibiscustray.soak.schedule import (
+    EarlyEnds,
     EntryFault,
     HarmfulRequest,
     LinkFault,
@@ -193,6 +194,9 @@
             case ReplicaPushback(replica=number):
                 self.faults["replica pushback"] += 1
                 self._run_in_background(self._push_back, self.replicas[number], step)
+            case EarlyEnds(replica=number):
+                self.faults["replica early"] += 1
+                self._run_in_background(self._end_responses_early, self.replicas[number], step)
             case HarmfulRequest(kind=kind):
                 self.faults[f"harmful {kind}"] += 1
                 self._start_harmful_callers(step)
@@ -403,6 +407,14 @@
             if replica.start_count == start_count:
                 replica.pushback = ""
 
+    def _end_responses_early(self, replica: SoakReplica, step: EarlyEnds) -> None:
+        begin = time.monotonic()
+        end = begin + step.duration_s + WATCH_INTERVAL_S
+        self.checker.quiet.faults.add(replica.number, begin, end)
+        replica.early_ends = step.ends
+        time.sleep(step.duration_s)
+        replica.early_ends = ()
+
     def _leave(self, replica: SoakReplica, duration_s: float) -> None:
         """Have a replica say that it leaves, and start it again after a time."""
         with self._lock:
--- a/hibiscustray/soak/schedule.py
+++ b/hibiscustray/soak/schedule.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from hibiscustray.soak.early import EarlyEnd, generate_early_ends
 from hibiscustray.soak.proxy import LinkState
 
 MEAN_SERIES_INTERVAL_S = 2.0
@@ -48,6 +49,12 @@
 """Mean time between two replicas that say that they leave."""
 MIN_LEAVING_S, MAX_LEAVING_S = 3.0, 6.0
 """Time from that until the replica starts again, longer than entries may still send to it."""
+MEAN_EARLY_GAP_S = 3.0
+"""Mean time between two groups of replicas that end responses early."""
+MIN_EARLY_S, MAX_EARLY_S = 0.5, 4.0
+"""Time for which a replica does so."""
+MAX_EARLY_SERIES_GAP_S = 1.5
+"""Longest time between the starts of two successive replicas of a group."""
 MAX_HARMFUL_REQUESTS = 2
 """Largest number of harmful requests of a soak, of different kinds."""
 QUIET_START_S = 1.0
@@ -140,6 +147,16 @@
     value: str
 
 
+@dataclass(frozen=True)
+class EarlyEnds:
+    """A replica ends its responses in turn as `ends` tell, whatever else is the matter with it."""
+
+    at_s: float
+    duration_s: float
+    replica: int
+    ends: tuple[EarlyEnd, ...]
+
+
 @dataclass(frozen=True)
 class HarmfulRequest:
     """Callers send a request that ends each replica that begins it, until the end of the soak.
@@ -157,6 +174,7 @@
     HarmfulRequest
     | ReplicaLimit
     | ReplicaPushback
+    | EarlyEnds
     | EntryFault
     | LinkFault
     | StoreFault
@@ -188,7 +206,7 @@
 OPERATOR_ACTIONS = ("configure", "revoke", "name")
 HARMFUL_KINDS = ("book", "look", "draft", "part")
 """Kinds of harmful requests: those of the callers, and streams with a harmful part."""
-GROUPS = ("quiet", "harm", "limit", "pushback")
+GROUPS = ("quiet", "harm", "limit", "pushback", "early")
 """Groups of steps that a run may leave out; each has a generator of its own."""
 
 
@@ -226,6 +244,8 @@
         steps += _generate_limits(seed, length_s, replicas)
     if "pushback" not in without:
         steps += _generate_pushbacks(seed, length_s, replicas)
+    if "early" not in without:
+        steps += _generate_early_ends(seed, length_s, replicas)
     if "harm" not in without:
         rng = random.Random(f"harm-{seed}")
         kinds = rng.sample(HARMFUL_KINDS, rng.randint(1, MAX_HARMFUL_REQUESTS))
@@ -315,6 +335,26 @@
     return steps
 
 
+def _generate_early_ends(seed: int, length_s: float, replicas: int) -> list[Step]:
+    """Return replicas that end responses early, alone, at once or in series."""
+    rng = random.Random(f"early-{seed}")
+    steps: list[Step] = []
+    end_s = length_s - QUIET_END_S
+    sound_at_s = [0.0] * replicas
+    at_s = QUIET_START_S + rng.expovariate(1 / MEAN_EARLY_GAP_S)
+    while at_s < end_s:
+        count = rng.choice((1, rng.randint(1, replicas)))
+        gap_s = rng.choice((0.0, rng.uniform(0.0, MAX_EARLY_SERIES_GAP_S)))
+        for number, replica in enumerate(rng.sample(range(replicas), count)):
+            begin_s, duration_s = at_s + number * gap_s, rng.uniform(MIN_EARLY_S, MAX_EARLY_S)
+            ends = generate_early_ends(rng)
+            if begin_s >= sound_at_s[replica] and begin_s + duration_s < end_s:
+                steps.append(EarlyEnds(begin_s, duration_s, replica, ends))
+                sound_at_s[replica] = begin_s + duration_s
+        at_s += rng.expovariate(1 / MEAN_EARLY_GAP_S)
+    return steps
+
+
 def _generate_step(
     rng: random.Random, kind: str, at_s: float, duration_s: float, entries: int, replicas: int
 ) -> Step:
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hibiscustray.soak import (
+    EarlyEnds,
     EntryFault,
     HarmfulRequest,
     OperatorAction,
@@ -32,6 +33,7 @@
 def test_all_kinds_of_steps_occur_and_faults_overlap():
     steps = [s for seed in range(30) for s in generate_schedule(seed, LENGTH_S, 3, 6)]
     assert {type(s).__name__ for s in steps} == {
+        "EarlyEnds",
         "EntryFault",
         "HarmfulRequest",
         "LinkFault",
@@ -86,6 +88,24 @@
     assert {"0", "soon", "4"} <= values
 
 
+def test_early_ends_do_not_change_the_other_steps_of_a_seed_and_overlap_with_them():
+    counts, shared = set(), 0
+    for seed in range(20):
+        steps = generate_schedule(seed, LENGTH_S, 3, 6)
+        plain = generate_schedule(seed, LENGTH_S, 3, 6, without={"early"})
+        early = [s for s in steps if isinstance(s, EarlyEnds)]
+        assert set(steps) - set(plain) == set(early)
+        counts |= {sum(s.at_s == other.at_s for other in early) for s in early}
+        shared += sum(
+            s.at_s < other.at_s < s.at_s + s.duration_s
+            for s in early
+            for other in plain
+            if getattr(other, "replica", None) == s.replica
+        )
+    assert {1, 6} <= counts
+    assert shared > 20
+
+
 def test_quiet_replicas_do_not_change_the_other_steps_of_a_seed():
     for seed in range(10):
         steps = generate_schedule(seed, LENGTH_S, 3, 6)
