--- a/tests/commands/test_hosting.py
+++ b/tests/commands/test_hosting.py
@@ -28,6 +28,7 @@
 )
 from hibiscustray.settings import load_hosted_settings
 from hibiscustray.soak.programs import EntryProgram
+from tests.platform.quiet import make_routes
 from tests.settings.test_hosted import write_settings
 from tests.waiting import wait_until
 
@@ -126,7 +127,7 @@
     def __init__(self, folder: Path, grace_s: int) -> None:
         self.work_s = 0.0
         self.store = StoreStandIn()
-        self.store.put("op", "config", make_configuration())
+        self.store.put("op", "config", make_configuration(routes=make_routes()))
         self.replica = ReplicaStandIn("i-0", "booking", self._respond)
         self.store.put("servers", "i-0", self.replica.make_row())
         self.program = EntryProgram(0, self.store.address, folder)
@@ -157,13 +158,13 @@
         except OSError:
             return False
 
-    def book(self, number: int) -> int:
+    def book(self, number: int, deadline_s: float = 4.0) -> int:
         """Make a booking on a new connection and return its status, 0 without a response."""
         host, _, port = self.program.callers_address.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
+        connection = http.client.HTTPConnection(host, int(port), timeout=deadline_s + 1.0)
         try:
             return call_entry(
-                connection, "POST", "/book/1", b"x", f"book-{number}", KEY, 4.0
+                connection, "POST", "/book/1", b"x", f"book-{number}", KEY, deadline_s
             ).status
         except (OSError, http.client.HTTPException):
             return 0
@@ -213,6 +214,20 @@
     assert "settings reload failed" in caplog.text
 
 
+def test_booking_that_outlasts_the_grace_period_gets_a_response_before_the_process_is_killed(
+    tmp_path,
+):
+    with StoppedEntry(tmp_path, grace_s=4) as entry, ThreadPoolExecutor(1) as pool:
+        wait_until(entry.is_ready, START_TIMEOUT_S)
+        entry.work_s = 6.0
+        booking = pool.submit(entry.book, 1, 8.0)
+        wait_until(lambda: entry.replica.received)
+        os.kill(entry.program.pid, signal.SIGTERM)
+        time.sleep(4.0)
+        entry.program.kill()
+        assert booking.result() == 502
+
+
 def test_sighup_during_the_start_does_not_end_the_process(tmp_path):
     with StoppedEntry(tmp_path, grace_s=1) as entry:
         wait_until(lambda: has_begun_imports(entry.program.pid), START_TIMEOUT_S)
