Passes on no interim response of a replica in place of its response

Callers saw: status 103 without a body, ended by the connection, where the replica had sent 103 and then a whole 200. Cause: http.client skips interim responses with status 100 only and takes any other for the response. Evidence: the test added to tests/platform/test_early_ends.py failed for all four kinds of request, 4 of the 5 added to test_framing.py failed. Change: all interim responses are skipped; a change of protocol is an error, as none was asked for. Result: tests/web and tests/platform/test_early_ends.py pass.

--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import time
+from http import HTTPStatus
 from http.client import HTTPException, RemoteDisconnected
 
 MAX_HEAD_B = 65536
@@ -148,12 +149,15 @@
     def _read_status(self) -> tuple[str, int, str]:
         """Read a status line; http.client calls this before it reads headers.
 
-        http.client would take the first line that is no header for the end of the head.
+        http.client would take the first line that is no header for the end of the head, and interim
+        responses other than 100 for the response.
         """
         self.fp.pattern = STATUS_LINE
-        status = super()._read_status()
+        version, status, reason = super()._read_status()
         self.fp.pattern = HEADER_LINE
-        return status
+        if status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise HTTPException("the protocol is changed")
+        return version, HTTPStatus.CONTINUE if status < HTTPStatus.OK else status, reason
 
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk or of the next one, None after the last.
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -120,6 +120,18 @@
     assert (response.status, response.is_certain) == (502, True)
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_interim_response_is_not_forwarded_in_place_of_the_response(site, kind):
+    def respond(request: ReceivedRequest, connection: socket.socket) -> None:
+        interim = encode_head(request).replace(b"200 OK", b"103 Early Hints")
+        head = make_head(request, kind, "Transfer-Encoding: chunked")
+        connection.sendall(interim + head + encode_chunk(make_body(kind)) + b"0\r\n\r\n")
+
+    site.add_replica(KINDS[kind][2], respond)
+    response = call_raw(site, kind)
+    assert (response.status, response.body, response.end) == (200, make_body(kind), End.WHOLE)
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks", "connection"])
 def test_log_and_metrics_tell_how_a_replica_framed_its_response(site, framing, caplog):
     caplog.set_level(logging.INFO)
--- a/tests/web/test_framing.py
+++ b/tests/web/test_framing.py
@@ -144,6 +144,20 @@
         serve_bytes(HEAD + line + lines + b"\r\n" + CHUNKS).open("GET", "/")
 
 
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_interim_response_is_not_taken_for_the_response(status):
+    interim = f"HTTP/1.1 {status} Status\r\nX-Seal: seal-1\r\nContent-Length: 3\r\n\r\n".encode()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"
+    response = serve_bytes(2 * interim + head + BODY).call("GET", "/")
+    assert (response.status, response.body) == (200, BODY)
+    assert "x-seal" not in response.headers
+
+
+def test_change_of_protocol_raises():
+    with pytest.raises(UpstreamConnectionLost):
+        serve_bytes(HEAD.replace(b"200", b"101") + b"\r\n" + BODY).open("GET", "/")
+
+
 @pytest.mark.parametrize("line", [b"HTTP/1.1 2_00", b"HTTP/1.1 200\0", b"HTTP/1.7 200 OK", b"seat"])
 def test_malformed_status_line_raises(line):
     with pytest.raises(UpstreamConnectionLost):
