Shows that a response that pauses at any place and goes on is delivered whole

Each place of tests/platform/test_end_table.py and tests/web/test_end_table.py is a break of 20 ms, too.

--- a/tests/platform/ends.py
+++ b/tests/platform/ends.py
@@ -25,6 +25,7 @@
 """Time after the deadline by which the users want a response to have ended."""
 PROMPT_S = 2.0
 """Time for what is known to be whole, half the deadline."""
+BREAK_S = 0.02
 HOLD_S = 8.0
 """Longest time for which a replica leaves a connection open."""
 FAILURES = frozenset((502, 504))
@@ -57,6 +58,8 @@
     SHUT = "shut"
     """It ends sending and leaves the connection open."""
     SILENCE = "silence"
+    BREAK = "break"
+    """It goes on after `BREAK_S`."""
     PAUSE = "pause"
     """It goes on once another replica has responded in its place."""
     SECOND = "second"
@@ -65,6 +68,10 @@
     """Bytes follow that are no response, and then nothing."""
 
 
+ENDING = (Stop.CLOSE, Stop.SHUT, Stop.BREAK)
+"""Stops with an orderly end."""
+
+
 @dataclass(frozen=True)
 class Sent:
     """What a replica has sent up to some place: bytes, and of the body `body`."""
@@ -130,8 +137,8 @@
         return f"service-{self.number}"
 
     def find_sent(self) -> Sent:
-        """Return what the replica sends up to the place, for a request without an id."""
-        return list_places(self, "")[self.place]
+        """Return what the replica sends before it stops, for a request without an id."""
+        return list_places(self, "")["whole" if self.stop is Stop.BREAK else self.place]
 
     def find_deadline_s(self) -> float:
         """Return the deadline of the request."""
@@ -161,6 +168,10 @@
                 return
             case Stop.SHUT:
                 connection.shutdown(socket.SHUT_WR)
+            case Stop.BREAK:
+                time.sleep(BREAK_S)
+                connection.sendall(places["whole"].data[len(sent) :])
+                return
             case Stop.PAUSE:
                 self.is_answered.wait(HOLD_S)
                 connection.sendall(places["whole"].data[len(sent) :])
@@ -227,7 +238,7 @@
 
 def _is_uncertain(cell: Cell, sent: Sent) -> bool:
     """Return whether what a replica has sent can't be told from a whole response."""
-    if not sent.has_head or cell.form.is_marked or cell.stop not in (Stop.CLOSE, Stop.SHUT):
+    if not sent.has_head or cell.form.is_marked or cell.stop not in ENDING:
         return False
     is_event_stream = cell.is_stream and cell.status == 200
     return not is_event_stream or bool(sent.body) and sent.body == sent.events
--- a/tests/platform/test_end_table.py
+++ b/tests/platform/test_end_table.py
@@ -72,6 +72,8 @@
             return sent.has_mark and cell.place == "whole"
         case Stop.PAUSE:
             return cell.may_repeat and cell.place != "whole" and not sent.has_mark
+        case Stop.BREAK:
+            return cell.status == 200 and cell.replicas == 1 and cell.place != "whole"
         case Stop.SHUT:
             return cell.status == 200 and sent.has_head
     return True
--- a/tests/web/test_end_table.py
+++ b/tests/web/test_end_table.py
@@ -13,7 +13,7 @@
 from hibiscustray.exceptions import UpstreamConnectionLost
 from hibiscustray.platform.standins import ReceivedRequest
 from hibiscustray.web import HttpClient
-from tests.platform.ends import Cell, Form, Stop, list_places
+from tests.platform.ends import ENDING, Cell, Form, Stop, list_places
 from tests.web.test_framing import serve
 
 CONCURRENT = 16
@@ -59,7 +59,7 @@
     except UpstreamConnectionLost:
         body = None
     took_s = time.monotonic() - started_at
-    is_ended = not cell.form.is_marked and cell.stop in (Stop.CLOSE, Stop.SHUT)
+    is_ended = not cell.form.is_marked and cell.stop in ENDING
     expected = sent.body if sent.has_mark or sent.has_head and is_ended else None
     if body != expected:
         return f"{cell.name}: read {body!r}"[:300]
