Shows what callers get of each way in which a second response may end

The first response of a repeatable request is reset before its head or after two events, in each framing; the second one stops at each place. Cells with status 503 are limited to those that the connection's end tells apart.

--- a/tests/platform/ends.py
+++ b/tests/platform/ends.py
@@ -92,7 +92,8 @@
 class Cell:
     """A request whose first response stops at a place; further ones are sound.
 
-    `version` is the caller's version of HTTP, and `received` has the requests that replicas got.
+    `version` is the caller's version of HTTP, `skipped` the number of events before the first that
+    the response has, and `received` has the requests that replicas got.
     `left_at` is the monotonic time at which the entry left a replica that kept its connection open.
     """
 
@@ -104,6 +105,7 @@
     version: str
     replicas: int
     number: int = 0
+    skipped: int = 0
     received: list[ReceivedRequest] = field(default_factory=list)
     left_at: float = 0.0
     lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
@@ -151,12 +153,13 @@
             self.received.append(request)
             is_first = len(self.received) == 1
         if is_first:
-            self._stop(list_places(self, request.id), connection)
+            self.stop_at_place(list_places(self, request.id), connection)
         else:
             connection.sendall(encode_sound(self, request))
             self.is_answered.set()
 
-    def _stop(self, places: dict[str, Sent], connection: socket.socket) -> None:
+    def stop_at_place(self, places: dict[str, Sent], connection: socket.socket) -> None:
+        """Send a response up to the place, and stop."""
         sent = places[self.place].data
         connection.sendall(sent)
         match self.stop:
@@ -187,6 +190,39 @@
             self.left_at = time.monotonic()
 
 
+@dataclass
+class SecondCell(Cell):
+    """A repeatable request whose first response is reset, and whose second one stops at a place.
+
+    The first response has `skipped` events; `first` is its form, None if it ends before it begins.
+    """
+
+    first: Form | None = None
+
+    @property
+    def name(self) -> str:
+        """Return what tells the cell from the others."""
+        return f"{super().name} after {self.first or 'nothing'}"
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return False, as both attempts are used."""
+        return False
+
+    def respond(self, request: ReceivedRequest, connection: socket.socket) -> None:
+        """Send the first response and reset it, or the second one up to the place."""
+        with self.lock:
+            self.received.append(request)
+            is_first = len(self.received) == 1
+        if not is_first:
+            self.stop_at_place(list_places(self, request.id), connection)
+            return
+        if self.first is not None:
+            cell = Cell(self.kind, self.first, 200, "before a split event", Stop.RESET, "1.1", 2)
+            connection.sendall(list_places(cell, request.id)[cell.place].data)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 @dataclass(frozen=True)
 class Shown:
     """What a caller may be shown; `body` None is the entry's own."""
@@ -212,6 +248,8 @@
 def find_shown(cell: Cell) -> list[Shown]:
     """Return what the caller of a cell may be shown, by what its replicas have sent."""
     sent = cell.find_sent()
+    if cell.skipped:
+        return [_show_resumed(cell, sent)]
     is_event_stream = cell.is_stream and cell.status == 200
     is_promise = cell.status in PROMISES
     if sent.has_mark and not is_promise and not _is_retried(cell):
@@ -231,6 +269,20 @@
     return [Shown(frozenset((200,)), sent.events, ends), *late]
 
 
+def _show_resumed(cell: SecondCell, sent: Sent) -> Shown:
+    body = b"".join(EVENTS[: cell.skipped]) + sent.events
+    is_framed = cell.first.is_marked and cell.version == "1.1"
+    if sent.has_mark:
+        ends = frozenset((End.WHOLE if is_framed else End.CLOSED,))
+    elif is_framed:
+        ends = BROKEN
+    elif _is_uncertain(cell, sent) and not cell.first.is_marked:
+        ends = frozenset((End.CLOSED,))
+    else:
+        ends = frozenset((End.RESET,))
+    return Shown(frozenset((200,)), body, ends)
+
+
 def _is_retried(cell: Cell) -> bool:
     """Return whether a whole response is an error after which another replica is tried."""
     return cell.status != 200 and cell.kind == "idempotent" and cell.may_repeat
@@ -350,7 +402,7 @@
     if not cell.is_stream or cell.status != 200:
         return [("", "first part", BODY[:1000]), ("between parts", "last part", BODY[1000:])]
     first, *middle, last = EVENTS
-    return [
+    blocks = [
         ("", "first event", first),
         ("between events", "second event", b"".join(middle[:1])),
         ("before a split event", "first part of an event", middle[1][:9]),
@@ -358,6 +410,7 @@
         ("", "fourth event", middle[2]),
         ("before the last event", "last event", last),
     ]
+    return blocks[cell.skipped :]
 
 
 def _make_body(cell: Cell) -> bytes:
--- a/tests/platform/test_end_table.py
+++ b/tests/platform/test_end_table.py
@@ -22,6 +22,7 @@
     RESET_ON_CLOSE,
     Cell,
     Form,
+    SecondCell,
     Sent,
     Stop,
     list_faults,
@@ -65,6 +66,8 @@
         return False
     if cell.form is Form.OLD and not sent.has_head and cell.stop is not Stop.CLOSE:
         return False
+    if cell.status == 503 and cell.stop is not Stop.CLOSE:
+        return False
     if cell.version == "1.0" and not (cell.status == 200 and sent.has_head):
         return False
     match cell.stop:
@@ -177,6 +180,29 @@
     _check(site, list_cells(kind, form, status))
 
 
+FIRST_FORMS = {"resumable": [None, Form.LENGTH, Form.CHUNKS, Form.CONNECTION], "idempotent": [None]}
+
+
+@pytest.mark.parametrize("form", Form)
+@pytest.mark.parametrize(
+    ("kind", "first"), [(kind, first) for kind, forms in FIRST_FORMS.items() for first in forms]
+)
+def test_second_response_that_ends_early_does_not_look_whole_and_a_whole_one_does(
+    site, kind, first, form
+):
+    skipped = 2 if first else 0
+    sample = Cell(kind, form, 200, "whole", Stop.CLOSE, "1.1", 2, skipped=skipped)
+    cells = [
+        SecondCell(
+            kind, form, 200, place, stop, version, 2, next(NUMBERS), skipped=skipped, first=first
+        )
+        for place, sent in list_places(sample, "").items()
+        for stop in (Stop.CLOSE, Stop.RESET, Stop.SILENCE)
+        for version in (("1.1", "1.0") if sent.has_head else ("1.1",))
+    ]
+    _check(site, cells)
+
+
 def _check(site: HostedSite, cells: list[Cell]) -> None:
     with run_cells(site, cells), ThreadPoolExecutor(CONCURRENT) as pool:
         results = list(pool.map(lambda cell: call(site, cell), cells))
