--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -152,19 +152,15 @@
     def _read_status(self) -> tuple[str, int, str]:
         """Return the version, the status and the reason of the final response; headers follow.
 
-        http.client would take the first line that is no header for the end of the head, and skip
-        the interim response 100 alone.
+        http.client would take the first line that is no header for the end of the head, and interim
+        responses other than 100 for the response.
         """
-        while True:
-            self.fp.pattern = STATUS_LINE
-            version, status, reason = super()._read_status()
-            self.fp.pattern = HEADER_LINE
-            if status == HTTPStatus.SWITCHING_PROTOCOLS:
-                raise HTTPException("the protocol was switched without a request for it")
-            if status >= HTTPStatus.OK:
-                return version, status, reason
-            while self.fp.readline(MAX_HEAD_B) not in (b"\r\n", b"\n"):
-                pass
+        self.fp.pattern = STATUS_LINE
+        version, status, reason = super()._read_status()
+        self.fp.pattern = HEADER_LINE
+        if status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise HTTPException("the protocol is changed")
+        return version, HTTPStatus.CONTINUE if status < HTTPStatus.OK else status, reason
 
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk or of the next one, None after the last.
--- a/tests/web/test_framing.py
+++ b/tests/web/test_framing.py
@@ -184,6 +184,20 @@
         serve_bytes(data[:-6]).call("GET", "/")
 
 
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_interim_response_is_not_taken_for_the_response(status):
+    interim = f"HTTP/1.1 {status} Status\r\nX-Seal: seal-1\r\nContent-Length: 3\r\n\r\n".encode()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"
+    response = serve_bytes(2 * interim + head + BODY).call("GET", "/")
+    assert (response.status, response.body) == (200, BODY)
+    assert "x-seal" not in response.headers
+
+
+def test_change_of_protocol_raises():
+    with pytest.raises(UpstreamConnectionLost):
+        serve_bytes(HEAD.replace(b"200", b"101") + b"\r\n" + BODY).open("GET", "/")
+
+
 @pytest.mark.parametrize("line", [b"HTTP/1.1 2_00", b"HTTP/1.1 200\0", b"HTTP/1.7 200 OK", b"seat"])
 def test_malformed_status_line_raises(line):
     with pytest.raises(UpstreamConnectionLost):
