--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -115,6 +115,9 @@
                 log.info("feed history no longer available", extra={"feed": self._source.name})
                 self._metrics.count("feed_history_lost_total", {"feed": self._source.name})
                 self._revision = None
+                if self._outage_started_at is not None:
+                    # The store has come back without what it had.
+                    self._report_outage()
             except PlatformError as error:
                 self._record_outage(error, called_at)
                 self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -281,3 +281,15 @@
     )
     follow(source, ReplicaListener(directory))
     assert [r.id for r in directory.list_ready("s")] == ["i-1"]
+
+
+def test_removal_is_deferred_if_the_store_has_lost_its_history_after_a_failure():
+    directory = ReplicaDirectory()
+    source = ScriptedSource(
+        FeedPage((ReplicaListed(RECORD),), 4),
+        StoreUnavailable("connection reset"),
+        HistoryLost("gone"),
+        FeedPage((), 2),
+    )
+    follow(source, ReplicaListener(directory))
+    assert [r.id for r in directory.list_ready("s")] == ["i-1"]
