Checks keys under a configuration whose list of teams is empty

Cause: the decoder gave an absent field and an empty list the same value, and keys were checked only if the list had a team. Ruled out: the relay and the copy of the table, which hold the operator's bytes. Change: an absent field is told from an empty one; a request without a key is told from one with an empty key, and a team with an empty name is named to the replica. null is still rejected, and the configuration before it stays.

--- a/hibiscustray/catalog/model.py
+++ b/hibiscustray/catalog/model.py
@@ -128,7 +128,7 @@
     teams: Mapping[str, TeamEntry] = field(default_factory=dict)
     """Teams by the keys of their callers."""
     requires_keys: bool = False
-    """Whether there are teams, also if none of them has a key at the time."""
+    """Whether callers need a key, also if there is no team or none that has one."""
     _routes_by_prefix: Mapping[tuple[str, str], Route] = field(
         init=False, repr=False, compare=False
     )
@@ -145,9 +145,9 @@
                 return route
         return None
 
-    def find_team(self, key: str) -> TeamEntry | None:
-        """Return the team that a caller's key belongs to."""
-        return self.teams.get(key)
+    def find_team(self, key: str | None) -> TeamEntry | None:
+        """Return the team that a caller's key belongs to, None without a key."""
+        return self.teams.get(key) if key is not None else None
 
     def find_origin(self) -> OriginEntry | None:
         """Return the origin of weights, None if the configuration has none."""
--- a/hibiscustray/feeds/__init__.py
+++ b/hibiscustray/feeds/__init__.py
@@ -26,7 +26,7 @@
     decode_entry_row,
     decode_relay_row,
     encode_copy,
-    find_relay_model,
+    make_announcement,
     make_relay_key,
 )
 from hibiscustray.feeds.listeners import EntryListener, OperatorListener, ReplicaListener
@@ -63,7 +63,7 @@
     "decode_entry_row",
     "decode_relay_row",
     "encode_copy",
-    "find_relay_model",
     "is_earlier_era",
+    "make_announcement",
     "make_relay_key",
 ]
--- a/hibiscustray/feeds/formats.py
+++ b/hibiscustray/feeds/formats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import zlib
 from collections.abc import Mapping
 from typing import Annotated
@@ -12,6 +13,7 @@
 from hibiscustray.decoding import DECODE_ERRORS, decode_json, inflate
 from hibiscustray.exceptions import RecordInvalid
 from hibiscustray.feeds.changes import (
+    Announcement,
     CatalogAnnounced,
     Change,
     EntryReported,
@@ -22,6 +24,8 @@
 )
 from hibiscustray.quarantine import decode_block, decode_report, is_request
 
+log = logging.getLogger(__name__)
+
 CATALOG_KEY = "catalog"
 MAX_COPY_B = 16 * 1024 * 1024
 """Longest copy of a table, many times that of a configuration of thousands of routes."""
@@ -68,6 +72,20 @@
     return key.removeprefix(VERSION_KEY_PREFIX) if key != CATALOG_KEY else ""
 
 
+def make_announcement(key: str, change: Change, row_revision: int) -> Announcement:
+    """Return what a row of the relay announces.
+
+    A row that cannot be decoded announces number 0, so that it is overwritten.
+    """
+    match change:
+        case CatalogAnnounced(revision=number):
+            return Announcement("", number, row_revision)
+        case TargetVersionSet(target=target):
+            return Announcement(target.model, target.version, row_revision)
+    log.warning("relay table row cannot be decoded", extra={"key": key, "change": str(change)})
+    return Announcement(find_relay_model(key), 0, row_revision)
+
+
 def decode_relay_row(key: str, value: bytes | None) -> Change:
     """Decode a row of the relay; raise `RecordInvalid` if that is not possible."""
     number = decode_json(value or b"", Number)
--- a/hibiscustray/gateway/context.py
+++ b/hibiscustray/gateway/context.py
@@ -72,7 +72,7 @@
     catalog: Catalog
     route: Route
     service: ServiceEntry
-    team: str
+    team: str | None
     deadline: float
     demand: Demand
     digest: str
--- a/hibiscustray/gateway/forwarder.py
+++ b/hibiscustray/gateway/forwarder.py
@@ -89,7 +89,7 @@
         route = catalog.find_route(inbound.host, inbound.path)
         if route is None:
             return self._reporter.reject(inbound, 404, "no-route", revision=revision)
-        team = ""
+        team = None
         if catalog.requires_keys and not route.is_anonymous:
             entry = catalog.find_team(inbound.key)
             if entry is None:
@@ -120,7 +120,7 @@
         catalog: Catalog,
         route: Route,
         service: ServiceEntry,
-        team: str,
+        team: str | None,
     ) -> RequestContext:
         deadline_s = inbound.time_left_s if inbound.time_left_s is not None else route.timeout_s
         longest_deadline_s = max(self._longest_deadlines_s.get(route.name, 0.0), deadline_s)
--- a/hibiscustray/gateway/interface.py
+++ b/hibiscustray/gateway/interface.py
@@ -21,9 +21,9 @@
     return hashlib.blake2b(part_id.encode(), digest_size=PART_DIGEST_B).hexdigest()
 
 
-def digest_request(inbound: InboundRequest, team: str) -> str:
+def digest_request(inbound: InboundRequest, team: str | None) -> str:
     """Return the digest of what a request shares with its repeats: target, team and body."""
-    head = "\0".join((inbound.host.lower(), inbound.target, team, ""))
+    head = "\0".join((inbound.host.lower(), inbound.target, team or "", ""))
     digest = hashlib.blake2b(head.encode(errors="surrogateescape"), digest_size=REQUEST_DIGEST_B)
     digest.update(inbound.body)
     return digest.hexdigest()
@@ -51,8 +51,8 @@
     """A request as received from a caller; `received_at` is a time of `read_clock`.
 
     `target` is the path with its query as sent, `headers` are those to forward, `key` is the
-    caller's team key, `prompt_parts` are digests of the parts of the prompt that other requests may
-    share, and `resume_after` is the id of the last stream event that the caller has.
+    caller's team key or None, `prompt_parts` are digests of the parts of the prompt that other
+    requests may share, and `resume_after` is the id of the last stream event that the caller has.
     """
 
     id: str
@@ -64,7 +64,7 @@
     body: bytes
     received_at: float
     time_left_s: float | None = None
-    key: str = ""
+    key: str | None = None
     generation: Generation | None = None
     prompt_parts: tuple[str, ...] = ()
     resume_after: str = ""
@@ -96,7 +96,7 @@
     inbound: InboundRequest
     replica: ReplicaRecord
     time_left_s: float
-    team: str = ""
+    team: str | None = None
     required_version: int = 0
     urgency: int | None = None
     resume_after: str = ""
--- a/hibiscustray/platform/records.py
+++ b/hibiscustray/platform/records.py
@@ -130,7 +130,8 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
-    tenants: tuple[_Tenant, ...] = ()
+    # Without this field no key is checked; an empty list means that no key is valid.
+    tenants: tuple[_Tenant, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _TargetVersion(_WireRecord, frozen=True):
@@ -167,6 +168,7 @@
 def decode_catalog(body: bytes) -> Catalog:
     """Decode the operator's configuration."""
     wire = decode_json(body, _Configuration)
+    has_tenants = wire.tenants is not msgspec.UNSET
     return Catalog(
         revision=wire.version,
         routes=tuple(_read_route(route) for route in wire.routes),
@@ -179,10 +181,10 @@
         ),
         teams={
             key: TeamEntry(tenant.name, tenant.priority)
-            for tenant in wire.tenants
+            for tenant in (wire.tenants if has_tenants else ())
             for key in tenant.keys
         },
-        requires_keys=bool(wire.tenants),
+        requires_keys=has_tenants,
     )
 
 
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -94,7 +94,7 @@
     headers[ATTEMPT_ID] = outbound.inbound.id
     headers[TIME_LEFT_MS] = str(max(1, int(outbound.time_left_s * MS_PER_S)))
     headers[EXPECTED_REPLICA] = outbound.replica.id
-    if outbound.team:
+    if outbound.team is not None:
         headers[TEAM] = outbound.team
     if outbound.required_version:
         headers[EXPECTED_VERSION] = str(outbound.required_version)
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import logging
 from collections.abc import Callable
 from urllib.parse import urlencode
 
@@ -19,7 +18,6 @@
 )
 from hibiscustray.feeds import (
     Announcement,
-    CatalogAnnounced,
     CatalogPublished,
     Change,
     FeedPage,
@@ -32,8 +30,8 @@
     decode_entry_row,
     decode_relay_row,
     encode_copy,
-    find_relay_model,
     is_earlier_era,
+    make_announcement,
     make_relay_key,
 )
 from hibiscustray.platform.records import decode_catalog, decode_replica, decode_target_version
@@ -62,8 +60,6 @@
 from hibiscustray.web import HttpClient, HttpStream
 from hibiscustray.web.numbers import read_number
 
-log = logging.getLogger(__name__)
-
 OK = 200
 WRITE_STATUSES = (200, 201, 204)
 NOT_FOUND = 404
@@ -364,15 +360,7 @@
 
 
 def _read_announcement(row: _Row) -> Announcement:
-    """Decode a row of the relay table; an invalid row gets number 0, so that it is overwritten."""
-    change = _convert_row(row, decode_relay_row)
-    match change:
-        case CatalogAnnounced(revision=number):
-            return Announcement("", number, row.revision)
-        case TargetVersionSet(target=target):
-            return Announcement(target.model, target.version, row.revision)
-    log.warning("relay table row cannot be decoded", extra={"key": row.key, "change": str(change)})
-    return Announcement(find_relay_model(row.key), 0, row.revision)
+    return make_announcement(row.key, _convert_row(row, decode_relay_row), row.revision)
 
 
 def _read_operator_row(key: str, value: bytes | None) -> Change:
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -81,7 +81,6 @@
         if name not in HOP_BY_HOP_HEADERS and name not in REPLACED_HEADERS and name not in options
     )
     target = environ["REQUEST_URI"]
-    authorization = headers.get(AUTHORIZATION.lower(), "")
     return InboundRequest(
         id=headers.get(ATTEMPT_ID.lower()) or uuid.uuid4().hex,
         method=environ["REQUEST_METHOD"],
@@ -92,7 +91,7 @@
         body=environ["wsgi.input"].read(),
         received_at=environ[RECEIVED_AT],
         time_left_s=_read_time_left(headers.get(TIME_LEFT_MS.lower(), "")),
-        key=authorization[len(BEARER_PREFIX) :] if authorization.startswith(BEARER_PREFIX) else "",
+        key=_read_key(headers.get(AUTHORIZATION.lower(), "")),
         generation=_read_generation(headers),
         prompt_parts=_read_prompt_parts(headers.get(PROMPT_PARTS.lower(), "")),
         resume_after=headers.get(LAST_EVENT_ID.lower(), ""),
@@ -100,6 +99,12 @@
     )
 
 
+def _read_key(authorization: str) -> str | None:
+    if not authorization.startswith(BEARER_PREFIX):
+        return None
+    return authorization[len(BEARER_PREFIX) :]
+
+
 def _read_time_left(text: str) -> float | None:
     time_left_ms = read_number(text, MAX_TIME_LEFT_MS)
     return None if time_left_ms is None else time_left_ms / MS_PER_S
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -16,12 +16,13 @@
     SERVER_SEAL,
     StoreStandIn,
     close_without_response,
+    make_configuration,
     reject,
     respond_with_body,
     respond_with_bytes,
     stream_tokens,
 )
-from hibiscustray.platform.wire import ENTRY_TABLE
+from hibiscustray.platform.wire import ENTRY_TABLE, TEAM
 from tests.platform.site import (
     MODEL_HEADERS,
     HostedSite,
@@ -98,14 +99,40 @@
     assert site.call("POST", "/book/1", b"x", Authorization=f"Bearer {KEY}")[0].status == 401
 
 
-def test_no_request_is_run_once_the_only_team_has_no_key_left(site):
+# Guards against requests that run without a valid key, as a configuration with no team or no key
+# was taken for one that asks for no keys.
+@pytest.mark.parametrize(
+    "tenants",
+    [[], [{"name": "hosts", "keys": []}], [{"name": "hosts"}], [{"name": "a", "keys": [""]}]],
+)
+def test_no_request_is_run_once_the_only_team_has_no_key_left(site, tenants):
     replica = site.add_replica("booking", respond_with_body())
-    site.configure(5, tenants=[{"name": "hosts", "keys": []}])
+    site.configure(5, tenants=tenants)
     for headers in ({}, {"Authorization": "Bearer none"}, {"Authorization": ""}):
         assert site.call("POST", "/book/1", b"x", **headers)[0].status == 401
     assert not replica.received
 
 
+# Guards against refusals of all requests where the operator asks for no keys.
+def test_requests_need_no_key_under_a_configuration_without_teams(site):
+    replica = site.add_replica("booking", respond_with_body())
+    configuration = make_configuration(5)
+    del configuration["tenants"]
+    site.store.put("op", "config", configuration)
+    wait_until(lambda: site.process._catalogs.current.revision == 5)
+    for headers in ({"Authorization": ""}, {"Authorization": "Bearer any"}):
+        assert site.call("POST", "/book/1", b"x", **headers)[0].status == 200
+    assert [TEAM.lower() in request.headers for request in replica.received] == [False, False]
+
+
+# Guards against the loss of the team's header if the team's name is empty.
+def test_team_with_an_empty_name_is_named_to_the_replica(site):
+    replica = site.add_replica("booking", respond_with_body())
+    site.configure(5, tenants=[{"name": "", "keys": ["k"]}])
+    assert site.call("POST", "/book/1", b"x", Authorization="Bearer k")[0].status == 200
+    assert TEAM.lower() in replica.received[0].headers
+
+
 def test_a_request_of_an_unknown_route_kind_is_sent_once_and_not_repeated(site):
     site.configure(
         4,
