Ends every call to the store before the contact time is over

Cause: a call waits up to 2.5 s for a change and fails 1 s after that; a silence at its beginning was noticed after 3.5 s. Reads, writes and immediate calls failed after 3 s, an agent's calls after 7 to 9 s. Ruled out: the time to read what was missed, a few milliseconds; the grace period for relisting, which the log line "feed available again" shows as not begun (store_away false). Change: the wait and the limit of all calls follow from `contact_ms`, which the templates pass on: at 3 s a call waits 1.5 s and fails after 2.5 s, at 4 s 2.5 s and 3.5 s, at 5 s 2.5 s (the setting) and 4.5 s. It holds for all feeds of entries and agents, and is changed without a restart. After a call that failed late there is no pause. An idle connection, which may be silent, is never used again. "feed unavailable" logs how long the call took.

--- a/hibiscustray/agent/hosted.py
+++ b/hibiscustray/agent/hosted.py
@@ -5,7 +5,7 @@
 import logging
 
 from hibiscustray.agent.stager import WeightsStager
-from hibiscustray.feeds import FeedFollower
+from hibiscustray.feeds import FeedFollower, find_call_limits
 from hibiscustray.peers import PeerPool, PeerServer
 from hibiscustray.settings import HostedSettings
 from hibiscustray.web import HttpServer
@@ -52,6 +52,9 @@
     def reload(self, settings: HostedSettings) -> None:
         """Apply changed bounds; addresses do not change while the process runs."""
         self._stager.set_version_bound(settings.bounds.version_ms / MS_PER_S)
+        contact_s = settings.bounds.contact_ms / MS_PER_S
+        for follower in self._followers:
+            follower.set_limits(find_call_limits(contact_s, settings.store.wait_s))
 
     def stop(self) -> None:
         """Stop all servers and threads."""
--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -14,6 +14,7 @@
 from hibiscustray.composition.parts import MIB, MS_PER_S, DeferredApplication, make_incarnation
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.feeds import (
+    CallLimits,
     EntryListener,
     FeedFollower,
     OperatorListener,
@@ -22,6 +23,7 @@
     RelayWriter,
     RelayWriterTuning,
     ReplicaListener,
+    find_call_limits,
 )
 from hibiscustray.gateway import (
     AttemptController,
@@ -130,11 +132,12 @@
     entry_id = settings.process.id
     quarantine = PartQuarantine(entry_id, metrics)
     roster = EntryRoster(entry_id, notices.share_among)
-    reports = EntryFeed(PlatformStore(settings.store.address))
+    limits = _find_limits(settings)
+    reports = EntryFeed(PlatformStore(settings.store.address, limits.call_s))
     entries = FeedFollower(
         reports,
         EntryListener(quarantine, roster, entry_id),
-        settings.store.wait_s,
+        limits.wait_s,
         metrics,
         REPORT_PAUSE_S,
     )
@@ -249,21 +252,25 @@
     on_version: Callable[[], object] = lambda: None,
 ) -> _FeedState:
     catalogs, versions, directory = CatalogHolder(), TargetVersions(), ReplicaDirectory()
-    store = PlatformStore(settings.store.address)
-    wait_s, pause_s = settings.store.wait_s, settings.store.list_pause_s
+    limits = _find_limits(settings)
+    store = PlatformStore(settings.store.address, limits.call_s)
     operator = build_operator(
-        store, OperatorListener(catalogs, versions, on_version), wait_s, metrics
+        store, OperatorListener(catalogs, versions, on_version), limits.wait_s, metrics
     )
     replicas = FeedFollower(
         ReplicaFeed(store),
         ReplicaListener(directory, _list_entry_addresses(settings)),
-        wait_s,
+        limits.wait_s,
         metrics,
-        pause_s,
+        settings.store.list_pause_s,
     )
     return _FeedState(catalogs, versions, directory, (operator, replicas))
 
 
+def _find_limits(settings: HostedSettings) -> CallLimits:
+    return find_call_limits(settings.bounds.contact_ms / MS_PER_S, settings.store.wait_s)
+
+
 def _list_entry_addresses(settings: HostedSettings) -> frozenset[str]:
     """Return the addresses of an entry's servers; an agent sends nothing to those of replicas."""
     entry, process = settings.entry, settings.process
--- a/hibiscustray/feeds/__init__.py
+++ b/hibiscustray/feeds/__init__.py
@@ -29,11 +29,13 @@
     make_announcement,
     make_relay_key,
 )
+from hibiscustray.feeds.limits import CallLimits, find_call_limits
 from hibiscustray.feeds.listeners import EntryListener, OperatorListener, ReplicaListener
 from hibiscustray.feeds.relay import RelayReader, RelayReaderTuning, RelayWriter, RelayWriterTuning
 
 __all__ = [
     "Announcement",
+    "CallLimits",
     "CatalogAnnounced",
     "CatalogPublished",
     "Change",
@@ -63,6 +65,7 @@
     "decode_entry_row",
     "decode_relay_row",
     "encode_copy",
+    "find_call_limits",
     "is_earlier_era",
     "make_announcement",
     "make_relay_key",
--- a/hibiscustray/feeds/changes.py
+++ b/hibiscustray/feeds/changes.py
@@ -140,6 +140,10 @@
         """Return the changes since a revision, waiting up to `wait_s` for the first one."""
         ...
 
+    def limit_calls(self, call_s: float) -> None:
+        """Let later calls fail that have no response after `call_s` seconds."""
+        ...
+
 
 class RelaySource(FeedSource, Protocol):
     """The relay's table of announcements, and access to the operator table that they refer to."""
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -23,6 +23,7 @@
     is_earlier_era,
 )
 from hibiscustray.feeds.clock import ResponseTimes, StoreClock
+from hibiscustray.feeds.limits import CallLimits
 from hibiscustray.telemetry import Metrics
 
 log = logging.getLogger(__name__)
@@ -113,6 +114,11 @@
         """Stop following; a running call is not interrupted and ends at its timeout."""
         self._stopping.set()
 
+    def set_limits(self, limits: CallLimits) -> None:
+        """Apply changed limits to later calls."""
+        self._wait_s = limits.wait_s
+        self._source.limit_calls(limits.call_s)
+
     def _run(self) -> None:
         pause_s = MIN_BACKOFF_S
         while not self._stopping.is_set():
@@ -133,7 +139,9 @@
                     self._report_outage()
             except PlatformError as error:
                 self._record_outage(error, called_at)
-                self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
+                # A call that has taken longer than the pause has spared the store already.
+                passed_s = read_clock() - called_at
+                self._stopping.wait(max(0.0, pause_s * random.uniform(0.5, 1.0) - passed_s))
                 pause_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_FACTOR)
             except Exception:
                 # The thread must survive any failure; a full read recovers missed changes.
@@ -288,7 +296,14 @@
         self._metrics.count("feed_failures_total", {"feed": self._source.name})
         if self._outage_started_at is None:
             self._outage_started_at = read_clock()
-            log.warning("feed unavailable", extra={"feed": self._source.name, "reason": str(error)})
+            log.warning(
+                "feed unavailable",
+                extra={
+                    "feed": self._source.name,
+                    "reason": str(error),
+                    "call_s": round(read_clock() - called_at, 3),
+                },
+            )
         else:
             # One lost connection alone, reset or silent, does not mean that the store was away.
             self._report_outage()
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -8,7 +8,7 @@
 from hibiscustray.catalog import Catalog, CatalogHolder
 from hibiscustray.clock import read_clock
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.feeds import FeedFollower
+from hibiscustray.feeds import FeedFollower, find_call_limits
 from hibiscustray.gateway.attempts import VersionLimits
 from hibiscustray.gateway.drain import DrainWindow
 from hibiscustray.gateway.forwarder import RequestForwarder
@@ -108,6 +108,9 @@
         """Apply changed bounds; addresses do not change while the process runs."""
         self._forwarder.set_limits(VersionLimits(settings.bounds.version_ms / MS_PER_S))
         self._budgets.set_limits(*find_retry_limits(settings.bounds))
+        contact_s = settings.bounds.contact_ms / MS_PER_S
+        for follower in self._followers:
+            follower.set_limits(find_call_limits(contact_s, settings.store.wait_s))
 
     def stop(self) -> None:
         """Stop all servers and threads; a second call does nothing."""
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -68,10 +68,8 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 COPY_OBJECT_NAME = "hibiscustray-operator-table"
 """Object that holds the compressed copy of the operator's table."""
-LONG_POLL_MARGIN_S = 1.0
-"""Time allowed for a response beyond the requested wait; the store itself takes milliseconds."""
-READ_TIMEOUT_S = 3.0
-"""Shortest time without data after which a call fails. A link between regions that is busy with
+CALL_TIMEOUT_S = 2.5
+"""Time without data after which a call fails, by default. A link between regions that is busy with
 weights and configurations delays responses by two seconds, and each retry adds to its load."""
 CONNECT_TIMEOUT_S = 0.5
 
@@ -100,10 +98,15 @@
 
 
 class PlatformStore:
-    """Reads and writes tables and objects of the platform's store."""
+    """Reads and writes tables and objects of the platform's store.
 
-    def __init__(self, address: str) -> None:
-        self._http = HttpClient(f"http://{address}", READ_TIMEOUT_S)
+    Calls fail that receive nothing for `call_s` seconds.
+    """
+
+    def __init__(self, address: str, call_s: float = CALL_TIMEOUT_S) -> None:
+        # Each call opens a new connection, as an idle one may have gone silent.
+        self._http = HttpClient(f"http://{address}", max_idle_connections=0)
+        self.call_s = call_s
 
     def read_table(self, table: str, key_prefix: str = "") -> _Page:
         """Return all rows of a table's partition with an empty name; raise `StoreUnavailable`."""
@@ -114,7 +117,7 @@
             query["target"] = key_prefix[:-1] + chr(ord(key_prefix[-1]) + 1)
         first: _Page | None = None
         while True:
-            page = self._get(ROWS_GET_PATH, query, READ_TIMEOUT_S)
+            page = self._get(ROWS_GET_PATH, query)
             first = first or page
             if page.era != first.era:
                 raise StoreUnavailable(f"the store was restored while {table} was read")
@@ -133,7 +136,7 @@
         """
         wait_ms = int(wait_s * MS_PER_S)
         query = {"table": table, "sinceRev": revision, "waitMs": wait_ms}
-        return self._get(ROWS_FEED_PATH, query, max(READ_TIMEOUT_S, wait_s + LONG_POLL_MARGIN_S))
+        return self._get(ROWS_FEED_PATH, query)
 
     def write_rows(self, table: str, rows: dict[str, tuple[bytes, int]]) -> tuple[_Row, ...]:
         """Write values in one transaction if each row still has the given revision, 0 for no row.
@@ -161,7 +164,7 @@
     ) -> tuple[_Row, ...]:
         body = {"precondition": conditions, "puts": puts, "remove": removals or []}
         encoded = msgspec.json.encode(body)
-        response, current = self._call("POST", ROWS_TX_PATH, READ_TIMEOUT_S, encoded)
+        response, current = self._call("POST", ROWS_TX_PATH, encoded)
         if response.status == OK:
             return ()
         if response.status != PRECONDITION_FAILED:
@@ -172,14 +175,14 @@
 
     def read_object(self, name: str) -> bytes | None:
         """Return an object's bytes, None if it does not exist; raise `StoreUnavailable`."""
-        response, body = self._call("GET", f"{OBJECT_GET_PATH}{name}", READ_TIMEOUT_S)
+        response, body = self._call("GET", f"{OBJECT_GET_PATH}{name}")
         if response.status not in (OK, NOT_FOUND):
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
         return body if response.status == OK else None
 
     def write_object(self, name: str, body: bytes) -> None:
         """Write an object, replacing an earlier one; raise `StoreUnavailable`."""
-        response, _ = self._call("PUT", f"{OBJECT_PUT_PATH}{name}", READ_TIMEOUT_S, body)
+        response, _ = self._call("PUT", f"{OBJECT_PUT_PATH}{name}", body)
         if response.status not in WRITE_STATUSES:
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
 
@@ -187,8 +190,8 @@
         """Close the idle connections."""
         self._http.close()
 
-    def _get(self, path: str, query: dict, timeout_s: float) -> _Page:
-        response, body = self._call("GET", f"{path}?{urlencode(query)}", timeout_s)
+    def _get(self, path: str, query: dict) -> _Page:
+        response, body = self._call("GET", f"{path}?{urlencode(query)}")
         if response.status == GONE:
             raise HistoryLost(f"changes since {query.get('sinceRev')} are no longer stored")
         if response.status != OK:
@@ -201,16 +204,13 @@
             era=read_number(response.headers.get(STORE_ERA.lower(), "")),
         )
 
-    def _call(
-        self, method: str, path: str, timeout_s: float, body: bytes = b""
-    ) -> tuple[HttpStream, bytes]:
+    def _call(self, method: str, path: str, body: bytes = b"") -> tuple[HttpStream, bytes]:
         """Return the response, which is already closed, and its body."""
         headers = JSON_HEADERS if method == "POST" else {}
-        limits = {"timeout_s": timeout_s, "connect_timeout_s": CONNECT_TIMEOUT_S}
+        limits = {"timeout_s": self.call_s, "connect_timeout_s": CONNECT_TIMEOUT_S}
         try:
             stream = self._http.open(method, path, body, headers, **limits)
             try:
-                stream.set_timeout(READ_TIMEOUT_S)
                 return stream, stream.read_all()
             finally:
                 stream.close()
@@ -236,6 +236,10 @@
         """Return the changes since a revision, waiting up to `wait_s` for the first one."""
         return self._convert(self._store.follow_table(self.name, revision, wait_s))
 
+    def limit_calls(self, call_s: float) -> None:
+        """Let later calls fail that receive nothing for `call_s` seconds."""
+        self._store.call_s = call_s
+
     def _convert(self, page: _Page) -> FeedPage:
         return _convert_page(page, self._read_row)
 
--- a/hibiscustray/settings/hosted.py
+++ b/hibiscustray/settings/hosted.py
@@ -68,11 +68,13 @@
     """Limits that the platform prescribes.
 
     `version_ms` limits the time for swapping to a new target version, `grace_s` the time for
-    draining. `retry_share` is the allowed ratio of retries to requests, `retry_slack` the number of
-    retries that all entries together may make in a window beyond this share.
+    draining, `contact_ms` the time until a process knows all changes again after its connections
+    were lost. `retry_share` is the allowed ratio of retries to requests, `retry_slack` the number
+    of retries that all entries together may make in a window beyond this share.
     """
 
     version_ms: NonNegativeFloat = 8000.0
+    contact_ms: PositiveFloat = 3000.0
     grace_s: NonNegativeFloat = 8.0
     retry_share: NonNegativeFloat = 0.2
     retry_slack: NonNegativeFloat = 100.0
--- a/tests/settings/test_hosted.py
+++ b/tests/settings/test_hosted.py
@@ -22,7 +22,8 @@
     "listen": {"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002"},
     "internalPorts": [7700, 7715],
     "limits": {"linkMbps": 3.65},
-    "parameters": {"version_ms": 8000, "graceS": 8, "budgetRatio": 0.2, "retrySlack": 100},
+    "parameters": {"version_ms": 8000, "contactMs": 4000, "graceS": 8}
+    | {"budgetRatio": 0.2, "retrySlack": 100},
     "platform": {"addr": "10.200.1.7:8007"},
     "app": "10.1.0.41:8001",
     "service": "guide",
@@ -55,11 +56,16 @@
     return path
 
 
+def agent_contact_ms(folder: Path) -> float:
+    return load_hosted_settings(write_settings(folder, "agent"), "agent").bounds.contact_ms
+
+
 def test_deployed_templates_give_valid_settings(tmp_path):
     entry = load_hosted_settings(write_settings(tmp_path, "entry"), "entry")
     assert entry.entry.callers == "10.1.0.40:8005"
     assert entry.regions == {"akl-a": "akl", "wlg-a": "wlg"}
     assert (entry.bounds.version_ms, entry.bounds.retry_share) == (8000.0, 0.2)
+    assert entry.bounds.contact_ms == agent_contact_ms(tmp_path) == 4000.0
     agent = load_hosted_settings(write_settings(tmp_path, "agent"), "agent")
     assert agent.upstream.service == "guide"
     assert (agent.process.peer_port, agent.links.mbit_s) == (7700, 3.65)
