Keeps what a restored table of entries may have lost, and writes it again

What callers would see: after the store came back from a copy, a harmful request was let through again, as the row that blocks it was gone, and limits of replicas were shared among too few entries. An entry's own report stayed as it was before the copy, up to 300 s. Found by reading every table through an era; seen in tests only. Cause: a row that is missing in a whole read was taken for a removed one; after a change of eras it may only be lost. Change: the listener is told of a restore. Blocks without a row are written again, entries without a row count until their row is removed or the table is read once more, and the own report is written again.

--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -126,6 +126,7 @@
         self._roster = roster
         self._entry_id = entry_id
         self._has_read_table = False
+        self._is_restored = False
 
     def replace(self, changes: tuple[Change, ...], earliest_at: float) -> None:
         """Replace all reports; in the first read, those of unknown age count as just written."""
@@ -134,7 +135,7 @@
         # A row that cannot be read is that of an entry of another release.
         unread = [c.key for c in changes if isinstance(c, RowRejected) and not is_request(c.key)]
         living = [entry_id for entry_id, report in reports.items() if not report.has_left]
-        self._roster.replace([*living, *unread])
+        self._roster.replace([*living, *unread], self._is_restored)
         own_report = reports.pop(self._entry_id, None)
         if own_report is not None and not self._has_read_table:
             self._quarantine.continue_blocks(own_report, written_at)
@@ -147,7 +148,9 @@
         blocked = [c for c in changes if isinstance(c, RequestBlocked)]
         for change in blocked:
             self._quarantine.record_request_row(change.request, change.trials)
-        self._quarantine.record_request_table({c.request for c in blocked})
+        requests = {change.request for change in blocked}
+        self._quarantine.record_request_table(requests, self._is_restored)
+        self._is_restored = False
 
     def apply(self, change: Change, earliest_at: float) -> None:
         """Apply the change of one row."""
@@ -178,4 +181,5 @@
         """Keep the reports until newer ones arrive."""
 
     def record_restore(self) -> None:
-        """Keep the reports until newer ones arrive."""
+        """Keep what the table may have lost until it is written again."""
+        self._is_restored = self._has_read_table
--- a/hibiscustray/membership/roster.py
+++ b/hibiscustray/membership/roster.py
@@ -45,11 +45,15 @@
         with self._lock:
             return min(self._changed_at, default="") == self._own_id
 
-    def replace(self, entry_ids: Iterable[str]) -> None:
-        """Record all rows of the table."""
+    def replace(self, entry_ids: Iterable[str], is_restored: bool = False) -> None:
+        """Record all rows of the table.
+
+        A table that was restored from a copy may lack rows, which their entries write again.
+        """
         with self._lock:
             now = self._clock()
-            self._changed_at = {e: self._changed_at.get(e, now) for e in entry_ids}
+            kept = set(self._changed_at) - {self._own_id} if is_restored else set()
+            self._changed_at = {e: self._changed_at.get(e, now) for e in {*entry_ids, *kept}}
             self._is_loaded = True
         self._notify()
 
--- a/hibiscustray/quarantine/quarantine.py
+++ b/hibiscustray/quarantine/quarantine.py
@@ -234,11 +234,16 @@
                     other.losses = [loss for loss in other.losses if loss.part != request]
         self.on_change()
 
-    def record_request_table(self, requests: set[str]) -> None:
-        """Record that the whole table has been read, and which requests have a row."""
+    def record_request_table(self, requests: set[str], is_restored: bool = False) -> None:
+        """Record that the whole table has been read, and which requests have a row.
+
+        What a table that was restored from a copy may have lost is written again.
+        """
         with self._lock:
-            self._request_blocks.record_table(requests)
+            self._request_blocks.record_table(requests, is_restored)
             self._is_loaded = True
+            if is_restored:
+                self._ledger.revision += 1
         self.on_change()
 
     def list_row_changes(self) -> dict[str, RowChange]:
--- a/hibiscustray/quarantine/requests.py
+++ b/hibiscustray/quarantine/requests.py
@@ -116,10 +116,17 @@
         self._on_decision("request released", request)
         return True
 
-    def record_table(self, requests: set[str]) -> None:
-        """Record all rows of the table; blocks whose rows were removed meanwhile end."""
+    def record_table(self, requests: set[str], is_restored: bool = False) -> None:
+        """Record all rows of the table; blocks whose rows were removed meanwhile end.
+
+        A table that was restored from a copy may have lost rows, which are written again.
+        """
         for request, block in list(self._blocks.items()):
-            if block.is_listed and request not in requests:
+            if not block.is_listed or request in requests:
+                continue
+            if is_restored:
+                self._blocks[request] = replace(block, is_listed=False, tried_at=NEVER)
+            else:
                 self.record_removal(request)
         self._ended = {r: at for r, at in self._ended.items() if r in requests}
 
