Shows that an announcement by a row revision of an earlier era is written again

The last path of writes through an era: the condition of a write may hold by chance, as revisions are given out again.

--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -169,6 +169,22 @@
     ), "the first call returns the row of others, the second replaces it"
 
 
+# Guards against an announcement that stays behind: it was written by a row revision that the store
+# has given out again after it came back from a copy.
+def test_announcement_that_replaced_a_newer_one_of_the_next_era_is_written_again(setup):
+    setup.table.full_page = FeedPage((CatalogPublished(Catalog(1)),), 1, era=0)
+    setup.relay.rows[""] = Announcement("", 2, 3)
+    setup.publish(4, era=0)
+    setup.follower.start()
+    wait_until(lambda: setup.relay.numbers() == {"": 4})
+    setup.relay.rows[""] = Announcement("", 9, 3)
+    setup.publish(8, era=0)
+    wait_until(lambda: setup.relay.numbers() == {"": 8})
+    setup.table.full_page = FeedPage((CatalogPublished(Catalog(9)),), 5, era=1)
+    setup.table.push(FeedPage((), 5, era=1))
+    wait_until(lambda: setup.relay.numbers() == {"": 9})
+
+
 def test_writer_copies_only_large_configuration(setup):
     setup.publish(2, **NEAR)
     setup.publish(3)
