Binds an agent's calls to the store by the version bound instead of the contact time

Reason: an agent passes no requests on, so no rule binds it by the contact time; entries refuse older weights whatever an agent knows (VERSION). What binds it is to know a version early enough to load it: half of the version bound, 4 s at 8 s, 6.7 s at 13.4 s.

--- a/hibiscustray/agent/hosted.py
+++ b/hibiscustray/agent/hosted.py
@@ -5,7 +5,7 @@
 import logging
 
 from hibiscustray.agent.stager import WeightsStager
-from hibiscustray.feeds import FeedFollower, find_call_limits
+from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits
 from hibiscustray.peers import PeerPool, PeerServer
 from hibiscustray.settings import HostedSettings
 from hibiscustray.web import HttpServer
@@ -15,6 +15,8 @@
 
 MS_PER_S = 1000.0
 STOP_GRACE_S = 1.0
+NOTICE_SHARE = 0.5
+"""Share of the version bound within which a new version is known; a transfer takes the rest."""
 
 
 class HostedAgentProcess:
@@ -52,9 +54,8 @@
     def reload(self, settings: HostedSettings) -> None:
         """Apply changed bounds; addresses do not change while the process runs."""
         self._stager.set_version_bound(settings.bounds.version_ms / MS_PER_S)
-        contact_s = settings.bounds.contact_ms / MS_PER_S
         for follower in self._followers:
-            follower.set_limits(find_call_limits(contact_s, settings.store.wait_s))
+            follower.set_limits(find_agent_call_limits(settings))
 
     def stop(self) -> None:
         """Stop all servers and threads."""
@@ -66,3 +67,13 @@
         self._http.stop()
         self._peers.close()
         log.info("agent stopped")
+
+
+def find_agent_call_limits(settings: HostedSettings) -> CallLimits:
+    """Return the limits with which an agent knows new versions early enough to load them in time.
+
+    Agents pass no requests on, and there are many of them, so the contact time does not bind them.
+    """
+    bounds = settings.bounds
+    notice_s = max(bounds.contact_ms, NOTICE_SHARE * bounds.version_ms) / MS_PER_S
+    return find_call_limits(notice_s, settings.store.wait_s)
--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from hibiscustray.agent import ChunkServer
-from hibiscustray.agent.hosted import HostedAgentProcess
+from hibiscustray.agent.hosted import HostedAgentProcess, find_agent_call_limits
 from hibiscustray.agent.roster import AgentRoster
 from hibiscustray.agent.stager import OriginManifests, WeightsStager
 from hibiscustray.catalog import CatalogHolder, TargetVersions
@@ -23,7 +23,6 @@
     RelayWriter,
     RelayWriterTuning,
     ReplicaListener,
-    find_call_limits,
 )
 from hibiscustray.gateway import (
     AttemptController,
@@ -31,6 +30,7 @@
     RequestForwarder,
     RequestReporter,
     VersionLimits,
+    find_entry_call_limits,
     find_retry_limits,
 )
 from hibiscustray.membership import MemberView
@@ -119,7 +119,8 @@
 def build_hosted_entry(settings: HostedSettings, metrics: Metrics) -> GatewayProcess:
     """Build an entry that runs on the platform."""
     assert settings.entry is not None
-    feed_state = _build_feed_state(settings, metrics, _build_relay_writer)
+    limits = find_entry_call_limits(settings)
+    feed_state = _build_feed_state(settings, limits, metrics, _build_relay_writer)
     zone = settings.process.availability_zone
     notices = ReplicaNotices(metrics)
     placer = Placer(feed_state.directory, notices, zone, settings.regions, settings.process.id)
@@ -132,7 +133,6 @@
     entry_id = settings.process.id
     quarantine = PartQuarantine(entry_id, metrics)
     roster = EntryRoster(entry_id, notices.share_among)
-    limits = _find_limits(settings)
     reports = EntryFeed(PlatformStore(settings.store.address, limits.call_s))
     entries = FeedFollower(
         reports,
@@ -181,6 +181,7 @@
     stager_holder: list[WeightsStager] = []
     feed_state = _build_feed_state(
         settings,
+        find_agent_call_limits(settings),
         metrics,
         _build_relay_reader,
         lambda: [stager.cancel_outdated_transfer() for stager in stager_holder],
@@ -247,12 +248,12 @@
 
 def _build_feed_state(
     settings: HostedSettings,
+    limits: CallLimits,
     metrics: Metrics,
     build_operator: Callable[..., FeedFollower],
     on_version: Callable[[], object] = lambda: None,
 ) -> _FeedState:
     catalogs, versions, directory = CatalogHolder(), TargetVersions(), ReplicaDirectory()
-    limits = _find_limits(settings)
     store = PlatformStore(settings.store.address, limits.call_s)
     operator = build_operator(
         store, OperatorListener(catalogs, versions, on_version), limits.wait_s, metrics
@@ -267,10 +268,6 @@
     return _FeedState(catalogs, versions, directory, (operator, replicas))
 
 
-def _find_limits(settings: HostedSettings) -> CallLimits:
-    return find_call_limits(settings.bounds.contact_ms / MS_PER_S, settings.store.wait_s)
-
-
 def _list_entry_addresses(settings: HostedSettings) -> frozenset[str]:
     """Return the addresses of an entry's servers; an agent sends nothing to those of replicas."""
     entry, process = settings.entry, settings.process
--- a/hibiscustray/gateway/__init__.py
+++ b/hibiscustray/gateway/__init__.py
@@ -11,7 +11,11 @@
     ReplicaResponse,
     digest_part,
 )
-from hibiscustray.gateway.process import GatewayProcess, find_retry_limits
+from hibiscustray.gateway.process import (
+    GatewayProcess,
+    find_entry_call_limits,
+    find_retry_limits,
+)
 from hibiscustray.gateway.reporter import RequestReporter
 
 __all__ = [
@@ -27,5 +31,6 @@
     "RequestReporter",
     "VersionLimits",
     "digest_part",
+    "find_entry_call_limits",
     "find_retry_limits",
 ]
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -8,7 +8,7 @@
 from hibiscustray.catalog import Catalog, CatalogHolder
 from hibiscustray.clock import read_clock
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.feeds import FeedFollower, find_call_limits
+from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits
 from hibiscustray.gateway.attempts import VersionLimits
 from hibiscustray.gateway.drain import DrainWindow
 from hibiscustray.gateway.forwarder import RequestForwarder
@@ -108,9 +108,8 @@
         """Apply changed bounds; addresses do not change while the process runs."""
         self._forwarder.set_limits(VersionLimits(settings.bounds.version_ms / MS_PER_S))
         self._budgets.set_limits(*find_retry_limits(settings.bounds))
-        contact_s = settings.bounds.contact_ms / MS_PER_S
         for follower in self._followers:
-            follower.set_limits(find_call_limits(contact_s, settings.store.wait_s))
+            follower.set_limits(find_entry_call_limits(settings))
 
     def stop(self) -> None:
         """Stop all servers and threads; a second call does nothing."""
@@ -134,6 +133,11 @@
         )
 
 
+def find_entry_call_limits(settings: HostedSettings) -> CallLimits:
+    """Return the limits with which an entry knows all changes within its contact time."""
+    return find_call_limits(settings.bounds.contact_ms / MS_PER_S, settings.store.wait_s)
+
+
 def find_retry_limits(bounds: HostedBounds) -> tuple[float, float]:
     """Return the share and the capacity of an entry's retry budgets."""
     share, slack = bounds.retry_share, bounds.retry_slack
--- a/hibiscustray/settings/hosted.py
+++ b/hibiscustray/settings/hosted.py
@@ -47,11 +47,11 @@
 class HostedStore:
     """Address of the platform's store; `wait_s` is the longest wait of one call for changes.
 
-    `list_pause_s` is the pause between two reads of the list of replicas.
+    The bounds may allow less. `list_pause_s` is the pause between reads of the list of replicas.
     """
 
     address: str
-    wait_s: PositiveFloat = 2.5
+    wait_s: PositiveFloat = 8.0
     list_pause_s: NonNegativeFloat = 0.0
 
 
