--- a/hibiscustray/agent/hosted.py
+++ b/hibiscustray/agent/hosted.py
@@ -15,7 +15,7 @@
 
 MS_PER_S = 1000.0
 STOP_GRACE_S = 1.0
-NOTICE_SHARE = 0.5
+NOTICE_SHARE = 0.6
 """Share of the version bound within which a new version is known; a transfer takes the rest."""
 
 
