Keeps chunks of weights from queueing up in front of requests on a congested link

What callers saw: behind a VM whose link is squeezed while new weights are named, requests waited for up to 5 s, were run after their callers had left (GONE) or on weights that were too old by then (VERSION).

Cause: agents filled the queue of that link themselves. Each member passed up to three chunks at a time to the same receiver and held on to them for 1.5 s, the receiver requested five more once nothing had arrived for 0.5 s, and requests without an answer within 1.5 s were sent again while the first answer was still on its way. Five senders with three chunks of 24,576 bytes each are 4.5 s of a link of 0.66 Mbit/s. Ruled out before: the time to connect, which stays under 0.25 s.

Change: one chunk at a time is under way from a member to another. If it is not acknowledged within 0.4 s, further ones go to the members behind.

--- a/hibiscustray/weights/relay.py
+++ b/hibiscustray/weights/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -18,12 +19,19 @@
 SENDERS = 3
 """Chunks under way at a time; their starts are spread by the rate limiter of the uplink."""
 PUSH_TIMEOUT_S = 1.5
+SLOW_PUSH_S = 0.4
+"""Time after which a chunk that is not acknowledged shows that the link of its receiver is
+congested. What is sent there after it would only wait in front of requests."""
 FAILURE_PAUSE_S = 2.0
 """Time without pull requests to a member that did not accept a chunk."""
 
 
 class ChunkRelay:
-    """Passes chunks on in the order in which they arrive, at the rate of the uplink."""
+    """Passes chunks on in the order in which they arrive, at the rate of the uplink.
+
+    One chunk is under way to a member at a time. The members behind one whose link is congested
+    get the chunks in its place.
+    """
 
     def __init__(
         self,
@@ -39,6 +47,8 @@
         self._uplink = uplink
         self._metrics = metrics
         self._senders = ThreadPoolExecutor(SENDERS, thread_name_prefix="relay")
+        self._under_way: dict[str, float] = {}
+        self._push_ended = threading.Condition()
 
     def stop(self) -> None:
         """Drop the chunks that are still queued; those under way end by their timeouts."""
@@ -78,6 +88,11 @@
                 return
             data = self._cache.get(swarm.digest, index)
             self._uplink.wait_for_start(len(data))
+            if not self._begin_push(address):
+                self._metrics.count("chunk_pushes_diverted_total")
+                swarm.arrivals.record_failure("diverted")
+                self._divert(swarm, index, address, tried, is_source)
+                return
             started = time.monotonic()
             push = ChunkPush(
                 swarm.digest,
@@ -86,15 +101,17 @@
                 not swarm.is_in_own_region(address),
                 swarm.make_have_sets(),
             )
-            reply = self._peers.get(address).pass_chunk(push, PUSH_TIMEOUT_S)
+            try:
+                reply = self._peers.get(address).pass_chunk(push, PUSH_TIMEOUT_S)
+            finally:
+                self._end_push(address)
         except ChunkMissing:
             return
         except PeerError:
             self._metrics.count("chunk_pushes_failed_total")
             swarm.arrivals.record_failure("push")
             self._peers.retire_connection(address)
-            swarm.record_failure(address, FAILURE_PAUSE_S)
-            self._submit(swarm, index, tried, is_source)
+            self._divert(swarm, index, address, tried, is_source)
             return
         except Exception:
             # The executor would keep the error to itself.
@@ -105,3 +122,26 @@
         if reply.is_known:
             swarm.record_response(address)
             swarm.replace_have_set(address, reply.bitmap)
+
+    def _divert(
+        self, swarm: Swarm, index: int, address: str, tried: frozenset[str], is_source: bool
+    ) -> None:
+        """Pass a chunk on to the members behind one that does not accept chunks for now."""
+        swarm.record_failure(address, FAILURE_PAUSE_S)
+        self._submit(swarm, index, tried, is_source)
+
+    def _begin_push(self, address: str) -> bool:
+        """Wait for the chunk that is under way to a member; return False if it takes too long."""
+        with self._push_ended:
+            while (started := self._under_way.get(address)) is not None:
+                left_s = started + SLOW_PUSH_S - time.monotonic()
+                if left_s <= 0:
+                    return False
+                self._push_ended.wait(left_s)
+            self._under_way[address] = time.monotonic()
+            return True
+
+    def _end_push(self, address: str) -> None:
+        with self._push_ended:
+            self._under_way.pop(address, None)
+            self._push_ended.notify_all()
--- a/hibiscustray/weights/scheduling.py
+++ b/hibiscustray/weights/scheduling.py
@@ -17,12 +17,14 @@
     rank_member,
 )
 from hibiscustray.weights.swarm import Members, Swarm
+from hibiscustray.weights.window import RequestWindow
 
 Objective = Literal["time", "origin_bytes"]
 
 MAX_ORIGIN_FETCHES = 2
 MAX_IMPORTS = 2
 """Concurrent imports of one agent from one other region."""
+MAX_REQUESTS = 6
 TAKEOVER_RANKS_PER_REGION = 2
 """Members of each region that may take over a chunk before those of the next region."""
 HEDGE_FACTOR = 2.0
@@ -63,6 +65,7 @@
     imports: int = MAX_IMPORTS
     pull_delay_s: float = 0.0
     idle_s: float = 0.0
+    requests: int = MAX_REQUESTS
 
 
 class FetchScheduler:
@@ -94,6 +97,7 @@
         self._taken_over = 0
         self._sources: dict[int, str] = {}
         self._lock = threading.Lock()
+        self.window = RequestWindow(limits.requests)
 
     @property
     def planned(self) -> int:
@@ -240,6 +244,8 @@
 
     def _choose_import(self, index: int, source: str) -> FetchJob | None:
         """Return a request to a peer in the source region, or in any other one if it is empty."""
+        if self._count(PeerFetch) >= self.window.limit:
+            return None
         for region in [source] if source else sorted(self._regions()):
             if region == self._own.region or self._count_imports(region) >= self._limits.imports:
                 continue
@@ -255,6 +261,8 @@
         return self._limits.idle_s if is_idle else self._limits.pull_delay_s
 
     def _choose_peer(self, missing: int) -> FetchJob | None:
+        if self._count(PeerFetch) >= self.window.limit:
+            return None
         missing &= self._swarm.find_overdue_chunks(self._choose_pull_delay())
         ready_peers = self._swarm.find_ready_peers(self._own.region)
         request_counts = Counter(job.address for job in self._jobs if isinstance(job, PeerFetch))
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -189,6 +189,7 @@
                 tuning.max_imports,
                 tuning.pull_delay_s,
                 tuning.idle_s,
+                tuning.workers,
             ),
         )
         run = _Run(self, self._env, manifest, swarm, scheduler, on_progress)
@@ -388,6 +389,7 @@
         except PeerError:
             self._env.metrics.count("chunk_requests_failed_total")
             self._swarm.arrivals.record_failure("peer")
+            self._scheduler.window.shrink()
             # The connection may be dead although the peer can be reached over a new one.
             self._env.peers.retire_connection(address)
             self._swarm.record_failure(address, self._tuning.stall_pause_s)
@@ -398,6 +400,7 @@
         self._swarm.record_response(address)
         self._swarm.merge_have_sets(reply.have)
         if reply.data:
+            self._scheduler.window.grow()
             self._store_chunk(index, address, is_import, reply, started)
         elif reply.is_busy:
             self._swarm.arrivals.record_failure("busy")
--- a/tests/weights/network.py
+++ b/tests/weights/network.py
@@ -4,6 +4,10 @@
 
 import random
 import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from hibiscustray.agent import ChunkServer
 from hibiscustray.exceptions import ObjectMissing, OriginUnavailable, PeerConnectionLost
@@ -79,6 +83,13 @@
         self.cross_region_transfers: list[tuple[str, str]] = []
         self.chunk_requests = 0
         self.failing_at_origin: set[str] = set()
+        self.congested: dict[str, float] = {}
+        """Seconds that a chunk takes to a member, by its address; requests for chunks fail then."""
+        self.most_under_way: Counter[tuple[str, str]] = Counter()
+        """Most chunks that were under way at a time, by sender and receiver of a push, or by
+        nothing and receiver of requested chunks."""
+        self._under_way: Counter[tuple[str, str]] = Counter()
+        self._lock = threading.Lock()
         self.records = [make_record(i, regions) for i in range(count)]
         self.nodes = {record.peer_address: Node(self, record) for record in self.records}
 
@@ -91,6 +102,20 @@
         self.objects[manifest_key(manifest.digest)] = manifest.encode()
         return manifest.digest
 
+    @contextmanager
+    def carry(self, sender: str, receiver: str) -> Iterator[bool]:
+        """Count a chunk under way, for as long as it takes; yield whether the link is congested."""
+        key = sender, receiver
+        with self._lock:
+            self._under_way[key] += 1
+            self.most_under_way[key] = max(self.most_under_way[key], self._under_way[key])
+        try:
+            time.sleep(self.congested.get(receiver, 0.0))
+            yield receiver in self.congested
+        finally:
+            with self._lock:
+                self._under_way[key] -= 1
+
     def get(self, key: str) -> bytes:
         """Return an object, as the object store does."""
         if key not in self.objects:
@@ -208,10 +233,14 @@
         if sender.peer_address in self._network.corrupting:
             data = bytes([push.data[0] ^ 1]) + push.data[1:]
             push = ChunkPush(push.digest, push.index, data, push.is_import, push.have)
-        return self._serve("accept_chunk", push)
+        with self._network.carry(sender.peer_address, self._address):
+            return self._serve("accept_chunk", push)
 
     def read_chunk(self, request, timeout_s) -> ChunkReply:
         self._network.chunk_requests += 1
+        with self._network.carry("", self._own.peer_address) as is_congested:
+            if is_congested:
+                raise PeerConnectionLost("no response")
         reply = self._serve("serve_chunk", request)
         sender = self._network.nodes[self._address].record
         if reply.data and sender.region != self._own.region:
--- a/tests/weights/test_relay.py
+++ b/tests/weights/test_relay.py
@@ -12,6 +12,7 @@
 from hibiscustray.peers import ChunkPush, HoldingsRequest
 from hibiscustray.weights import transfer
 from hibiscustray.weights.cache import decode_bitmap
+from tests.waiting import wait_until
 from tests.weights.network import CHUNK_B, SHORT_INTERVALS, Network
 from tests.weights.test_transfer import CHUNKS, FILE, run_all
 
@@ -60,6 +61,45 @@
     assert time.monotonic() - started < 10.0
 
 
+def test_chunks_do_not_queue_up_in_front_of_requests_on_a_congested_link(tmp_path):
+    """Guards against requests that wait for seconds behind chunks (GONE, VERSION)."""
+    network = Network(9, has_relay=True)
+    nodes = list(network.nodes.values())
+    congested = nodes[3].record.peer_address
+    network.congested = {congested: 1.0}
+    digest = network.publish(FILE, tmp_path)
+    others = [node for node in nodes if node is not nodes[3]]
+    started = time.monotonic()
+    run_all(others, digest)
+    assert all(node.read_file(digest) == FILE for node in others)
+    assert time.monotonic() - started < 10.0
+    pushes = {key: most for key, most in network.most_under_way.items() if key[1] == congested}
+    assert max(pushes.values()) == 1
+
+
+def test_requests_for_chunks_become_few_while_none_is_answered(tmp_path):
+    """Guards against an agent whose repeated requests keep its own link congested."""
+    network = Network(4, has_relay=True)
+    nodes = list(network.nodes.values())
+    digest = network.publish(FILE, tmp_path)
+    run_all(nodes, digest)
+    nodes[2].restart()
+    congested = nodes[2].record.peer_address
+    network.congested = {congested: 0.05}
+    run = nodes[2].make_transfer(digest)
+    thread = threading.Thread(target=run.run)
+    thread.start()
+    wait_until(lambda: network.most_under_way["", congested] > 1)
+    time.sleep(1.0)
+    network.most_under_way.clear()
+    time.sleep(1.0)
+    most = network.most_under_way["", congested]
+    network.congested = {}
+    thread.join(10.0)
+    assert most == 1
+    assert nodes[2].read_file(digest) == FILE
+
+
 def test_chunks_of_a_member_that_the_origin_fails_are_fetched_by_others(tmp_path):
     network = Network(4, has_relay=True)
     nodes = list(network.nodes.values())
