Prefers replicas that answer to those with a silent request

Cause: a replica that is silent for a request is left alone for 0.25 s to 2 s and then chosen like any other, though the request is still unanswered.

Change: such a replica is chosen only if no other one may be. Nothing is refused for it that was not before.

Test: fails on the parent (trial).

--- a/hibiscustray/placement/load.py
+++ b/hibiscustray/placement/load.py
@@ -58,6 +58,11 @@
         self._stale_record: ReplicaRecord | None = None
         self._stale_until = float("-inf")
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether the replica now sends nothing for one of this entry's requests."""
+        return any(request.is_silent for request in self.in_flight_requests)
+
     def estimate_requests(self, now: float, average: ExternalLoad = NO_EXTERNAL_LOAD) -> float:
         """Return the estimated number of requests at the replica; `average` is the fleet's mean."""
         return len(self.in_flight_requests) + self._blend(
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -313,6 +313,8 @@
         replicas = [r for r in self._list_serving(service, model) if r.id not in excluded]
         current = [r for r in replicas if self._find_version(r, model) >= weights.required]
         usable = [r for r in current if self._is_usable(r, now)]
+        # A request behind a silent one may wait on the same congested link.
+        usable = [r for r in usable if not self._get_load(r).is_silent] or usable
         if weights.time_left_s < FIRST_WAVE_LEAD_S:
             usable = [r for r in usable if not self._is_in_first_swap_wave(r, weights)] or usable
         return usable
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -114,6 +114,22 @@
     assert isinstance(place(placer), Placement)
 
 
+def test_silent_replica_gets_requests_after_its_backoff_only_if_there_is_no_other():
+    """Guards against requests that wait one behind the other on a congested link (GONE)."""
+    placer = make_placer(make_record(1), make_record(2))
+    placement = place(placer)
+    placer.record_silence(placement)
+    CLOCK["now"] += 10.0
+    others = {place_and_begin(placer).replica.id for _ in range(10)}
+    assert others == {"i-1", "i-2"} - {placement.replica.id}
+    placer.release(placement)
+    assert place(placer).replica.id == placement.replica.id
+    alone = make_placer(make_record(1))
+    alone.record_silence(place(alone))
+    CLOCK["now"] += 10.0
+    assert isinstance(place(alone), Placement)
+
+
 def test_silence_does_not_count_in_the_duration_of_plain_calls():
     placer = make_placer(make_record(1, "booking"))
     placement = placer.place(PLAIN, Demand())
