Leaves a congested receiver of chunks alone until its queue has drained

Cause: one chunk of each of five senders was under way there all the time, since a late acknowledgement let the next one begin at once. The window grew with each chunk that arrived, however long it had taken.

Change: after an acknowledgement that took over 0.4 s a member gets no chunks from this sender for four times as long; it does not count as failing, so that it gets chunks again after that.

--- a/hibiscustray/weights/relay.py
+++ b/hibiscustray/weights/relay.py
@@ -22,6 +22,9 @@
 SLOW_PUSH_S = 0.4
 """Time after which a chunk that is not acknowledged shows that the link of its receiver is
 congested. What is sent there after it would only wait in front of requests."""
+SLOW_PUSH_PAUSES = 4.0
+"""Pause after a chunk that was acknowledged too late, in multiples of the time that it took. The
+members that send to the same receiver do not know of each other."""
 FAILURE_PAUSE_S = 2.0
 """Time without pull requests to a member that did not accept a chunk."""
 
@@ -29,8 +32,8 @@
 class ChunkRelay:
     """Passes chunks on in the order in which they arrive, at the rate of the uplink.
 
-    One chunk is under way to a member at a time. The members behind one whose link is congested
-    get the chunks in its place.
+    One chunk is under way to a member at a time, and none for some time after one that took long.
+    The members behind one whose link is congested get the chunks in its place.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self._metrics = metrics
         self._senders = ThreadPoolExecutor(SENDERS, thread_name_prefix="relay")
         self._under_way: dict[str, float] = {}
+        self._paused_until: dict[str, float] = {}
         self._push_ended = threading.Condition()
 
     def stop(self) -> None:
@@ -64,7 +68,8 @@
             self._submit(swarm, index, frozenset(), is_source)
 
     def _submit(self, swarm: Swarm, index: int, tried: frozenset[str], is_source: bool) -> None:
-        targets = [a for a in swarm.choose_relay_targets(index, is_source) if a not in tried]
+        chosen = swarm.choose_relay_targets(index, is_source, self._is_congested)
+        targets = [address for address in chosen if address not in tried]
         tried = tried.union(targets)
         for address in targets:
             try:
@@ -91,7 +96,7 @@
             if not self._begin_push(address):
                 self._metrics.count("chunk_pushes_diverted_total")
                 swarm.arrivals.record_failure("diverted")
-                self._divert(swarm, index, address, tried, is_source)
+                self._submit(swarm, index, tried, is_source)
                 return
             started = time.monotonic()
             push = ChunkPush(
@@ -111,7 +116,8 @@
             self._metrics.count("chunk_pushes_failed_total")
             swarm.arrivals.record_failure("push")
             self._peers.retire_connection(address)
-            self._divert(swarm, index, address, tried, is_source)
+            swarm.record_failure(address, FAILURE_PAUSE_S)
+            self._submit(swarm, index, tried, is_source)
             return
         except Exception:
             # The executor would keep the error to itself.
@@ -123,25 +129,30 @@
             swarm.record_response(address)
             swarm.replace_have_set(address, reply.bitmap)
 
-    def _divert(
-        self, swarm: Swarm, index: int, address: str, tried: frozenset[str], is_source: bool
-    ) -> None:
-        """Pass a chunk on to the members behind one that does not accept chunks for now."""
-        swarm.record_failure(address, FAILURE_PAUSE_S)
-        self._submit(swarm, index, tried, is_source)
+    def _is_congested(self, address: str) -> bool:
+        """Return whether the link of a member is congested, as far as this agent knows."""
+        with self._push_ended:
+            now = time.monotonic()
+            is_slow = now - self._under_way.get(address, now) > SLOW_PUSH_S
+            return is_slow or now < self._paused_until.get(address, now)
 
     def _begin_push(self, address: str) -> bool:
-        """Wait for the chunk that is under way to a member; return False if it takes too long."""
+        """Wait for the chunk under way to a member; return False if its link is congested."""
         with self._push_ended:
             while (started := self._under_way.get(address)) is not None:
                 left_s = started + SLOW_PUSH_S - time.monotonic()
                 if left_s <= 0:
                     return False
                 self._push_ended.wait(left_s)
+            if self._is_congested(address):
+                return False
             self._under_way[address] = time.monotonic()
             return True
 
     def _end_push(self, address: str) -> None:
         with self._push_ended:
-            self._under_way.pop(address, None)
+            now = time.monotonic()
+            taken_s = now - self._under_way.pop(address)
+            if taken_s > SLOW_PUSH_S:
+                self._paused_until[address] = now + SLOW_PUSH_PAUSES * taken_s
             self._push_ended.notify_all()
--- a/hibiscustray/weights/swarm.py
+++ b/hibiscustray/weights/swarm.py
@@ -119,16 +119,22 @@
         """Return whether another version has superseded this one."""
         return self._is_closed
 
-    def choose_relay_targets(self, index: int, is_source: bool) -> list[str]:
-        """Return the addresses of the peers to which this agent passes a chunk on."""
+    def choose_relay_targets(
+        self, index: int, is_source: bool, is_congested: Callable[[str], bool] = lambda _: False
+    ) -> list[str]:
+        """Return the addresses of the peers to which this agent passes a chunk on.
+
+        Peers behind a failing or congested one are served in its place.
+        """
         with self._lock:
             plan = self._read_relay_plan()
             members = self.members()
             addresses = {member.id: address for address, member in members.by_address.items()}
+            skipped = {a for a in addresses.values() if a in self._failing or is_congested(a)}
             targets = plan.choose_targets(
                 index,
                 self._view.own.id,
-                lambda member_id: addresses.get(member_id) in self._failing,
+                lambda member_id: addresses.get(member_id) in skipped,
                 is_source,
             )
             return [addresses[member_id] for member_id in targets]
--- a/hibiscustray/weights/transfer.py
+++ b/hibiscustray/weights/transfer.py
@@ -389,7 +389,7 @@
         except PeerError:
             self._env.metrics.count("chunk_requests_failed_total")
             self._swarm.arrivals.record_failure("peer")
-            self._scheduler.window.shrink()
+            self._scheduler.window.record_failure()
             # The connection may be dead although the peer can be reached over a new one.
             self._env.peers.retire_connection(address)
             self._swarm.record_failure(address, self._tuning.stall_pause_s)
@@ -400,7 +400,7 @@
         self._swarm.record_response(address)
         self._swarm.merge_have_sets(reply.have)
         if reply.data:
-            self._scheduler.window.grow()
+            self._scheduler.window.record_arrival(time.monotonic() - started)
             self._store_chunk(index, address, is_import, reply, started)
         elif reply.is_busy:
             self._swarm.arrivals.record_failure("busy")
--- a/tests/weights/network.py
+++ b/tests/weights/network.py
@@ -88,6 +88,8 @@
         self.most_under_way: Counter[tuple[str, str]] = Counter()
         """Most chunks that were under way at a time, by sender and receiver of a push, or by
         nothing and receiver of requested chunks."""
+        self.sent_chunks: Counter[str] = Counter()
+        """Chunks that were passed on, by receiver."""
         self._under_way: Counter[tuple[str, str]] = Counter()
         self._lock = threading.Lock()
         self.records = [make_record(i, regions) for i in range(count)]
@@ -108,6 +110,7 @@
         key = sender, receiver
         with self._lock:
             self._under_way[key] += 1
+            self.sent_chunks[receiver] += bool(sender)
             self.most_under_way[key] = max(self.most_under_way[key], self._under_way[key])
         try:
             time.sleep(self.congested.get(receiver, 0.0))
--- a/tests/weights/test_relay.py
+++ b/tests/weights/test_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import threading
 import time
 from collections import Counter
@@ -77,6 +78,32 @@
     assert max(pushes.values()) == 1
 
 
+def test_a_receiver_that_was_slow_gets_no_chunks_until_its_link_may_be_free(tmp_path):
+    """Guards against a standing queue of one chunk of each sender (VERSION)."""
+    network = Network(2, has_relay=True)
+    sender, receiver = network.nodes.values()
+    address = receiver.record.peer_address
+    digest = network.publish(FILE, tmp_path)
+    run_all([sender], digest)
+    network.sent_chunks.clear()
+    network.congested = {address: 0.5}
+    thread = threading.Thread(target=receiver.make_transfer(digest).run)
+    thread.start()
+    wait_until(lambda: receiver.swarms.get(digest))
+    began = time.monotonic()
+    for index in itertools.cycle(range(CHUNKS)):
+        sender.relay.forward(digest, index, is_source=True)
+        time.sleep(0.1)
+        if time.monotonic() - began > 2.0:
+            break
+    sent = network.sent_chunks[address]
+    wait_until(lambda: sender.relay.forward(digest, 1) or network.sent_chunks[address] > sent)
+    network.congested = {}
+    thread.join(10.0)
+    assert sent == 1
+    assert receiver.read_file(digest) == FILE
+
+
 def test_requests_for_chunks_become_few_while_none_is_answered(tmp_path):
     """Guards against an agent whose repeated requests keep its own link congested."""
     network = Network(4, has_relay=True)
