Pauses only after a chunk that took over 0.8 s

Cause: on links that are merely busy, while two versions are named 4 s apart, some acknowledgements take more than 0.4 s.

Change: 0.4 s still send further chunks past a member; the pause begins at 0.8 s.

--- a/hibiscustray/weights/relay.py
+++ b/hibiscustray/weights/relay.py
@@ -22,9 +22,11 @@
 SLOW_PUSH_S = 0.4
 """Time after which a chunk that is not acknowledged shows that the link of its receiver is
 congested. What is sent there after it would only wait in front of requests."""
-SLOW_PUSH_PAUSES = 4.0
-"""Pause after a chunk that was acknowledged too late, in multiples of the time that it took. The
-members that send to the same receiver do not know of each other."""
+CONGESTED_PUSH_S = 0.8
+"""Time from which on an acknowledgement is so late that its sender pauses."""
+PUSH_PAUSES = 4.0
+"""Pause in multiples of the time that the chunk took. The members that send to the same receiver do
+not know of each other."""
 FAILURE_PAUSE_S = 2.0
 """Time without pull requests to a member that did not accept a chunk."""
 
@@ -153,6 +155,6 @@
         with self._push_ended:
             now = time.monotonic()
             taken_s = now - self._under_way.pop(address)
-            if taken_s > SLOW_PUSH_S:
-                self._paused_until[address] = now + SLOW_PUSH_PAUSES * taken_s
+            if taken_s > CONGESTED_PUSH_S:
+                self._paused_until[address] = now + PUSH_PAUSES * taken_s
             self._push_ended.notify_all()
