--- a/hibiscustray/weights/scheduling.py
+++ b/hibiscustray/weights/scheduling.py
@@ -57,7 +57,7 @@
 
     Chunks that peers hold are requested after `pull_delay_s`, and from other regions after twice
     that time, since they are usually passed on without a request. An agent to which nothing has
-    been passed on for `idle_s` does not wait.
+    been passed on for `idle_s` does not wait. `requests` is the most to all peers at a time.
     """
 
     per_peer: int = 1
