Reuses an agent's connection to its engine and bounds what a call may hold

Seen: other operators report a replica that sends bytes that are no answer, without end; the machine that called it runs out of memory.

Cause: one limit for all bodies. Before Python 3.13, http.client leaves a response with a length open after its last byte, so that no connection to the engine was ever used twice.

Change: each call of an agent bounds the body by what it asks for; a response is closed with its last byte; a GET on a reused connection that ends before its response is sent once more on a new one. Load orders keep a connection of their own.

--- a/hibiscustray/agent/interface.py
+++ b/hibiscustray/agent/interface.py
@@ -80,8 +80,8 @@
         """Return the indexes of the chunks in the staging area."""
         ...
 
-    def read_staged(self, model: str, index: int) -> bytes:
-        """Return a staged chunk without verification; raise `ChunkMissing`."""
+    def read_staged(self, model: str, index: int, size_b: int) -> bytes:
+        """Return a staged chunk of at most `size_b` bytes unverified; raise `ChunkMissing`."""
         ...
 
     def stage(self, model: str, index: int, data: bytes) -> None:
--- a/hibiscustray/agent/loader.py
+++ b/hibiscustray/agent/loader.py
@@ -255,7 +255,7 @@
 
     def _is_staged_intact(self, task: LoadTask, index: int) -> bool:
         try:
-            data = self._engine.read_staged(task.model, index)
+            data = self._engine.read_staged(task.model, index, task.manifest.chunk_size)
             task.manifest.verify(index, data, "staging area")
         except (ChunkCorrupt, ChunkMissing):
             return False
--- a/hibiscustray/agent/stager.py
+++ b/hibiscustray/agent/stager.py
@@ -230,7 +230,8 @@
         staged = self._engine.list_staged(model)
         for index in sorted(staged.intersection(range(manifest.count))):
             try:
-                cache.put(label, index, self._engine.read_staged(model, index), "staging area")
+                data = self._engine.read_staged(model, index, manifest.chunk_size)
+                cache.put(label, index, data, "staging area")
             except (ChunkCorrupt, ChunkMissing):
                 self._metrics.count("staged_chunks_rejected_total")
         self._recovered.add((model, version))
--- a/hibiscustray/platform/engine.py
+++ b/hibiscustray/platform/engine.py
@@ -15,7 +15,7 @@
 )
 from hibiscustray.agent.pushback import PushbackGate
 from hibiscustray.decoding import decode_json
-from hibiscustray.exceptions import ChunkMissing, RecordInvalid, UpstreamRejected
+from hibiscustray.exceptions import ChunkMissing, RecordInvalid, ResponseInvalid, UpstreamRejected
 from hibiscustray.platform.records import Count, ExactNumber, WireLayers, WireModel, read_layers
 from hibiscustray.platform.wire import (
     ORDER_PATH,
@@ -29,6 +29,8 @@
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 CALL_TIMEOUT_S = 1.5
+MAX_ANSWER_B = 256 * 1024
+"""Longest body of a report or of a list of staged chunks."""
 CONNECT_TIMEOUT_S = 0.5
 LOAD_MODE_VALUES = {LoadMode.FINISH_RUNNING: "queue", LoadMode.CUT_RUNNING: "truncate"}
 
@@ -72,9 +74,15 @@
         """Return the indexes of a model's chunks in the staging area."""
         return frozenset(self._decode(self._get(STAGE_GET_PATH + model), _StagedChunks).held)
 
-    def read_staged(self, model: str, index: int) -> bytes:
-        """Return a staged chunk without verifying it; raise `ChunkMissing` if it is not staged."""
-        response = self._call("GET", f"{STAGE_GET_PATH}{model}?num={index}")
+    def read_staged(self, model: str, index: int, size_b: int) -> bytes:
+        """Return a staged chunk without verifying it.
+
+        Raises `ChunkMissing` if it is not staged or is longer than `size_b` bytes.
+        """
+        try:
+            response = self._call("GET", f"{STAGE_GET_PATH}{model}?num={index}", max_b=size_b)
+        except ResponseInvalid as error:
+            raise ChunkMissing(f"chunk {index} of {model}: {error}") from error
         if response.status == 404:
             raise ChunkMissing(f"chunk {index} of {model} is not staged")
         _check(response)
@@ -88,7 +96,7 @@
         self, model: str, version: int, mode: LoadMode, order_count: int, fencing: int
     ) -> OrderOutcome:
         """Order the engine to load the staged version if its order count equals `order_count`."""
-        body = {
+        order = {
             "operation": "start",
             "model": model,
             "version": version,
@@ -96,7 +104,9 @@
             "precondition": order_count,
             "fence": fencing,
         }
-        response = self._call("POST", ORDER_PATH, msgspec.json.encode(body), JSON_HEADERS)
+        # On a used connection the order may be lost in a way that leaves open whether it was read.
+        body = msgspec.json.encode(order)
+        response = self._call("POST", ORDER_PATH, body, headers=JSON_HEADERS, is_fresh=True)
         match response.status:
             case 202:
                 return OrderAccepted()
@@ -112,15 +122,13 @@
         return response
 
     def _call(
-        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+        self, method: str, path: str, body: bytes = b"", max_b: int = MAX_ANSWER_B, **options
     ) -> ClientResponse:
         self._pushback.check()
-        stream = self._http.open(method, path, body, headers, connect_timeout_s=CONNECT_TIMEOUT_S)
+        options["connect_timeout_s"] = CONNECT_TIMEOUT_S
+        stream = self._http.open(method, path, body, **options)
         self._pushback.record(stream.status, stream.headers.get(RETRY_AFTER.lower()))
-        try:
-            return ClientResponse(stream.status, stream.headers, stream.read_all())
-        finally:
-            stream.close()
+        return stream.read_response(max_b)
 
     @staticmethod
     def _decode(response: ClientResponse, record_type):
--- a/hibiscustray/platform/origin.py
+++ b/hibiscustray/platform/origin.py
@@ -26,6 +26,9 @@
 """A chunk takes tens of milliseconds on an idle link, and several requests share the link."""
 CONNECT_TIMEOUT_S = 0.5
 DIGEST_B = 32
+MAX_MANIFEST_B = 4 * 1024 * 1024
+"""Longest manifest: digests of over 60,000 chunks."""
+MAX_ERROR_B = 64 * 1024
 
 
 class _Manifest(msgspec.Struct, frozen=True, rename="camel"):
@@ -47,7 +50,7 @@
 
         Raises `ObjectMissing`, `OriginUnavailable` or `ManifestInvalid`.
         """
-        response = self._get(f"{MANIFEST_PATH}{model}?version={version}")
+        response = self._get(f"{MANIFEST_PATH}{model}?version={version}", MAX_MANIFEST_B)
         try:
             wire = decode_json(response.body, _Manifest)
             digests = tuple(bytes.fromhex(text) for text in wire.digests)
@@ -66,20 +69,19 @@
 
         All chunks of a version have the same size, so the start of a range gives the chunk index.
         """
-        return self._get(f"{CHUNK_PATH}{path}&num={start // length}").body
+        return self._get(f"{CHUNK_PATH}{path}&num={start // length}", length).body
 
-    def _get(self, path: str) -> ClientResponse:
+    def _get(self, path: str, max_b: int) -> ClientResponse:
         address = self._find_address()
         if not address:
             raise OriginUnavailable("the configuration contains no weights origin")
         try:
             # Each call opens a new connection, so a late response cannot be read by the next call.
             client = HttpClient(f"http://{address}", CALL_TIMEOUT_S, max_idle_connections=0)
-            stream = client.open("GET", path, is_fresh=True, connect_timeout_s=CONNECT_TIMEOUT_S)
-            try:
-                response = ClientResponse(stream.status, stream.headers, stream.read_all())
-            finally:
-                stream.close()
+            max_b = max(max_b, MAX_ERROR_B)
+            response = client.call(
+                "GET", path, connect_timeout_s=CONNECT_TIMEOUT_S, max_body_b=max_b
+            )
         except (UpstreamUnreachable, UpstreamConnectionLost) as error:
             raise OriginUnavailable(str(error)) from error
         if response.status in MISSING_STATUSES:
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -57,7 +57,7 @@
     encode_block,
     encode_report,
 )
-from hibiscustray.web import HttpClient, HttpStream
+from hibiscustray.web import ClientResponse, HttpClient
 from hibiscustray.web.numbers import read_number
 
 OK = 200
@@ -163,56 +163,46 @@
         self, conditions: list[dict], puts: list[dict], removals: list[dict] | None = None
     ) -> tuple[_Row, ...]:
         body = {"precondition": conditions, "puts": puts, "remove": removals or []}
-        response, current = self._call("POST", ROWS_TX_PATH, msgspec.json.encode(body))
+        response = self._call("POST", ROWS_TX_PATH, msgspec.json.encode(body))
         if response.status == OK:
             return ()
         if response.status != PRECONDITION_FAILED:
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
-        found = {row.key: row for row in decode_json(current, _Page, StoreUnavailable).rows}
+        found = {row.key: row for row in decode_json(response.body, _Page, StoreUnavailable).rows}
         keys = [condition["key"] for condition in conditions]
         return tuple(found.get(key, _Row(key, tombstone=True)) for key in keys)
 
     def read_object(self, name: str) -> bytes | None:
         """Return an object's bytes, None if it does not exist; raise `StoreUnavailable`."""
-        response, body = self._call("GET", f"{OBJECT_GET_PATH}{name}")
+        response = self._call("GET", f"{OBJECT_GET_PATH}{name}")
         if response.status not in (OK, NOT_FOUND):
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
-        return body if response.status == OK else None
+        return response.body if response.status == OK else None
 
     def write_object(self, name: str, body: bytes) -> None:
         """Write an object, replacing an earlier one; raise `StoreUnavailable`."""
-        response, _ = self._call("PUT", f"{OBJECT_PUT_PATH}{name}", body)
+        response = self._call("PUT", f"{OBJECT_PUT_PATH}{name}", body)
         if response.status not in WRITE_STATUSES:
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._http.close()
-
     def _get(self, path: str, query: dict) -> _Page:
-        response, body = self._call("GET", f"{path}?{urlencode(query)}")
+        response = self._call("GET", f"{path}?{urlencode(query)}")
         if response.status == GONE:
             raise HistoryLost(f"changes since {query.get('sinceRev')} are no longer stored")
         if response.status != OK:
             raise StoreUnavailable(f"the store returned HTTP status {response.status}")
         return msgspec.structs.replace(
-            decode_json(body, _Page, StoreUnavailable),
+            decode_json(response.body, _Page, StoreUnavailable),
             call_sent_at=response.sent_at,
             read_at=response.read_at,
-            size_b=len(body),
+            size_b=len(response.body),
             era=read_number(response.headers.get(STORE_ERA.lower(), "")),
         )
 
-    def _call(self, method: str, path: str, body: bytes = b"") -> tuple[HttpStream, bytes]:
-        """Return the response, which is already closed, and its body."""
+    def _call(self, method: str, path: str, body: bytes = b"") -> ClientResponse:
         headers = JSON_HEADERS if method == "POST" else {}
-        limits = {"timeout_s": self.call_s, "connect_timeout_s": CONNECT_TIMEOUT_S}
         try:
-            stream = self._http.open(method, path, body, headers, **limits)
-            try:
-                return stream, stream.read_all()
-            finally:
-                stream.close()
+            return self._http.call(method, path, body, headers, self.call_s, CONNECT_TIMEOUT_S)
         except (UpstreamUnreachable, UpstreamConnectionLost) as error:
             raise StoreUnavailable(str(error)) from error
 
--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -149,6 +149,16 @@
         self._guard.limit_time(None)
         self._sock.settimeout(timeout_s)
 
+    def read1(self, n: int = -1) -> bytes:
+        """Return the next bytes; the response is closed with the last byte that its length tells.
+
+        http.client before Python 3.13 leaves it open, so that its connection can't be used again.
+        """
+        block = super().read1(n)
+        if self.length == 0 and not self.chunked and self.fp is not None:
+            self._close_conn()
+        return block
+
     def _read_status(self) -> tuple[str, int, str]:
         """Return the version, the status and the reason of the final response; headers follow.
 
--- a/hibiscustray/web/client.py
+++ b/hibiscustray/web/client.py
@@ -51,11 +51,17 @@
 
 @dataclass(frozen=True)
 class ClientResponse:
-    """An HTTP response whose body has been read completely."""
+    """An HTTP response whose body has been read completely.
+
+    `sent_at` and `read_at` are the times of `read_clock` in seconds at which the request had been
+    sent and at which the headers were read.
+    """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    sent_at: float | None = None
+    read_at: float = 0.0
 
 
 class HttpStream:
@@ -123,20 +129,31 @@
             self._check_end()
         return block
 
-    def read_all(self, timeout_s: float = BODY_TIMEOUT_S) -> bytes:
+    def read_all(self, timeout_s: float = BODY_TIMEOUT_S, max_body_b: int | None = None) -> bytes:
         """Return the rest of the body, which must arrive within a time in seconds.
 
         Raises `UpstreamConnectionLost` if the body is truncated or late, or `ResponseInvalid` if it
-        is too long.
+        is longer than `max_body_b` bytes, by default `MAX_BODY_B`.
         """
+        max_body_b = MAX_BODY_B if max_body_b is None else max_body_b
         self._guard.limit_time(timeout_s)
+        if (self._response.length or 0) > max_body_b:
+            raise ResponseInvalid(f"the body exceeds {max_body_b} bytes")
         body = bytearray()
         while block := self.read_block():
             body += block
-            if len(body) > MAX_BODY_B:
-                raise ResponseInvalid(f"the body exceeds {MAX_BODY_B} bytes")
+            if len(body) > max_body_b:
+                raise ResponseInvalid(f"the body exceeds {max_body_b} bytes")
         return bytes(body)
 
+    def read_response(self, max_body_b: int | None = None) -> ClientResponse:
+        """Return the response with its whole body and close it; raises what `read_all` raises."""
+        try:
+            body = self.read_all(max_body_b=max_body_b)
+            return ClientResponse(self.status, self.headers, body, self.sent_at, self.read_at)
+        finally:
+            self.close()
+
     def _check_end(self) -> None:
         """Raise `UpstreamConnectionLost` if the end of the connection is not that of the body."""
         if self._response.length:
@@ -203,13 +220,17 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float | None = None,
+        connect_timeout_s: float | None = None,
+        max_body_b: int | None = None,
     ) -> ClientResponse:
-        """Send a request and return its response with the body read."""
-        stream = self.open(method, path, body, headers, timeout_s)
-        try:
-            return ClientResponse(stream.status, stream.headers, stream.read_all())
-        finally:
-            stream.close()
+        """Send a request and return its response with the body read.
+
+        Raises what `open` and `HttpStream.read_all` raise.
+        """
+        stream = self.open(
+            method, path, body, headers, timeout_s, connect_timeout_s=connect_timeout_s
+        )
+        return stream.read_response(max_body_b)
 
     def open(
         self,
@@ -233,10 +254,9 @@
         """
         timeout_s = timeout_s or self._timeout_s
         connect_timeout_s = connect_timeout_s or timeout_s
-        if is_fresh:
-            connection = self._connect(timeout_s, connect_timeout_s)
-        else:
-            connection = self._acquire(timeout_s, connect_timeout_s)
+        connection = None if is_fresh else self._acquire(timeout_s)
+        is_reused = connection is not None
+        connection = connection or self._connect(timeout_s, connect_timeout_s)
         guard = ReadGuard(timeout_s)
         connection.response_class = partial(GuardedResponse, guard=guard)
         if on_connect is not None:
@@ -260,6 +280,11 @@
             _reset_on_close(sock)
             connection.close()
             is_silent = isinstance(error, TimeoutError)
+            if is_reused and method == "GET" and on_connect is None and not is_silent:
+                # The server closed the idle connection before it read the request.
+                return self.open(
+                    method, path, body, headers, timeout_s, True, None, connect_timeout_s
+                )
             failure = UpstreamSilent if is_silent else UpstreamConnectionLost
             raise failure(f"{self.base_url}: {error}") from error
         return HttpStream(self, connection, response, sock, sent_at, guard, is_sent)
@@ -279,12 +304,13 @@
         for connection in idle:
             connection.close()
 
-    def _acquire(self, timeout_s: float, connect_timeout_s: float) -> http.client.HTTPConnection:
+    def _acquire(self, timeout_s: float) -> http.client.HTTPConnection | None:
+        """Return an idle connection, None if there is none."""
         while True:
             with self._lock:
                 connection = self._idle.pop() if self._idle else None
             if connection is None:
-                return self._connect(timeout_s, connect_timeout_s)
+                return None
             if _is_usable(connection):
                 connection.sock.settimeout(timeout_s)
                 return connection
--- a/tests/agent/test_stager.py
+++ b/tests/agent/test_stager.py
@@ -89,7 +89,7 @@
     def list_staged(self, model: str) -> frozenset[int]:
         return frozenset(self.staged)
 
-    def read_staged(self, model: str, index: int) -> bytes:
+    def read_staged(self, model: str, index: int, size_b: int) -> bytes:
         if index not in self.staged:
             raise ChunkMissing(str(index))
         if index in self.corrupting:
--- a/tests/platform/test_engine_pushback.py
+++ b/tests/platform/test_engine_pushback.py
@@ -15,7 +15,7 @@
 CALLS = {
     "report": lambda engine: engine.read_report(),
     "list": lambda engine: engine.list_staged("m"),
-    "read": lambda engine: engine.read_staged("m", 1),
+    "read": lambda engine: engine.read_staged("m", 1, 64),
     "stage": lambda engine: engine.stage("m", 1, b"x"),
     "order": lambda engine: engine.order_load("m", 1, LoadMode.FINISH_RUNNING, 0, 1),
 }
