Gathers changes of the list of replicas and spares agents and entries needless calls to the store

Change: an entry pauses 0.3 s after each read of the list (at most 0.15 of the drain time, feeds/limits.py) and of the entries' table; three entries, chosen by a key, announce a small configuration (versions and large ones: all); an agent reads an announced configuration without the announcements, which it follows anyway, and after lost history only these; it asks the operator's table itself once in the version bound. store_calls_total counts calls by table and reason.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from hibiscustray.agent import ChunkServer
 from hibiscustray.agent.hosted import HostedAgentProcess, find_agent_call_limits
@@ -23,6 +24,7 @@
     RelayWriter,
     RelayWriterTuning,
     ReplicaListener,
+    find_list_pause,
 )
 from hibiscustray.gateway import (
     AttemptController,
@@ -77,7 +79,7 @@
 HOSTED_PEER_THREADS = 12
 HOSTED_WATCHDOG_INTERVAL_S = 0.05
 """Interval between checks for disconnected callers and passed deadlines."""
-REPORT_PAUSE_S = 0.1
+REPORT_PAUSE_S = 0.3
 """Pause between reads of the entries' reports, so that one read carries those of one event."""
 UPLINK_SHARE = 0.85
 """Share of a VM's upload rate that transfers of weights may use."""
@@ -85,9 +87,14 @@
 """A configuration of 1,900 routes occupies an 11.5 Mbit/s link between regions for 0.36 s for each
 entry, one of about a hundred routes for 30 ms. Checks every 1.8 s leave one second of the bound of
 three seconds for a configuration to become active."""
-AGENT_RELAY_TUNING = RelayReaderTuning(check_interval_s=6.0, min_delay_s=4.0, max_delay_s=10.0)
-"""Target versions are checked often enough for the bound of eight seconds. The delays spread the
-reads of a region's agents over time, because the entries need the shared link first."""
+MIN_CHECK_INTERVAL_S = 6.0
+"""Shortest interval at which an agent asks the operator's table itself."""
+AGENT_READ_DELAYS_S = (4.0, 10.0)
+"""Shortest and longest delay of an agent's read of a configuration, which spread the reads of a
+region over time, because the entries need the shared link first."""
+ANNOUNCERS = 3
+"""Entries that announce a small configuration. If all of them are away, agents know it late, which
+they bear: they need of it the origin and their service's models."""
 HOSTED_TRANSFER_TUNING = TransferTuning(
     initial_timeout_s=1.5,
     min_timeout_s=1.0,
@@ -120,19 +127,25 @@
     """Build an entry that runs on the platform."""
     assert settings.entry is not None
     limits = find_entry_call_limits(settings)
-    feed_state = _build_feed_state(settings, limits, metrics, _build_relay_writer)
     zone = settings.process.availability_zone
     notices = ReplicaNotices(metrics)
+    # The id stays the same across restarts, so the number of rows stays bounded.
+    entry_id = settings.process.id
+    roster = EntryRoster(entry_id, notices.share_among)
+    feed_state = _build_feed_state(
+        settings,
+        limits,
+        metrics,
+        partial(_build_relay_writer, is_announcer=partial(_is_announcer, roster)),
+        find_list_pause(settings.bounds.drain_ms / MS_PER_S, settings.store.list_pause_s),
+    )
     placer = Placer(feed_state.directory, notices, zone, settings.regions, settings.process.id)
     bounds = settings.bounds
     budgets = RetryBudgets(*find_retry_limits(bounds))
     pauses = PauseDetector(metrics, HOSTED_WATCHDOG_INTERVAL_S)
     watchdog = Watchdog(HOSTED_WATCHDOG_INTERVAL_S, pauses.check, read_clock)
     reporter = RequestReporter(metrics)
-    # The id stays the same across restarts, so the number of rows stays bounded.
-    entry_id = settings.process.id
     quarantine = PartQuarantine(entry_id, metrics)
-    roster = EntryRoster(entry_id, notices.share_among)
     reports = EntryFeed(PlatformStore(settings.store.address, limits.call_s))
     entries = FeedFollower(
         reports,
@@ -183,7 +196,8 @@
         settings,
         find_agent_call_limits(settings),
         metrics,
-        _build_relay_reader,
+        partial(_build_relay_reader, version_bound_s=settings.bounds.version_ms / MS_PER_S),
+        settings.store.list_pause_s,
         lambda: [stager.cancel_outdated_transfer() for stager in stager_holder],
     )
     cache = ChunkCache(settings.links.cache_mib * MIB)
@@ -251,6 +265,7 @@
     limits: CallLimits,
     metrics: Metrics,
     build_operator: Callable[..., FeedFollower],
+    list_pause_s: float,
     on_version: Callable[[], object] = lambda: None,
 ) -> _FeedState:
     catalogs, versions, directory = CatalogHolder(), TargetVersions(), ReplicaDirectory()
@@ -263,7 +278,7 @@
         ReplicaListener(directory, _list_entry_addresses(settings)),
         limits.wait_s,
         metrics,
-        settings.store.list_pause_s,
+        list_pause_s,
     )
     return _FeedState(catalogs, versions, directory, (operator, replicas))
 
@@ -278,18 +293,35 @@
     return frozenset(on_host | {entry.callers, entry.readiness})
 
 
+def _is_announcer(roster: EntryRoster, key: str) -> bool:
+    return roster.is_among_first(key, ANNOUNCERS)
+
+
 def _build_relay_writer(
-    store: PlatformStore, listener: OperatorListener, wait_s: float, metrics: Metrics
+    store: PlatformStore,
+    listener: OperatorListener,
+    wait_s: float,
+    metrics: Metrics,
+    is_announcer: Callable[[str], bool],
 ) -> FeedFollower:
     source = OperatorFeed(store)
     relayed = RelayedOperatorFeed(store)
-    return RelayWriter(source, listener, wait_s, metrics, source, relayed, ENTRY_RELAY_TUNING)
+    return RelayWriter(
+        source, listener, wait_s, metrics, source, relayed, ENTRY_RELAY_TUNING, is_announcer
+    )
 
 
 def _build_relay_reader(
-    store: PlatformStore, listener: OperatorListener, wait_s: float, metrics: Metrics
+    store: PlatformStore,
+    listener: OperatorListener,
+    wait_s: float,
+    metrics: Metrics,
+    version_bound_s: float,
 ) -> FeedFollower:
-    return RelayReader(RelayedOperatorFeed(store), listener, wait_s, metrics, AGENT_RELAY_TUNING)
+    # The table itself is asked for versions within their bound, in case no entry announces them.
+    check_interval_s = max(version_bound_s, MIN_CHECK_INTERVAL_S)
+    tuning = RelayReaderTuning(check_interval_s, *AGENT_READ_DELAYS_S)
+    return RelayReader(RelayedOperatorFeed(store), listener, wait_s, metrics, tuning)
 
 
 def _find_origin_address(catalogs: CatalogHolder) -> str | None:
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -135,6 +135,7 @@
                     extra={"feed": self._source.name, "reason": str(error), "era": self._era},
                 )
                 self._metrics.count("feed_history_lost_total", {"feed": self._source.name})
+                self._count_call("history_lost")
                 self._revision = None
                 if isinstance(error, StoreRestored):
                     self._record_restore()
@@ -143,6 +144,7 @@
                     self._report_outage()
             except PlatformError as error:
                 self._record_outage(error, called_at)
+                self._count_call("failed")
                 # A call that has taken longer than the pause has spared the store already.
                 passed_s = read_clock() - called_at
                 self._stopping.wait(max(0.0, pause_s * random.uniform(0.5, 1.0) - passed_s))
@@ -161,16 +163,26 @@
     def _process_next_page(self) -> None:
         called_at = read_clock()
         if self._revision is None:
+            self._count_call("read")
             self._apply_full_page(self._read(), called_at)
         else:
             wait_s = self._compute_wait(called_at)
             page = self._source.follow(self._revision, wait_s)
+            self._count_followed(page, wait_s)
             self._apply_changes(page, called_at, wait_s)
 
     def _read(self) -> FeedPage:
         """Return the whole table."""
         return self._source.read()
 
+    def _count_call(self, reason: str) -> None:
+        """Count a call to the store by its reason; failed calls for changes count as failures."""
+        self._metrics.count("store_calls_total", {"feed": self._source.name, "reason": reason})
+
+    def _count_followed(self, page: FeedPage, wait_s: float) -> None:
+        reason = "change" if page.changes else "timeout" if wait_s else "retry"
+        self._count_call(reason)
+
     def _compute_wait(self, now: float) -> float:
         """Return how long the store may wait for a change before it responds, in seconds."""
         # The first call after a failure returns immediately, to detect the end of an outage.
--- a/hibiscustray/feeds/limits.py
+++ b/hibiscustray/feeds/limits.py
@@ -10,6 +10,8 @@
 """Time for a response beyond the requested wait; the store itself takes milliseconds."""
 MAX_RESERVE_SHARE, MAX_MARGIN_SHARE = 1 / 6, 1 / 3
 """Largest shares of a short contact time for the reserve and the margin."""
+MAX_PAUSE_SHARE = 0.15
+"""Largest share of the drain time for which changes of the list of replicas are gathered."""
 
 
 @dataclass(frozen=True)
@@ -29,3 +31,13 @@
     call_s = contact_s - min(RESERVE_S, MAX_RESERVE_SHARE * contact_s)
     margin_s = min(CALL_MARGIN_S, MAX_MARGIN_SHARE * contact_s)
     return CallLimits(min(longest_wait_s, call_s - margin_s), call_s)
+
+
+def find_list_pause(drain_s: float, longest_pause_s: float) -> float:
+    """Return the pause after each read of the list, in which its changes are gathered; seconds.
+
+    A replica that leaves gets no new requests from `drain_s` after its row has changed. The pause
+    delays a process's knowledge of it only while calls succeed: no connection is open meanwhile
+    that could go silent.
+    """
+    return min(longest_pause_s, MAX_PAUSE_SHARE * drain_s)
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -10,6 +10,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from hibiscustray.clock import read_clock
@@ -68,6 +69,9 @@
     """Follows a table and writes its changes to the relay.
 
     Far from the store it follows the relay itself and reads large configurations as copies.
+    `is_announcer` tells whether this process is one of the few that announce a small configuration,
+    by a key that differs with each: nobody waits for it. Versions and large configurations are
+    announced by all.
     """
 
     def __init__(
@@ -79,8 +83,10 @@
         relay: ChangeRelay,
         relay_source: RelaySource,
         tuning: RelayWriterTuning,
+        is_announcer: Callable[[str], bool] = lambda key: True,
     ) -> None:
         super().__init__(source, listener, wait_s, metrics)
+        self._is_announcer = is_announcer
         self._relay = relay
         self._relay_source = relay_source
         self._tuning = tuning
@@ -119,7 +125,9 @@
     def _follow_relay(self, remaining_s: float) -> None:
         called_at = read_clock()
         try:
-            page = self._relay_source.follow(self._relay_revision, min(self._wait_s, remaining_s))
+            wait_s = min(self._wait_s, remaining_s)
+            page = self._relay_source.follow(self._relay_revision, wait_s)
+            self._count_followed(page, wait_s)
         except HistoryLost:
             # Poll the table now: it has all changes, and the response carries a newer revision.
             self._next_poll_at = float("-inf")
@@ -138,6 +146,7 @@
 
     def _apply_copy(self, revision: int) -> bool:
         """Apply the copy of a configuration; return whether there is a current one."""
+        self._count_call("copy")
         copy = _read_copy(self._relay_source, revision)
         if copy is None:
             return False
@@ -166,6 +175,7 @@
             self._metrics.count("feed_relays_lost_total", {"feed": self._source.name})
 
     def _relay_large_page(self, page: FeedPage) -> None:
+        self._count_call("announced")
         state = self._relay.read_state()
         # On a saturated link the whole response is late, so only the store's clock shows the rate.
         delay_s = max(state.store_time_s - page.store_time_s, 1e-3)
@@ -173,13 +183,13 @@
         self._set_far(rate_mbit_s < self._tuning.near_mbit_s, page.size_b, rate_mbit_s)
         self._announced |= {a.model: a for a in state.announcements}
         if self._get_announced("").number < self._catalog_revision:
+            self._count_call("write_copy")
             self._relay.write_copy()
 
     def _record_catalog_revision(self, page: FeedPage) -> bool:
         """Record a page's configuration revision; return whether it is newer than all before."""
         known = self._catalog_revision
-        revisions = [c.catalog.revision for c in page.changes if isinstance(c, CatalogPublished)]
-        self._catalog_revision = max([known, *revisions])
+        self._catalog_revision = max([known, *_list_revisions(page.changes)])
         return self._catalog_revision > known
 
     def _set_far(self, is_far: bool, size_b: int, rate_mbit_s: float) -> None:
@@ -193,6 +203,9 @@
     def _announce(self, page: FeedPage) -> None:
         """Write the numbers that are newer than those announced by other entries."""
         numbers = dict(number for change in page.changes for number in _list_numbers(change))
+        is_small = page.size_b <= self._tuning.large_b
+        if "" in numbers and is_small and not self._is_announcer(str(numbers[""])):
+            del numbers[""]
         for _ in range(MAX_ANNOUNCE_ATTEMPTS):
             newer = tuple(
                 Announcement(model, number, self._get_announced(model).row_revision)
@@ -201,6 +214,7 @@
             )
             if not newer:
                 return
+            self._count_call("announce")
             others = self._relay.write_announcements(newer)
             if not others:
                 return
@@ -228,7 +242,7 @@
         log.warning("table copy unreadable", extra={"feed": source.name, "reason": str(error)})
         return None
     changes = copy.changes if copy is not None else ()
-    copied_revisions = [c.catalog.revision for c in changes if isinstance(c, CatalogPublished)]
+    copied_revisions = _list_revisions(changes)
     if max(copied_revisions, default=-1) >= revision:
         return copy
     log.info("no current table copy", extra={"revision": revision, "held": copied_revisions})
@@ -250,33 +264,55 @@
         self._relay_source = source
         self._tuning = tuning
         self._next_poll_at = read_clock() + tuning.check_interval_s * random.random()
-        self._full_read_at = float("inf")
+        self._table_read_at = float("inf")
+        self._announced_revision = 0
+        self._catalog_revision = -1
 
     def _process_next_page(self) -> None:
         now = read_clock()
         if self._revision is not None and now >= self._next_poll_at:
             self._poll_small_rows(now)
-        if now >= self._full_read_at:
+        if now >= self._table_read_at:
             # The read stays due until it succeeds.
-            self._apply_full_page(self._read(), now)
-            self._full_read_at = float("inf")
+            self._read_configuration()
+            self._table_read_at = float("inf")
             return
         super()._process_next_page()
 
     def _read(self) -> FeedPage:
         # Read the announcements first, so that later ones are followed from their revision.
         announcements = self._relay_source.read()
-        announced = [c.revision for c in announcements.changes if isinstance(c, CatalogAnnounced)]
-        copy = _read_copy(self._relay_source, max(announced, default=0))
-        table = copy if copy is not None else self._relay_source.read_table()
+        announced = self._find_announced(announcements.changes)
+        is_known = announced is not None and self._catalog_revision >= announced
+        if is_known and announcements.era == self._era:
+            # Only the history of changes was lost.
+            return announcements
+        table = self._read_table(announced or 0)
         return replace(announcements, changes=table.changes + announcements.changes)
 
+    def _read_table(self, revision: int) -> FeedPage:
+        """Return the copy of the table if it has a configuration's revision, else the table."""
+        self._count_call("copy")
+        copy = _read_copy(self._relay_source, revision)
+        if copy is None:
+            self._count_call("read")
+            copy = self._relay_source.read_table()
+        self._catalog_revision = max([self._catalog_revision, *_list_revisions(copy.changes)])
+        return copy
+
+    def _read_configuration(self) -> None:
+        """Read an announced configuration; versions are known from the announcements."""
+        page = self._read_table(self._announced_revision)
+        for change in super()._process_changes(page):
+            self._listener.apply(change, self._last_responded_at)
+
     def _compute_wait(self, now: float) -> float:
         # Limit the wait, since nothing else wakes this thread when a read is due.
-        due_s = min(self._next_poll_at, self._full_read_at) - now
+        due_s = min(self._next_poll_at, self._table_read_at) - now
         return min(super()._compute_wait(now), max(0.0, due_s))
 
     def _poll_small_rows(self, now: float) -> None:
+        self._count_call("poll")
         page = self._relay_source.read_small()
         self._check_era(page)
         self._next_poll_at = now + self._tuning.check_interval_s
@@ -285,8 +321,22 @@
 
     def _process_changes(self, page: FeedPage) -> tuple[Change, ...]:
         changes = super()._process_changes(page)
-        is_announced = any(isinstance(change, CatalogAnnounced) for change in changes)
-        if is_announced and self._revision is not None and self._full_read_at == float("inf"):
+        announced = self._find_announced(changes)
+        is_pending = self._table_read_at != float("inf")
+        if announced is not None and self._revision is not None and not is_pending:
             delay_s = random.uniform(self._tuning.min_delay_s, self._tuning.max_delay_s)
-            self._full_read_at = read_clock() + delay_s
+            self._table_read_at = read_clock() + delay_s
         return changes
+
+    def _find_announced(self, changes: tuple[Change, ...]) -> int | None:
+        """Return the newest announced configuration of a page, None if it has none."""
+        revisions = [c.revision for c in changes if isinstance(c, CatalogAnnounced)]
+        if not revisions:
+            return None
+        self._announced_revision = max(revisions)
+        return self._announced_revision
+
+
+def _list_revisions(changes: tuple[Change, ...]) -> list[int]:
+    """Return the revisions of the configurations among changes."""
+    return [c.catalog.revision for c in changes if isinstance(c, CatalogPublished)]
--- a/hibiscustray/membership/roster.py
+++ b/hibiscustray/membership/roster.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import heapq
 import threading
 from collections.abc import Callable, Iterable
 
+from xxhash import xxh64_intdigest
+
 from hibiscustray.clock import read_clock
 
 ROW_LIFETIME_S = 900.0
@@ -45,6 +48,13 @@
         with self._lock:
             return min(self._changed_at, default="") == self._own_id
 
+    def is_among_first(self, key: str, count: int) -> bool:
+        """Return whether this entry is one of `count` that a key selects among all entries."""
+        with self._lock:
+            ids = {*self._changed_at, self._own_id}
+        ranks = {entry_id: xxh64_intdigest(f"{key}/{entry_id}".encode()) for entry_id in ids}
+        return self._own_id in heapq.nsmallest(count, ids, key=ranks.__getitem__)
+
     def replace(self, entry_ids: Iterable[str], is_restored: bool = False) -> None:
         """Record all rows of the table.
 
--- a/hibiscustray/settings/hosted.py
+++ b/hibiscustray/settings/hosted.py
@@ -47,7 +47,8 @@
 class HostedStore:
     """Address of the platform's store; `wait_s` is the longest wait of one call for changes.
 
-    The bounds may allow less. `list_pause_s` is the pause between reads of the list of replicas.
+    The bounds may allow less. `list_pause_s` is the pause between reads of the list of replicas; an
+    entry's is shortened to what the drain time allows.
     """
 
     address: str
@@ -69,13 +70,15 @@
 
     `version_ms` limits the time for swapping to a new target version, `grace_s` the time for
     draining, `contact_ms` the time until a process knows all changes again after its connections
-    were lost. `retry_share` is the allowed ratio of retries to requests, `retry_slack` the number
-    of retries that all entries together may make in a window beyond this share.
+    were lost, `drain_ms` the time after which a leaving replica gets no new requests. `retry_share`
+    is the allowed ratio of retries to requests, `retry_slack` the number of retries that all
+    entries together may make in a window beyond this share.
     """
 
     version_ms: NonNegativeFloat = 8000.0
     contact_ms: PositiveFloat = 3000.0
     grace_s: NonNegativeFloat = 8.0
+    drain_ms: NonNegativeFloat = 2000.0
     retry_share: NonNegativeFloat = 0.2
     retry_slack: NonNegativeFloat = 100.0
 
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -293,3 +293,36 @@
     )
     follow(source, ReplicaListener(directory))
     assert [r.id for r in directory.list_ready("s")] == ["i-1"]
+
+
+# Guards against a call for each of many replicas that change their rows within a second.
+def test_changes_within_the_pause_are_read_by_one_call_that_is_counted():
+    table, metrics = [ReplicaListed(RECORD)], Metrics("test")
+
+    class BurstSource:
+        name = "table"
+        calls = 0
+
+        def read(self) -> FeedPage:
+            return FeedPage((), 1, read_clock())
+
+        def follow(self, revision: int, wait_s: float) -> FeedPage:
+            # A change every 20 ms, for a second.
+            ends_at = read_clock() + wait_s
+            while read_clock() < ends_at:
+                newest = min(50, int((read_clock() - began_at) / 0.02))
+                if newest > revision:
+                    self.calls += 1
+                    return FeedPage(tuple(table * (newest - revision)), newest, read_clock())
+                time.sleep(0.002)
+            return FeedPage((), revision, read_clock())
+
+    source, directory = BurstSource(), ReplicaDirectory()
+    began_at = read_clock()
+    follower = FeedFollower(source, ReplicaListener(directory), 0.2, metrics, 0.25)
+    follower.start()
+    time.sleep(1.5)
+    follower.stop()
+    assert source.calls <= 5
+    labels = {"feed": "table", "reason": "change"}
+    assert metrics.read("store_calls_total", labels) == source.calls
--- a/tests/feeds/test_limits.py
+++ b/tests/feeds/test_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits
+from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits, find_list_pause
 from hibiscustray.feeds.limits import RESERVE_S
 from hibiscustray.telemetry import Metrics
 
@@ -39,3 +39,13 @@
     follower = FeedFollower(source, None, 2.5, Metrics("test"))
     follower.set_limits(CallLimits(1.5, 2.5))
     assert (follower._compute_wait(0.0), source.call_s) == (1.5, 2.5)
+
+
+# Guards against a replica that leaves and gets requests after its drain time, since the changes of
+# the list are gathered: pause, a slow response and its reading must end before.
+@pytest.mark.parametrize("drain_s", [4.0, 2.0, 1.0, 0.2, 0.0])
+@pytest.mark.parametrize("longest_pause_s", [0.0, 0.3, 3.0])
+def test_pause_leaves_most_of_the_drain_time(drain_s, longest_pause_s):
+    pause_s = find_list_pause(drain_s, longest_pause_s)
+    assert 0.0 <= pause_s <= longest_pause_s
+    assert drain_s - pause_s >= 0.8 * drain_s
--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -272,6 +272,24 @@
     assert len(setup.relayed.times_of("follow")) == calls_before
 
 
+def test_writer_that_is_no_announcer_leaves_small_configurations_to_others(setup):
+    setup.follower._is_announcer = lambda key: False
+    setup.publish(2)
+    setup.table.push(FeedPage((CatalogPublished(Catalog(3)), VERSION_2), 4))
+    setup.follower.start()
+    wait_until(lambda: setup.has(3))
+    wait_until(lambda: setup.relay.numbers() == {"m": 2})
+    assert setup.relay.writes == 1
+
+
+def test_writer_that_is_no_announcer_announces_large_configurations_all_the_same(setup):
+    setup.follower._is_announcer = lambda key: False
+    setup.publish(2, **NEAR)
+    setup.follower.start()
+    wait_until(lambda: setup.relay.numbers() == {"": 2})
+    assert setup.relay.copies == 1
+
+
 # Relay readers
 
 
@@ -341,9 +359,36 @@
 )
 def test_reader_uses_copy_only_if_current(relayed, copy, expected):
     table, catalogs, versions = relayed
-    table.full_page = FeedPage((CatalogAnnounced(7), VERSION_2), 8)
     table.operator_page = FeedPage((CatalogPublished(Catalog(9)),), 9)
     table.copy = copy
-    table.push(FeedPage((CatalogAnnounced(7),), 7))
+    table.push(FeedPage((CatalogAnnounced(7), VERSION_2), 7))
     wait_until(lambda: catalogs.current.revision == expected)
     assert versions.find_newest("m") == 2, "announced versions are applied too"
+    assert len(table.times_of("read")) == 1, "the announcements were followed without a gap"
+
+
+def test_reader_that_has_lost_the_history_reads_only_the_announcements_of_what_it_knows(relayed):
+    table, catalogs, versions = relayed
+    table.full_page = FeedPage((CatalogAnnounced(1), VERSION_2), 8)
+    table.failure = HistoryLost("gone")
+    wait_until(lambda: len(table.times_of("read")) >= 2)
+    table.failure = None
+    wait_until(lambda: versions.find_newest("m") == 2)
+    assert len(table.times_of("read table")) == 1
+    assert catalogs.current.revision == 1
+
+
+def test_reader_that_has_lost_the_history_reads_a_configuration_that_it_does_not_know(relayed):
+    table, catalogs, _ = relayed
+    table.full_page = FeedPage((CatalogAnnounced(4),), 8)
+    table.operator_page = FeedPage((CatalogPublished(Catalog(4)),), 8)
+    table.failure = HistoryLost("gone")
+    wait_until(lambda: catalogs.current.revision == 4)
+
+
+def test_reader_reads_the_table_of_another_era_of_the_store(relayed):
+    table, catalogs, versions = relayed
+    table.full_page = FeedPage((CatalogAnnounced(1), VERSION_2), 8, era=3)
+    table.operator_page = FeedPage((CatalogPublished(Catalog(2)),), 8, era=3)
+    table.failure = HistoryLost("gone")
+    wait_until(lambda: catalogs.current.revision == 2)
--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -49,3 +49,20 @@
     now[0] = ROW_LIFETIME_S + 1
     roster.replace(["e1", "e2"])
     assert roster.list_gone() == ["e1"]
+
+
+def test_a_key_selects_the_same_few_entries_at_each_of_them():
+    ids = [f"entry-{number}" for number in range(35)]
+    rosters = [EntryRoster(entry_id, lambda count: None) for entry_id in ids]
+    for roster in rosters:
+        roster.replace(ids)
+    chosen = {
+        key: [e for e, roster in zip(ids, rosters, strict=True) if roster.is_among_first(key, 3)]
+        for key in map(str, range(40))
+    }
+    assert {len(entries) for entries in chosen.values()} == {3}
+    assert len({entry for entries in chosen.values() for entry in entries}) > 20
+
+
+def test_an_entry_that_knows_no_other_selects_itself():
+    assert EntryRoster("entry-1", lambda count: None).is_among_first("7", 3)
--- a/tests/settings/test_hosted.py
+++ b/tests/settings/test_hosted.py
@@ -22,7 +22,7 @@
     "listen": {"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002"},
     "internalPorts": [7700, 7715],
     "limits": {"linkMbps": 3.65},
-    "parameters": {"version_ms": 8000, "contactMs": 4000, "graceS": 8}
+    "parameters": {"version_ms": 8000, "contactMs": 4000, "graceS": 8, "drainMs": 2000}
     | {"budgetRatio": 0.2, "retrySlack": 100},
     "platform": {"addr": "10.200.1.7:8007"},
     "app": "10.1.0.41:8001",
