--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 BINARY_ROOT ?= /dev/shm/hibiscustray
 
-.PHONY: venv demo test lint format example-trust example-cairnbeam bench-idle bench-stream capacity binary binary-check
+.PHONY: venv demo test test-quick lint format example-trust example-cairnbeam bench-idle bench-stream capacity binary binary-check
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -17,7 +17,10 @@
 	$(BIN)/hibiscustray demo
 
 test: venv
-	$(BIN)/python -m pytest $(PYTEST_OPTIONS)
+	$(BIN)/python tools/run_tests.py $(PYTEST_OPTIONS)
+
+test-quick: venv
+	$(BIN)/python tools/run_tests.py --quick $(PYTEST_OPTIONS)
 
 lint: venv
 	$(BIN)/black --check --quiet hibiscustray tests examples tools
--- a/tests/platform/test_end_table.py
+++ b/tests/platform/test_end_table.py
@@ -34,6 +34,8 @@
 from tests.platform.site import HostedSite, run_hosted_site
 from tests.waiting import wait_until
 
+pytestmark = pytest.mark.timed
+
 CONCURRENT = 8
 """Callers at a time. They share one interpreter with the entry, the replicas and the store; more of
 them would wait for it rather than for the entry."""
--- a/tests/platform/test_replica_limits.py
+++ b/tests/platform/test_replica_limits.py
@@ -19,6 +19,8 @@
 from tests.platform.fleet import FragileServer, Load, run_fleet
 from tests.platform.site import run_hosted_site
 
+pytestmark = pytest.mark.timed
+
 CONTACT_S = 3.0
 """Time after a replica first names its limit by which all entries must keep it."""
 WINDOW_S = 4.0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,8 @@
 
 from pathlib import Path
 
+import pytest
+
 from hibiscustray.platform import standins
 from hibiscustray.soak import (
     FAILED_SEEDS,
@@ -20,6 +22,8 @@
 )
 from hibiscustray.soak.programs import EntryProgram, find_free_port
 
+pytestmark = pytest.mark.timed
+
 SEED = 11
 
 
--- a/tests/weights/test_relay.py
+++ b/tests/weights/test_relay.py
@@ -17,6 +17,8 @@
 from tests.weights.network import CHUNK_B, SHORT_INTERVALS, Network
 from tests.weights.test_transfer import CHUNKS, FILE, run_all
 
+pytestmark = pytest.mark.timed
+
 
 @pytest.fixture(autouse=True)
 def short_waits(monkeypatch):
