Lets imports of weights follow each other after an outage of the origin

Cause: a chunk is imported from another region at once only if nothing new has arrived for idle_s, and each import was such an arrival.

Change: imports do not end the idle time of imports. Requests within the region are as before.

--- a/hibiscustray/weights/arrivals.py
+++ b/hibiscustray/weights/arrivals.py
@@ -42,7 +42,7 @@
 
     def __init__(self) -> None:
         self._started_at = time.monotonic()
-        self._last_at = self._started_at
+        self._last_at = self._passed_at = self._started_at
         self._times: list[float] = []
         self._sources: Counter[str] = Counter()
         self._requests_s: Counter[str] = Counter()
@@ -57,10 +57,17 @@
         """Return the seconds since the last new chunk, or since the start."""
         return time.monotonic() - self._last_at
 
+    @property
+    def unprompted_idle_s(self) -> float:
+        """Return the seconds since the last new chunk that was not imported, or since the start."""
+        return time.monotonic() - self._passed_at
+
     def record(self, source: ChunkSource, took_s: float = 0.0) -> None:
         """Record a chunk that is new here, and how long the request for it took in seconds."""
         with self._lock:
             self._last_at = time.monotonic()
+            if source is not ChunkSource.IMPORTED:
+                self._passed_at = self._last_at
             self._times.append(self._last_at - self._started_at)
             self._sources[source] += 1
             self._requests_s[source] += took_s
--- a/hibiscustray/weights/scheduling.py
+++ b/hibiscustray/weights/scheduling.py
@@ -230,7 +230,9 @@
     def _choose_assigned(self, missing: int) -> FetchJob | None:
         available = self._swarm.find_available_chunks(self._own.region)
         elsewhere = self._swarm.find_known_chunks()
-        overdue = self._swarm.find_overdue_chunks(2 * self._choose_pull_delay())
+        # An import says nothing of what is passed on, so that the next one may follow it.
+        idle_s = self._swarm.arrivals.unprompted_idle_s
+        overdue = self._swarm.find_overdue_chunks(2 * self._choose_pull_delay(idle_s))
         for index in list_chunks(missing & self.planned & ~available):
             source = "" if self._taken_over >> index & 1 else self._sources[index]
             job: FetchJob | None = None
@@ -256,14 +258,16 @@
                 return PeerFetch(index, self._swarm.choose_peer(holders), is_import=True)
         return None
 
-    def _choose_pull_delay(self) -> float:
-        is_idle = self._swarm.arrivals.idle_s > self._limits.idle_s
+    def _choose_pull_delay(self, idle_s: float) -> float:
+        is_idle = idle_s > self._limits.idle_s
         return self._limits.idle_s if is_idle else self._limits.pull_delay_s
 
     def _choose_peer(self, missing: int) -> FetchJob | None:
         if self._count(PeerFetch) >= self.window.limit:
             return None
-        missing &= self._swarm.find_overdue_chunks(self._choose_pull_delay())
+        missing &= self._swarm.find_overdue_chunks(
+            self._choose_pull_delay(self._swarm.arrivals.idle_s)
+        )
         ready_peers = self._swarm.find_ready_peers(self._own.region)
         request_counts = Counter(job.address for job in self._jobs if isinstance(job, PeerFetch))
         for address, count in request_counts.items():
