Reads a configuration that nobody announced, and shortens the pause when the drain time changes

Found on reading the change again: rows of entries that were killed stay in their table for 15 minutes, so that all three announcers of a small configuration may be away and agents would not read it before the next one; and a drain time that a settings file shortens did not shorten the pause of a running entry.

Change: an agent reads the configuration at the latest two minutes after it read one; the pause is part of the call limits, which a changed settings file sets anew. store_calls_total has poll for calls without a wait.

Evidence: test_reader_finds_a_configuration_that_nobody_announced and test_changed_drain_time_shortens_the_pause_of_a_running_follower, both of what was missing.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -24,7 +24,6 @@
     RelayWriter,
     RelayWriterTuning,
     ReplicaListener,
-    find_list_pause,
 )
 from hibiscustray.gateway import (
     AttemptController,
@@ -92,8 +91,10 @@
 AGENT_READ_DELAYS_S = (4.0, 10.0)
 """Shortest and longest delay of an agent's read of a configuration, which spread the reads of a
 region over time, because the entries need the shared link first."""
+AGENT_READ_INTERVAL_S = 120.0
+"""Time after which an agent reads the configuration although none was announced."""
 ANNOUNCERS = 3
-"""Entries that announce a small configuration. If all of them are away, agents know it late, which
+"""Entries that announce a small configuration. If all of them are away, agents read it late, which
 they bear: they need of it the origin and their service's models."""
 HOSTED_TRANSFER_TUNING = TransferTuning(
     initial_timeout_s=1.5,
@@ -137,7 +138,6 @@
         limits,
         metrics,
         partial(_build_relay_writer, is_announcer=partial(_is_announcer, roster)),
-        find_list_pause(settings.bounds.drain_ms / MS_PER_S, settings.store.list_pause_s),
     )
     placer = Placer(feed_state.directory, notices, zone, settings.regions, settings.process.id)
     bounds = settings.bounds
@@ -197,7 +197,6 @@
         find_agent_call_limits(settings),
         metrics,
         partial(_build_relay_reader, version_bound_s=settings.bounds.version_ms / MS_PER_S),
-        settings.store.list_pause_s,
         lambda: [stager.cancel_outdated_transfer() for stager in stager_holder],
     )
     cache = ChunkCache(settings.links.cache_mib * MIB)
@@ -265,7 +264,6 @@
     limits: CallLimits,
     metrics: Metrics,
     build_operator: Callable[..., FeedFollower],
-    list_pause_s: float,
     on_version: Callable[[], object] = lambda: None,
 ) -> _FeedState:
     catalogs, versions, directory = CatalogHolder(), TargetVersions(), ReplicaDirectory()
@@ -278,8 +276,9 @@
         ReplicaListener(directory, _list_entry_addresses(settings)),
         limits.wait_s,
         metrics,
-        list_pause_s,
+        settings.store.list_pause_s,
     )
+    replicas.set_limits(limits)
     return _FeedState(catalogs, versions, directory, (operator, replicas))
 
 
@@ -320,7 +319,7 @@
 ) -> FeedFollower:
     # The table itself is asked for versions within their bound, in case no entry announces them.
     check_interval_s = max(version_bound_s, MIN_CHECK_INTERVAL_S)
-    tuning = RelayReaderTuning(check_interval_s, *AGENT_READ_DELAYS_S)
+    tuning = RelayReaderTuning(check_interval_s, *AGENT_READ_DELAYS_S, AGENT_READ_INTERVAL_S)
     return RelayReader(RelayedOperatorFeed(store), listener, wait_s, metrics, tuning)
 
 
--- a/hibiscustray/feeds/__init__.py
+++ b/hibiscustray/feeds/__init__.py
@@ -29,7 +29,7 @@
     make_announcement,
     make_relay_key,
 )
-from hibiscustray.feeds.limits import CallLimits, find_call_limits, find_list_pause
+from hibiscustray.feeds.limits import CallLimits, find_call_limits, limit_pause
 from hibiscustray.feeds.listeners import EntryListener, OperatorListener, ReplicaListener
 from hibiscustray.feeds.relay import RelayReader, RelayReaderTuning, RelayWriter, RelayWriterTuning
 
@@ -66,8 +66,8 @@
     "decode_relay_row",
     "encode_copy",
     "find_call_limits",
-    "find_list_pause",
     "is_earlier_era",
+    "limit_pause",
     "make_announcement",
     "make_relay_key",
 ]
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -96,6 +96,7 @@
         self._wait_s = wait_s
         self._metrics = metrics
         self._pause_s = pause_s
+        self._longest_pause_s = float("inf")
         self._revision: int | None = None
         self._era: int | None = None
         self._has_read_page = False
@@ -121,6 +122,7 @@
     def set_limits(self, limits: CallLimits) -> None:
         """Apply changed limits to later calls."""
         self._wait_s = limits.wait_s
+        self._longest_pause_s = limits.pause_s
         self._source.limit_calls(limits.call_s)
 
     def _run(self) -> None:
@@ -158,7 +160,7 @@
                 pause_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_FACTOR)
             else:
                 pause_s = MIN_BACKOFF_S
-                self._stopping.wait(self._pause_s)
+                self._stopping.wait(min(self._pause_s, self._longest_pause_s))
 
     def _process_next_page(self) -> None:
         called_at = read_clock()
@@ -180,7 +182,7 @@
         self._metrics.count("store_calls_total", {"feed": self._source.name, "reason": reason})
 
     def _count_followed(self, page: FeedPage, wait_s: float) -> None:
-        reason = "change" if page.changes else "timeout" if wait_s else "retry"
+        reason = "change" if page.changes else "timeout" if wait_s else "poll"
         self._count_call(reason)
 
     def _compute_wait(self, now: float) -> float:
--- a/hibiscustray/feeds/limits.py
+++ b/hibiscustray/feeds/limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 RESERVE_S = 0.5
 """Time to connect again and read what was missed, once a call has failed."""
@@ -16,10 +16,15 @@
 
 @dataclass(frozen=True)
 class CallLimits:
-    """The longest wait of a call for changes, and the time after which any call fails; seconds."""
+    """Limits of a process's calls to the store, in seconds.
+
+    `wait_s` is the longest wait of a call for changes, `call_s` the time after which any call
+    fails, and `pause_s` the longest pause between calls.
+    """
 
     wait_s: float
     call_s: float
+    pause_s: float = float("inf")
 
 
 def find_call_limits(contact_s: float, longest_wait_s: float) -> CallLimits:
@@ -33,11 +38,11 @@
     return CallLimits(min(longest_wait_s, call_s - margin_s), call_s)
 
 
-def find_list_pause(drain_s: float, longest_pause_s: float) -> float:
-    """Return the pause after each read of the list, in which its changes are gathered; seconds.
+def limit_pause(limits: CallLimits, drain_s: float) -> CallLimits:
+    """Return the limits with a pause that leaves most of the drain time of a replica.
 
     A replica that leaves gets no new requests from `drain_s` after its row has changed. The pause
     delays a process's knowledge of it only while calls succeed: no connection is open meanwhile
     that could go silent.
     """
-    return min(longest_pause_s, MAX_PAUSE_SHARE * drain_s)
+    return replace(limits, pause_s=MAX_PAUSE_SHARE * drain_s)
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -57,12 +57,13 @@
 
     The target versions are read from the table itself every `check_interval_s`, in case no process
     writes to the relay. The whole table is read between `min_delay_s` and `max_delay_s` after a
-    configuration is announced.
+    configuration is announced, and at the latest `read_interval_s` after it was read before.
     """
 
     check_interval_s: float
     min_delay_s: float
     max_delay_s: float
+    read_interval_s: float = float("inf")
 
 
 class RelayWriter(FeedFollower):
@@ -275,7 +276,6 @@
         if now >= self._table_read_at:
             # The read stays due until it succeeds.
             self._read_configuration()
-            self._table_read_at = float("inf")
             return
         super()._process_next_page()
 
@@ -298,6 +298,8 @@
             self._count_call("read")
             copy = self._relay_source.read_table()
         self._catalog_revision = max([self._catalog_revision, *_list_revisions(copy.changes)])
+        interval_s = self._tuning.read_interval_s * random.uniform(0.75, 1.0)
+        self._table_read_at = read_clock() + interval_s
         return copy
 
     def _read_configuration(self) -> None:
@@ -321,11 +323,9 @@
 
     def _process_changes(self, page: FeedPage) -> tuple[Change, ...]:
         changes = super()._process_changes(page)
-        announced = self._find_announced(changes)
-        is_pending = self._table_read_at != float("inf")
-        if announced is not None and self._revision is not None and not is_pending:
+        if self._find_announced(changes) is not None and self._revision is not None:
             delay_s = random.uniform(self._tuning.min_delay_s, self._tuning.max_delay_s)
-            self._table_read_at = read_clock() + delay_s
+            self._table_read_at = min(self._table_read_at, read_clock() + delay_s)
         return changes
 
     def _find_announced(self, changes: tuple[Change, ...]) -> int | None:
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -8,7 +8,7 @@
 from hibiscustray.catalog import Catalog, CatalogHolder
 from hibiscustray.clock import read_clock
 from hibiscustray.entry.watchdog import Watchdog
-from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits
+from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits, limit_pause
 from hibiscustray.gateway.attempts import VersionLimits
 from hibiscustray.gateway.drain import DrainWindow
 from hibiscustray.gateway.forwarder import RequestForwarder
@@ -134,8 +134,12 @@
 
 
 def find_entry_call_limits(settings: HostedSettings) -> CallLimits:
-    """Return the limits with which an entry knows all changes within its contact time."""
-    return find_call_limits(settings.bounds.contact_ms / MS_PER_S, settings.store.wait_s)
+    """Return the limits with which an entry knows all changes within its contact time.
+
+    It knows of replicas that leave within their drain time.
+    """
+    limits = find_call_limits(settings.bounds.contact_ms / MS_PER_S, settings.store.wait_s)
+    return limit_pause(limits, settings.bounds.drain_ms / MS_PER_S)
 
 
 def find_retry_limits(bounds: HostedBounds) -> tuple[float, float]:
--- a/tests/feeds/test_limits.py
+++ b/tests/feeds/test_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits, find_list_pause
+from hibiscustray.feeds import CallLimits, FeedFollower, find_call_limits, limit_pause
 from hibiscustray.feeds.limits import RESERVE_S
 from hibiscustray.telemetry import Metrics
 
@@ -42,10 +42,20 @@
 
 
 # Guards against a replica that leaves and gets requests after its drain time, since the changes of
-# the list are gathered: pause, a slow response and its reading must end before.
+# the list are gathered: the pause, a slow response and its reading must end before.
 @pytest.mark.parametrize("drain_s", [4.0, 2.0, 1.0, 0.2, 0.0])
-@pytest.mark.parametrize("longest_pause_s", [0.0, 0.3, 3.0])
-def test_pause_leaves_most_of_the_drain_time(drain_s, longest_pause_s):
-    pause_s = find_list_pause(drain_s, longest_pause_s)
-    assert 0.0 <= pause_s <= longest_pause_s
-    assert drain_s - pause_s >= 0.8 * drain_s
+def test_pause_leaves_most_of_the_drain_time(drain_s):
+    limits = limit_pause(find_call_limits(3.0, 8.0), drain_s)
+    assert limits.pause_s >= 0.0
+    assert drain_s - limits.pause_s >= 0.8 * drain_s
+
+
+@pytest.mark.parametrize(("wanted_s", "pause_s"), [(0.3, 0.15), (0.1, 0.1), (0.0, 0.0)])
+def test_changed_drain_time_shortens_the_pause_of_a_running_follower(wanted_s, pause_s):
+    follower = FeedFollower(Source(), None, 2.5, Metrics("test"), wanted_s)
+    follower.set_limits(limit_pause(CallLimits(1.5, 2.5), 1.0))
+    waits = []
+    follower._stopping.wait = lambda seconds: waits.append(seconds) or follower._stopping.set()
+    follower._process_next_page = lambda: None
+    follower._run()
+    assert waits == [pytest.approx(pause_s)]
--- a/tests/feeds/test_relay.py
+++ b/tests/feeds/test_relay.py
@@ -392,3 +392,19 @@
     table.operator_page = FeedPage((CatalogPublished(Catalog(2)),), 8, era=3)
     table.failure = HistoryLost("gone")
     wait_until(lambda: catalogs.current.revision == 2)
+
+
+# Guards against agents that never read a configuration, as all its announcers were away.
+def test_reader_finds_a_configuration_that_nobody_announced():
+    table = TableStandIn(FeedPage((), 1))
+    table.operator_page = FeedPage((CatalogPublished(Catalog(1)),), 1)
+    catalogs = CatalogHolder()
+    tuning = RelayReaderTuning(5.0, 0.1, 0.1, read_interval_s=0.6)
+    follower = RelayReader(
+        table, OperatorListener(catalogs, TargetVersions()), 5.0, Metrics("test"), tuning
+    )
+    follower.start()
+    wait_until(lambda: bool(table.times_of("follow")))
+    table.operator_page = FeedPage((CatalogPublished(Catalog(5)),), 5)
+    wait_until(lambda: catalogs.current.revision == 5, 1.5)
+    follower.stop()
