Logs how long outdated weights might still be used when a request was sent

Both have weights_left_s now (the time left at the send until a newer version is required), and attempt lost has sent_s_ago. test_attempt_is_logged_with_the_time_that_its_weights_had_left_when_it_was_sent failed before (no such field). No logic is changed.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -365,12 +365,7 @@
 
     def _is_outdated(self, context: RequestContext, placement: Placement) -> bool:
         """Return whether an attempt that has not begun must not begin any more."""
-        if not context.model:
-            return False
-        left_s = self._versions.find_time_left(
-            context.model, placement.version, self.limits.version_bound_s
-        )
-        return left_s <= VERSION_DEADLINE_MARGIN_S
+        return self._find_weights_left(context, placement) <= VERSION_DEADLINE_MARGIN_S
 
     def _may_back_up(self, context: RequestContext) -> bool:
         budget = self._budgets.get(context.service.name)
@@ -453,6 +448,15 @@
             context.tally.remove_sent()
             raise SendWithdrawn("another request is on trial")
         context.sent_at = read_clock()
+        context.weights_left_s = self._find_weights_left(context, placement)
+
+    def _find_weights_left(self, context: RequestContext, placement: Placement) -> float:
+        """Return the seconds until weights newer than a replica's are required, else infinity."""
+        if not context.model:
+            return float("inf")
+        return self._versions.find_time_left(
+            context.model, placement.version, self.limits.version_bound_s
+        )
 
     def _find_constraint(self, context: RequestContext) -> WeightsConstraint:
         if not context.model:
--- a/hibiscustray/gateway/context.py
+++ b/hibiscustray/gateway/context.py
@@ -65,7 +65,9 @@
     has the replicas tried, and `trail` lists each with the result. `answered_version` is the
     version of the weights that the last response named, 0 if it named none, and `framing` tells how
     that response marks the end of its body, None without a response. `sent_at` is the time at which
-    the last attempt was sent. `digest` is the same for all repeats of a request.
+    the last attempt was sent, and `weights_left_s` the seconds that were left then until a newer
+    version of the weights than its replica's is required. `digest` is the same for all repeats of a
+    request.
     """
 
     inbound: InboundRequest
@@ -83,6 +85,7 @@
     answered_version: int = 0
     framing: Framing | None = None
     sent_at: float = 0.0
+    weights_left_s: float = float("inf")
 
     @property
     def model(self) -> str:
--- a/hibiscustray/gateway/reporter.py
+++ b/hibiscustray/gateway/reporter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 
 from hibiscustray.clock import read_clock
 from hibiscustray.gateway.context import RequestContext
@@ -119,6 +120,9 @@
             details["has_response"] = started_at is not None
         if context.framing is not None:
             details["framing"] = context.framing.value
+        if context.sent_at:
+            details["sent_s_ago"] = round(read_clock() - context.sent_at, 3)
+        details |= _describe_weights_left(context)
         log.info(
             "attempt lost",
             extra={
@@ -150,6 +154,7 @@
                 details["required_weights"] = placement.required_version
                 details["listed_weights"] = placement.version
                 details["answered_weights"] = context.answered_version
+                details |= _describe_weights_left(context)
         if context.framing is not None:
             details["framing"] = context.framing.value
         log.info(
@@ -168,6 +173,11 @@
         )
 
 
+def _describe_weights_left(context: RequestContext) -> dict[str, object]:
+    left_s = context.weights_left_s
+    return {"weights_left_s": round(left_s, 3)} if math.isfinite(left_s) else {}
+
+
 def _make_response(status: int, reason: str, retry_after_s: float | None = None) -> InboundResponse:
     headers = PROBLEM_HEADERS
     if retry_after_s is not None:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -109,14 +109,17 @@
 
 @contextmanager
 def run_hosted_site(
-    is_configured: bool = True, threads: int = 16, era: int | None = None
+    is_configured: bool = True,
+    threads: int = 16,
+    era: int | None = None,
+    version_ms: float = 1000.0,
 ) -> Iterator[HostedSite]:
     """Run an entry with an empty replica list, and a configuration if `is_configured`."""
     store = StoreStandIn()
     store.era = era
     if is_configured:
         store.put("op", "config", make_configuration())
-    settings, process = build_entry(store, threads)
+    settings, process = build_entry(store, threads, version_ms)
     process.start()
     site = HostedSite(store, settings, process)
     try:
@@ -130,7 +133,7 @@
             replica.close()
 
 
-def build_entry(store: StoreStandIn, threads: int):
+def build_entry(store: StoreStandIn, threads: int, version_ms: float = 1000.0):
     """Return the settings and the process of an entry on free ports."""
     while True:
         settings = HostedSettings(
@@ -140,7 +143,7 @@
             entry=HostedEntry(
                 f"127.0.0.1:{find_free_port()}", f"127.0.0.1:{find_free_port()}", threads=threads
             ),
-            bounds=HostedBounds(version_ms=1000.0, grace_s=3.0),
+            bounds=HostedBounds(version_ms=version_ms, grace_s=3.0),
         )
         try:
             return settings, build_hosted_entry(settings, Metrics("edge-1"))
--- a/tests/platform/test_hosted_entry.py
+++ b/tests/platform/test_hosted_entry.py
@@ -701,6 +701,21 @@
     assert (line.required_weights, line.listed_weights, line.answered_weights) == (0, 1, 1)
 
 
+def test_attempt_is_logged_with_the_time_that_its_weights_had_left_when_it_was_sent(caplog):
+    caplog.set_level("INFO")
+    with run_hosted_site(version_ms=8000.0) as site:
+        site.add_replica("guide", close_without_response)
+        site.store.set_target_version(2)
+        versions = site.process._forwarder._attempts._versions
+        wait_until(lambda: versions.find_newest("m") == 2)
+        site.request_stream()
+        wait_until(lambda: any(r.message == "request ended" for r in caplog.records))
+    lines = {r.message: r for r in caplog.records if r.message in ("attempt lost", "request ended")}
+    assert 7.0 < lines["request ended"].weights_left_s <= 8.0
+    assert 7.0 < lines["attempt lost"].weights_left_s <= 8.0
+    assert 0.0 <= lines["attempt lost"].sent_s_ago < 1.0
+
+
 def test_lost_attempt_is_logged_with_its_replica_and_the_parts_of_its_prompt(site, caplog):
     caplog.set_level("INFO")
     replica = site.add_replica("guide", close_without_response)
