Dates what is found after a gap between two calls by the response before it

Now the first call after a gap of more than 0.5 s does not wait at the store, so what it finds is as old as the response before, and a call that was sent later than that after a response does not count as one that has waited. The decision is in feeds/dating.py; the followers of the list of replicas, of reports and of the relay keep their estimate.

--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -15,6 +15,7 @@
 from hibiscustray.composition.parts import MIB, MS_PER_S, DeferredApplication, make_incarnation
 from hibiscustray.entry.watchdog import Watchdog
 from hibiscustray.feeds import (
+    LIKELY,
     CallLimits,
     EntryListener,
     FeedFollower,
@@ -153,6 +154,7 @@
         limits.wait_s,
         metrics,
         REPORT_PAUSE_S,
+        LIKELY,
     )
     attempts = AttemptController(
         feed_state.versions,
@@ -277,6 +279,7 @@
         limits.wait_s,
         metrics,
         settings.store.list_pause_s,
+        LIKELY,
     )
     replicas.set_limits(limits)
     return _FeedState(catalogs, versions, directory, (operator, replicas))
--- a/hibiscustray/feeds/__init__.py
+++ b/hibiscustray/feeds/__init__.py
@@ -20,6 +20,7 @@
     TargetVersionSet,
     is_earlier_era,
 )
+from hibiscustray.feeds.dating import LIKELY
 from hibiscustray.feeds.follower import FeedFollower, FeedListener
 from hibiscustray.feeds.formats import (
     decode_copy,
@@ -47,6 +48,7 @@
     "FeedListener",
     "FeedPage",
     "FeedSource",
+    "LIKELY",
     "OperatorListener",
     "RelayReader",
     "RelayReaderTuning",
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -23,6 +23,7 @@
     is_earlier_era,
 )
 from hibiscustray.feeds.clock import ResponseTimes, StoreClock
+from hibiscustray.feeds.dating import EARLIEST, DatingLimits
 from hibiscustray.feeds.limits import CallLimits
 from hibiscustray.telemetry import Metrics
 
@@ -35,11 +36,6 @@
 MAX_CALL_MARGIN_S = 1.5
 """Longest time, beyond its wait, that a failing call takes in a process that runs: the timeouts for
 the connection and for a response that is due."""
-MAX_CALL_GAP_S = 0.1
-"""If at most this time passes between a response and the next call, a change counts as made when
-the store sent its own response, since the store responds within a few milliseconds."""
-MAX_IMMEDIATE_RESPONSE_S = 0.25
-"""Longest time in which a slow store responds without a wait; a later response ended a wait."""
 MAX_RETRY_S = 0.75
 """Longest time in which a store that has not been away answers the first call after a failure."""
 MAX_CHANGE_AGE_AFTER_OUTAGE_S = 3.0
@@ -80,7 +76,7 @@
     """Reads a table once and then its changes; reads the table again if the history was lost.
 
     With `pause_s` between calls, one response carries the changes made during the pause, for tables
-    whose changes are not urgent.
+    whose changes are not urgent. `dating` decides when changes count as made.
     """
 
     def __init__(
@@ -90,18 +86,21 @@
         wait_s: float,
         metrics: Metrics,
         pause_s: float = 0.0,
+        dating: DatingLimits = EARLIEST,
     ) -> None:
         self._source = source
         self._listener = listener
         self._wait_s = wait_s
         self._metrics = metrics
         self._pause_s = pause_s
+        self._dating = dating
         self._longest_pause_s = float("inf")
         self._revision: int | None = None
         self._era: int | None = None
         self._has_read_page = False
         self._store_clock = StoreClock()
         self._last_response: ResponseTimes | None = None
+        self._is_after_gap = False
         self._outage_started_at: float | None = None
         self._is_outage_reported = False
         self._last_failed_call_at = float("-inf")
@@ -188,7 +187,12 @@
     def _compute_wait(self, now: float) -> float:
         """Return how long the store may wait for a change before it responds, in seconds."""
         # The first call after a failure returns immediately, to detect the end of an outage.
-        return self._wait_s if self._outage_started_at is None else 0.0
+        if self._outage_started_at is not None:
+            return 0.0
+        # So does the first call after a gap, or a late call would hide that a change is as old.
+        was_after_gap = self._is_after_gap
+        self._is_after_gap = self._find_gap(now) > self._dating.call_gap_s
+        return 0.0 if self._is_after_gap and not was_after_gap else self._wait_s
 
     def _check_era(self, page: FeedPage) -> None:
         """Raise `StoreRestored` if changes of two eras of the store would be joined.
@@ -266,12 +270,13 @@
             )
             return max(self._last_responded_at, oldest_at)
         sent_at = page.call_sent_at if page.call_sent_at is not None else response.called_at
-        # A call that was not allowed to wait has not waited, however slow the store was.
-        has_waited = min(wait_s, responded_at - sent_at) > MAX_IMMEDIATE_RESPONSE_S
-        gap_s = sent_at - self._last_responded_at
-        if has_waited or gap_s <= MAX_CALL_GAP_S:
-            return responded_at
-        return self._last_responded_at
+        gap_s, call_s = self._find_gap(sent_at), responded_at - sent_at
+        has_waited = self._dating.has_waited(wait_s, gap_s, call_s)
+        return responded_at if has_waited else self._last_responded_at
+
+    def _find_gap(self, now: float) -> float:
+        """Return the seconds since the store sent the last response, 0 if there is none."""
+        return now - self._last_responded_at if self._last_response is not None else 0.0
 
     def _process_changes(self, page: FeedPage) -> tuple[Change, ...]:
         for change in page.changes:
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -26,6 +26,7 @@
     RelaySource,
     TargetVersionSet,
 )
+from hibiscustray.feeds.dating import LIKELY
 from hibiscustray.feeds.follower import FeedFollower, FeedListener
 from hibiscustray.telemetry import Metrics
 
@@ -261,7 +262,7 @@
         metrics: Metrics,
         tuning: RelayReaderTuning,
     ) -> None:
-        super().__init__(source, listener, wait_s, metrics)
+        super().__init__(source, listener, wait_s, metrics, dating=LIKELY)
         self._relay_source = source
         self._tuning = tuning
         self._next_poll_at = read_clock() + tuning.check_interval_s * random.random()
