Does not date a version by a response that no other one shows to be read in time

Now a response dates a version only if its offset of the clocks is confirmed by another one; without that, the version counts as set since the response before, and that as sent when its call was. A clock that was set ahead is noticed, too, and earlier responses are located by the offset of then.

--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -100,6 +100,7 @@
         self._has_read_page = False
         self._store_clock = StoreClock()
         self._last_response: ResponseTimes | None = None
+        self._is_last_located = False
         self._is_after_gap = False
         self._outage_started_at: float | None = None
         self._is_outage_reported = False
@@ -219,38 +220,42 @@
     def _apply_full_page(self, page: FeedPage, called_at: float) -> None:
         self._check_era(page)
         self._log_target_versions(page, called_at)
-        response = self._record_times(page, called_at)
+        response, is_located = self._record_times(page, called_at)
         earliest_at = self._compute_earliest_change(page, response, wait_s=0.0)
         self._record_recovery(called_at)
         self._listener.replace(self._process_changes(page), earliest_at)
-        self._record_page(page, response)
+        self._record_page(page, response, is_located)
 
     def _apply_changes(self, page: FeedPage, called_at: float, wait_s: float) -> None:
         self._check_era(page)
         self._log_target_versions(page, called_at)
-        response = self._record_times(page, called_at)
-        earliest_at = self._compute_earliest_change(page, response, wait_s)
+        response, is_located = self._record_times(page, called_at)
+        # A response that may have been read late does not tell whether its call has waited.
+        waited_s = wait_s if is_located else 0.0
+        earliest_at = self._compute_earliest_change(page, response, waited_s)
         self._record_recovery(called_at)
         for change in self._process_changes(page):
             self._listener.apply(change, earliest_at)
-        self._record_page(page, response)
+        self._record_page(page, response, is_located)
 
     @property
     def _last_responded_at(self) -> float:
-        """Return when the store sent the last response, as far as it is known by now."""
+        """Return when the store sent the last response at the earliest, as far as it is known."""
         last = self._last_response
-        return self._store_clock.locate(last) if last is not None else float("-inf")
+        if last is None:
+            return float("-inf")
+        responded_at = self._store_clock.locate(last)
+        return responded_at if self._is_last_located else min(responded_at, last.called_at)
 
-    def _record_page(self, page: FeedPage, response: ResponseTimes) -> None:
+    def _record_page(self, page: FeedPage, response: ResponseTimes, is_located: bool) -> None:
         self._revision = page.revision
-        self._last_response = response
+        self._last_response, self._is_last_located = response, is_located
         self._metrics.count("feed_calls_total", {"feed": self._source.name})
 
-    def _record_times(self, page: FeedPage, called_at: float) -> ResponseTimes:
-        """Compare the clocks by a page's times; return the times."""
+    def _record_times(self, page: FeedPage, called_at: float) -> tuple[ResponseTimes, bool]:
+        """Compare the clocks by a page's times; return the times and whether they are confirmed."""
         response = ResponseTimes(page.store_time_s, called_at, page.read_at)
-        self._store_clock.record(response)
-        return response
+        return response, self._store_clock.record(response)
 
     def _compute_earliest_change(
         self, page: FeedPage, response: ResponseTimes, wait_s: float
--- a/tests/feeds/test_clock.py
+++ b/tests/feeds/test_clock.py
@@ -53,6 +53,25 @@
         assert located == pytest.approx(second)
 
 
+def test_offset_is_confirmed_by_another_response_only():
+    clock = StoreClock()
+    assert not clock.record(ResponseTimes(AHEAD_S + 10.0, 9.9, 10.7))
+    assert not clock.record(ResponseTimes(AHEAD_S + 11.0, 10.7, 11.0)), "the first was read late"
+    assert clock.record(ResponseTimes(AHEAD_S + 12.0, 11.0, 12.6))
+    assert not clock.record(ResponseTimes(13.0, 12.6, 13.0)), "the clock was set back"
+    assert not clock.record(ResponseTimes(0.0, 13.0, 13.1)), "the response has no time"
+
+
+@pytest.mark.parametrize("jump_s", [-500.0, 500.0])
+def test_response_before_a_jump_is_located_by_the_clock_of_then(jump_s):
+    clock = StoreClock()
+    locate(clock, AHEAD_S + 10.0, 9.9, 10.0)
+    before = ResponseTimes(AHEAD_S + 12.0, 10.0, 13.0)
+    clock.record(before)
+    locate(clock, AHEAD_S + jump_s + 14.0, 13.0, 14.5)
+    assert clock.locate(before) == pytest.approx(12.0)
+
+
 def test_drifting_store_clock_does_not_age_later_responses():
     clock, drift = StoreClock(), 1e-4
     for second in range(0, 20 * int(WINDOW_S), 2):
--- a/tests/feeds/test_version_dates.py
+++ b/tests/feeds/test_version_dates.py
@@ -83,6 +83,16 @@
     assert MAX_CALL_DELAY_S < max(errors) <= WAIT_S + MAX_RESPONSE_S
 
 
+# Guards against requests on outdated weights: the store's clock was set and its response late.
+@pytest.mark.parametrize("jump_s", [-300.0, -0.4, 300.0])
+def test_version_is_not_dated_by_a_late_response_after_the_clock_was_set(jump_s, monkeypatch):
+    for set_at in [1.6 + 0.03 * step for step in range(50)]:
+        world = World(versions=[(set_at, VERSION, NEVER)], clock_jumps=[(1.58, jump_s)])
+        world.response_delays.append((Span(1.58, 3.1), 0.7))
+        versions = run_follower(world, monkeypatch, make_near_writer)
+        assert find_set_at(versions, VERSION) <= set_at + MAX_DATING_ERROR_S
+
+
 def replace_wait(make: Callable, wait_s: float) -> Callable:
     def make_with_wait(world: World, listener):
         writer = make(world, listener)
