Notices a pause in which an entry far from the store read the relay

Callers could see requests begin on outdated weights: an entry far from the store was paused while it waited at the relay, and three or more calls failed after that. Only a late response of the operator's table counted as a sign of the pause, so a version was dated up to 3 s late. Now a late response of the relay counts, too.

The table of test_version_dates.py: 17 ways to learn a version, 21 things that lie between, with one version and with two, and each with many times of the setting, in simulated time.

--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -101,6 +101,7 @@
         self._store_clock = StoreClock()
         self._last_response: ResponseTimes | None = None
         self._is_last_located = False
+        self._last_read: ResponseTimes | None = None
         self._is_after_gap = False
         self._outage_started_at: float | None = None
         self._is_outage_reported = False
@@ -263,6 +264,7 @@
     def _record_times(self, page: FeedPage, called_at: float) -> tuple[ResponseTimes, bool]:
         """Compare the clocks by a page's times; return the times and whether they are confirmed."""
         response = ResponseTimes(page.store_time_s, called_at, page.read_at)
+        self._last_read = response
         return response, self._store_clock.record(response)
 
     def _compute_earliest_change(
@@ -354,8 +356,9 @@
         if read_clock() - called_at > self._wait_s + MAX_CALL_MARGIN_S:
             return True
         late_s = called_at - self._call_due_at
-        if is_first and self._last_response is not None:
-            late_s = max(late_s, self._last_response.read_at - self._last_responded_at)
+        if is_first and self._last_read is not None:
+            unread_s = self._last_read.read_at - self._store_clock.locate(self._last_read)
+            late_s = max(late_s, unread_s)
         return late_s > self._dating.call_gap_s
 
     def _report_outage(self) -> None:
--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -135,6 +135,7 @@
             self._next_poll_at = float("-inf")
             return
         self._check_era(page)
+        self._record_times(page, called_at)
         self._relay_revision = page.revision
         self._log_target_versions(page, called_at)
         announced = 0
