--- a/hibiscustray/catalog/__init__.py
+++ b/hibiscustray/catalog/__init__.py
@@ -6,6 +6,7 @@
 from hibiscustray.catalog.holder import CatalogHolder
 from hibiscustray.catalog.limits import (
     CLOSE_LEAD_S,
+    MAX_DATING_ERROR_S,
     SEND_LEAD_S,
     WORK_LEAD_S,
     VersionLimits,
@@ -29,6 +30,7 @@
     "Catalog",
     "CatalogHolder",
     "EngineProfile",
+    "MAX_DATING_ERROR_S",
     "OriginEntry",
     "Route",
     "RouteKind",
--- a/hibiscustray/feeds/follower.py
+++ b/hibiscustray/feeds/follower.py
@@ -23,6 +23,7 @@
     is_earlier_era,
 )
 from hibiscustray.feeds.clock import ResponseTimes, StoreClock
+from hibiscustray.feeds.dating import EARLIEST, DatingLimits
 from hibiscustray.feeds.limits import CallLimits
 from hibiscustray.telemetry import Metrics
 
@@ -35,16 +36,11 @@
 MAX_CALL_MARGIN_S = 1.5
 """Longest time, beyond its wait, that a failing call takes in a process that runs: the timeouts for
 the connection and for a response that is due."""
-MAX_CALL_GAP_S = 0.1
-"""If at most this time passes between a response and the next call, a change counts as made when
-the store sent its own response, since the store responds within a few milliseconds."""
-MAX_IMMEDIATE_RESPONSE_S = 0.25
-"""Longest time in which a slow store responds without a wait; a later response ended a wait."""
 MAX_RETRY_S = 0.75
 """Longest time in which a store that has not been away answers the first call after a failure."""
 MAX_CHANGE_AGE_AFTER_OUTAGE_S = 3.0
-"""Maximum age of a change in the first response after an outage, unless the last failed call began
-earlier: no change is made while the store is down, but a congested link delays responses."""
+"""Maximum age of a change in the first response after an outage, unless the failed calls tell less:
+no change is made while the store is down, but a congested link delays responses."""
 MAX_REJECTED_LOGGED = 20
 """Limit of logged rows, so that a faulty writer cannot flood the log."""
 
@@ -80,7 +76,7 @@
     """Reads a table once and then its changes; reads the table again if the history was lost.
 
     With `pause_s` between calls, one response carries the changes made during the pause, for tables
-    whose changes are not urgent.
+    whose changes are not urgent. `dating` decides when changes count as made.
     """
 
     def __init__(
@@ -90,22 +86,29 @@
         wait_s: float,
         metrics: Metrics,
         pause_s: float = 0.0,
+        dating: DatingLimits = EARLIEST,
     ) -> None:
         self._source = source
         self._listener = listener
         self._wait_s = wait_s
         self._metrics = metrics
         self._pause_s = pause_s
+        self._dating = dating
         self._longest_pause_s = float("inf")
         self._revision: int | None = None
         self._era: int | None = None
         self._has_read_page = False
         self._store_clock = StoreClock()
         self._last_response: ResponseTimes | None = None
+        self._is_last_located = False
+        self._last_read: ResponseTimes | None = None
+        self._is_after_gap = False
         self._outage_started_at: float | None = None
         self._is_outage_reported = False
-        self._last_failed_call_at = float("-inf")
-        self._frozen_call_at = float("inf")
+        self._call_due_at = float("-inf")
+        self._failed_call_at = float("-inf")
+        self._unknown_since = float("-inf")
+        self._frozen_since = float("inf")
         self._rejected = 0
         self._logged_versions: dict[str, int] = {}
         self._stopping = threading.Event()
@@ -127,6 +130,7 @@
 
     def _run(self) -> None:
         pause_s = MIN_BACKOFF_S
+        self._call_due_at = read_clock()
         while not self._stopping.is_set():
             called_at = read_clock()
             try:
@@ -149,18 +153,23 @@
                 self._count_call("failed")
                 # A call that has taken longer than the pause has spared the store already.
                 passed_s = read_clock() - called_at
-                self._stopping.wait(max(0.0, pause_s * random.uniform(0.5, 1.0) - passed_s))
+                self._pause(max(0.0, pause_s * random.uniform(0.5, 1.0) - passed_s))
                 pause_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_FACTOR)
             except Exception:
                 # The thread must survive any failure; a full read recovers missed changes.
                 log.exception("feed failed", extra={"feed": self._source.name})
                 self._metrics.count("feed_failures_total", {"feed": self._source.name})
                 self._revision = None
-                self._stopping.wait(pause_s)
+                self._pause(pause_s)
                 pause_s = min(MAX_BACKOFF_S, pause_s * BACKOFF_FACTOR)
             else:
                 pause_s = MIN_BACKOFF_S
-                self._stopping.wait(min(self._pause_s, self._longest_pause_s))
+                self._pause(min(self._pause_s, self._longest_pause_s))
+
+    def _pause(self, seconds: float) -> None:
+        """Wait before the next call."""
+        self._call_due_at = read_clock() + seconds
+        self._stopping.wait(seconds)
 
     def _process_next_page(self) -> None:
         called_at = read_clock()
@@ -188,7 +197,12 @@
     def _compute_wait(self, now: float) -> float:
         """Return how long the store may wait for a change before it responds, in seconds."""
         # The first call after a failure returns immediately, to detect the end of an outage.
-        return self._wait_s if self._outage_started_at is None else 0.0
+        if self._outage_started_at is not None:
+            return 0.0
+        # So does the first call after a gap, or a late call would hide that a change is as old.
+        was_after_gap = self._is_after_gap
+        self._is_after_gap = self._find_gap(now) > self._dating.call_gap_s
+        return 0.0 if self._is_after_gap and not was_after_gap else self._wait_s
 
     def _check_era(self, page: FeedPage) -> None:
         """Raise `StoreRestored` if changes of two eras of the store would be joined.
@@ -215,38 +229,43 @@
     def _apply_full_page(self, page: FeedPage, called_at: float) -> None:
         self._check_era(page)
         self._log_target_versions(page, called_at)
-        response = self._record_times(page, called_at)
+        response, is_located = self._record_times(page, called_at)
         earliest_at = self._compute_earliest_change(page, response, wait_s=0.0)
         self._record_recovery(called_at)
         self._listener.replace(self._process_changes(page), earliest_at)
-        self._record_page(page, response)
+        self._record_page(page, response, is_located)
 
     def _apply_changes(self, page: FeedPage, called_at: float, wait_s: float) -> None:
         self._check_era(page)
         self._log_target_versions(page, called_at)
-        response = self._record_times(page, called_at)
-        earliest_at = self._compute_earliest_change(page, response, wait_s)
+        response, is_located = self._record_times(page, called_at)
+        # A response that may have been read late does not tell whether its call has waited.
+        waited_s = wait_s if is_located else 0.0
+        earliest_at = self._compute_earliest_change(page, response, waited_s)
         self._record_recovery(called_at)
         for change in self._process_changes(page):
             self._listener.apply(change, earliest_at)
-        self._record_page(page, response)
+        self._record_page(page, response, is_located)
 
     @property
     def _last_responded_at(self) -> float:
-        """Return when the store sent the last response, as far as it is known by now."""
+        """Return when the store sent the last response at the earliest, as far as it is known."""
         last = self._last_response
-        return self._store_clock.locate(last) if last is not None else float("-inf")
+        if last is None:
+            return float("-inf")
+        responded_at = self._store_clock.locate(last)
+        return responded_at if self._is_last_located else min(responded_at, last.called_at)
 
-    def _record_page(self, page: FeedPage, response: ResponseTimes) -> None:
+    def _record_page(self, page: FeedPage, response: ResponseTimes, is_located: bool) -> None:
         self._revision = page.revision
-        self._last_response = response
+        self._last_response, self._is_last_located = response, is_located
         self._metrics.count("feed_calls_total", {"feed": self._source.name})
 
-    def _record_times(self, page: FeedPage, called_at: float) -> ResponseTimes:
-        """Compare the clocks by a page's times; return the times."""
+    def _record_times(self, page: FeedPage, called_at: float) -> tuple[ResponseTimes, bool]:
+        """Compare the clocks by a page's times; return the times and whether they are confirmed."""
         response = ResponseTimes(page.store_time_s, called_at, page.read_at)
-        self._store_clock.record(response)
-        return response
+        self._last_read = response
+        return response, self._store_clock.record(response)
 
     def _compute_earliest_change(
         self, page: FeedPage, response: ResponseTimes, wait_s: float
@@ -261,17 +280,18 @@
         if self._outage_started_at is not None:
             oldest_at = min(
                 responded_at - MAX_CHANGE_AGE_AFTER_OUTAGE_S,
-                self._last_failed_call_at,
-                self._frozen_call_at,
+                self._unknown_since,
+                self._frozen_since,
             )
             return max(self._last_responded_at, oldest_at)
         sent_at = page.call_sent_at if page.call_sent_at is not None else response.called_at
-        # A call that was not allowed to wait has not waited, however slow the store was.
-        has_waited = min(wait_s, responded_at - sent_at) > MAX_IMMEDIATE_RESPONSE_S
-        gap_s = sent_at - self._last_responded_at
-        if has_waited or gap_s <= MAX_CALL_GAP_S:
-            return responded_at
-        return self._last_responded_at
+        gap_s, call_s = self._find_gap(sent_at), responded_at - sent_at
+        has_waited = self._dating.has_waited(wait_s, gap_s, call_s)
+        return responded_at if has_waited else self._last_responded_at
+
+    def _find_gap(self, now: float) -> float:
+        """Return the seconds since the store sent the last response, 0 if there is none."""
+        return now - self._last_responded_at if self._last_response is not None else 0.0
 
     def _process_changes(self, page: FeedPage) -> tuple[Change, ...]:
         for change in page.changes:
@@ -308,10 +328,14 @@
             )
 
     def _record_outage(self, error: PlatformError, called_at: float) -> None:
-        self._last_failed_call_at = called_at
-        if read_clock() - called_at > self._wait_s + MAX_CALL_MARGIN_S:
+        # A call may fail alone, before the outage begins. So changes may have been made since the
+        # failed call before, and since the last response if there is none.
+        is_first = self._outage_started_at is None
+        self._unknown_since = float("-inf") if is_first else self._failed_call_at
+        self._failed_call_at = float("-inf") if is_first else called_at
+        if self._was_frozen(called_at, is_first):
             # Nothing is known of the store for the time in which this process was frozen.
-            self._frozen_call_at = min(self._frozen_call_at, called_at)
+            self._frozen_since = min(self._frozen_since, self._unknown_since)
         self._metrics.count("feed_failures_total", {"feed": self._source.name})
         if self._outage_started_at is None:
             self._outage_started_at = read_clock()
@@ -327,6 +351,16 @@
             # One lost connection alone, reset or silent, does not mean that the store was away.
             self._report_outage()
 
+    def _was_frozen(self, called_at: float, is_first: bool) -> bool:
+        """Return whether this process was frozen before or in a failed call, the first or not."""
+        if read_clock() - called_at > self._wait_s + MAX_CALL_MARGIN_S:
+            return True
+        late_s = called_at - self._call_due_at
+        if is_first and self._last_read is not None:
+            unread_s = self._last_read.read_at - self._store_clock.locate(self._last_read)
+            late_s = max(late_s, unread_s)
+        return late_s > self._dating.call_gap_s
+
     def _report_outage(self) -> None:
         if not self._is_outage_reported:
             self._is_outage_reported = True
@@ -347,7 +381,8 @@
             },
         )
         self._outage_started_at = None
-        self._frozen_call_at = float("inf")
+        self._unknown_since = float("-inf")
+        self._frozen_since = float("inf")
         if self._is_outage_reported:
             self._is_outage_reported = False
             self._listener.record_recovery()
