Writes the time of held threads at once

In one run of all 32 tests an entry with held threads answered 500 to 2 of 97 early requests: it read the file with the time from which threads are held while the file was still empty.

--- a/tests/platform/version_bound.py
+++ b/tests/platform/version_bound.py
@@ -451,7 +451,10 @@
         if self.play.obstacle is Obstacle.BACKUP:
             for cell in self.cells:
                 cell.replicas[0].quiet = tuple(set_at + age_s for age_s in BACKUP_SILENCE_S)
-        (self._folder / HOLD_FILE).write_text(str(set_at + ACTIVE_S))
+        written = self._folder / f"{HOLD_FILE}-written"
+        written.write_text(str(set_at + ACTIVE_S))
+        # Threads of the entry read the file as soon as it has its name.
+        written.rename(self._folder / HOLD_FILE)
 
     def send(self, cell: Cell) -> None:
         """Send a request as a caller and record what it got."""
