Sums the lead of the last send from the silence that users name and the slowest pass

The lead was 2.4 s, with a silence of 2.0 s and a begin of 0.25 s. Users name a second or so and play 1.0 s to 1.6 s; the begin takes up to a pass in which other prompts are read and the prompt itself, longer at the large site's engines. The sum is 2.2 s.

--- a/hibiscustray/catalog/limits.py
+++ b/hibiscustray/catalog/limits.py
@@ -10,10 +10,11 @@
 
 from dataclasses import dataclass
 
-REPLICA_SILENCE_S = 2.0
+REPLICA_SILENCE_S = 1.6
 """Longest silence of a sound replica: what is sent to it is read when the silence ends."""
-BEGIN_S = 0.25
-"""Time from reading a request to its begin at a replica with an empty queue: a pass, the prompt."""
+BEGIN_S = 0.45
+"""Time from reading a request to its begin at a replica with an empty queue: a pass in which other
+prompts are read, and the one of the request itself."""
 SEND_S = 0.1
 """Time from the last check, with the connection open, until the replica has the request: a thread
 that waits for the processor, and the network."""
@@ -25,7 +26,6 @@
 """Time from the check of a running attempt until its replica drops it: the interval of the checks,
 the network, and a pass of the engine."""
 
-
 SEND_LEAD_S = REPLICA_SILENCE_S + BEGIN_S + SEND_S + MAX_DATING_ERROR_S
 """Time before the bound from which replicas with outdated weights get no more requests. One that is
 read after the longest silence begins in time, even at a replica that ignores closed connections."""
