Drops what was closed in a silence even if its parts came one by one

The soak saw VERSION once: two streams began on version 2 at replica 4 5.32 s after version 3 was set, although their entry had closed them 0.14 s before the bound. A quiet replica drops what was closed meanwhile, but the proxy looked for the end of the connection by the next byte. Entries send the head and the body of a request by two calls; if the proxy read the head alone, the body was that byte, and the request was passed on. The proxy now asks the kernel whether the other side has closed the connection.

test_a_quiet_target_does_not_get_the_parts_of_what_was_given_up_meanwhile failed before.

--- a/hibiscustray/soak/proxy.py
+++ b/hibiscustray/soak/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 import threading
@@ -198,10 +199,10 @@
 
 
 def _is_closed(connection: socket.socket) -> bool:
-    """Return whether the other side of a connection has closed it."""
+    """Return whether the other side of a connection has closed it, also with bytes unread."""
+    poller = select.poll()
     try:
-        return connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
+        poller.register(connection, select.POLLRDHUP)
+        return bool(poller.poll(0))
+    except (OSError, ValueError):
         return True
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -103,6 +103,17 @@
     assert received == []
 
 
+def test_a_quiet_target_does_not_get_the_parts_of_what_was_given_up_meanwhile(link):
+    proxy, client, received = link
+    proxy.hold(0.6)
+    client.sendall(b"head")
+    time.sleep(0.1)
+    client.sendall(b"body")
+    client.close()
+    time.sleep(0.8)
+    assert received == []
+
+
 def test_a_reset_affects_only_open_connections(link):
     proxy, client, _ = link
     assert exchange(client) == b"hello"
