Lets replicas of the soak begin requests late around the bounds of versions

The group 'late', with a generator of its own, sets target versions and, around the bound of each, has replicas fall silent for 1 s to 2 s and then run all that they hold, closed or not, or begin requests up to 2 s late. Queues are of two sorts, those that drop what was closed and those that do not look; both honour the deadline that a request names from when they have read it.

The header with the time left is found by the end of its name, as soak/ may not contain names of the platform.

--- a/hibiscustray/soak/guarantees.py
+++ b/hibiscustray/soak/guarantees.py
@@ -171,8 +171,12 @@
         replica: int,
         at: float,
         version: int | None = None,
+        read_at: float | None = None,
     ) -> None:
-        """Record that a replica runs a request, for a stream with the version of its weights."""
+        """Record that a replica runs a request, for a stream with the version of its weights.
+
+        `read_at` is when it read the request, if that was before.
+        """
         with self._lock:
             record = self._records.get(request_id)
             self.checks["UNASKED"] += 1
@@ -198,7 +202,7 @@
                 )
             drained_at = self._drained_at.get(replica)
             if drained_at is not None:
-                self._check_drain(request, replica, drained_at, at)
+                self._check_drain(request, replica, drained_at, at if read_at is None else read_at)
             if version is not None:
                 self._check_version(request, replica, version, at)
 
--- a/hibiscustray/soak/interface.py
+++ b/hibiscustray/soak/interface.py
@@ -53,11 +53,13 @@
     """A request as a replica received it.
 
     `resume_after` is the number of the last event that the caller received, 0 for none, and
-    `expected_version` the version of the weights that the replica must hold, 0 for any.
+    `expected_version` the version of the weights that the replica must hold, 0 for any. The names
+    of `headers` are in lower case.
     """
 
     id: str
     path: str
+    headers: dict[str, str]
     body: bytes
     resume_after: int
     expected_version: int
--- a/hibiscustray/soak/proxy.py
+++ b/hibiscustray/soak/proxy.py
@@ -54,6 +54,7 @@
         self.state = LinkState.CLEAR
         self.delay_s = 0.0
         self.quiet_until = 0.0
+        self.is_closed_dropped = True
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
@@ -75,11 +76,13 @@
             case _:
                 self.state, self.delay_s = state, delay_s
 
-    def hold(self, duration_s: float) -> None:
+    def hold(self, duration_s: float, is_closed_dropped: bool = True) -> None:
         """Hold back all bytes both ways for a time, as if the target were suspended.
 
-        Connections are still accepted. What a client sent and has given up meanwhile is discarded.
+        Connections are still accepted. What a client sent and has given up meanwhile is discarded
+        unless `is_closed_dropped` is false.
         """
+        self.is_closed_dropped = is_closed_dropped
         self.quiet_until = max(self.quiet_until, time.monotonic() + duration_s)
 
     def close(self) -> None:
@@ -169,7 +172,8 @@
                 time.sleep(POLL_INTERVAL_S)
             if self._proxy.state is LinkState.DELAY:
                 time.sleep(self._proxy.delay_s)
-            if self._wait_until_heard() and source is self._client and _is_closed(source):
+            may_drop = self._wait_until_heard() and self._proxy.is_closed_dropped
+            if may_drop and source is self._client and is_closed(source):
                 return
             if self._is_reset:
                 return
@@ -198,7 +202,7 @@
         return was_quiet
 
 
-def _is_closed(connection: socket.socket) -> bool:
+def is_closed(connection: socket.socket) -> bool:
     """Return whether the other side of a connection has closed it, also with bytes unread."""
     poller = select.poll()
     try:
--- a/hibiscustray/soak/replicas.py
+++ b/hibiscustray/soak/replicas.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
+import math
 import random
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 
 from hibiscustray.soak.early import EarlyEnd, send_response
 from hibiscustray.soak.guarantees import GuaranteeChecker
 from hibiscustray.soak.interface import StandIns, StoreStandIn
-from hibiscustray.soak.proxy import LoopbackProxy
+from hibiscustray.soak.proxy import POLL_INTERVAL_S, LoopbackProxy, is_closed
 from hibiscustray.soak.records import make_body, make_event
 from hibiscustray.soak.schedule import READABLE_PUSHBACKS
 
@@ -21,11 +23,15 @@
 """Processing time of a request: a booking takes some tens of milliseconds."""
 MAX_SILENCE_S = 3.0
 """Longest time for which a silent replica keeps a connection open without a response."""
+MAX_QUEUE_S = 2.0
+"""Longest time for which a request waits in the queue of a replica."""
 SLOTS = 16
 EVENTS_PER_STREAM = 8
 EARLY_PART_B = 16
 """Size of the parts between which a plain body may end early."""
 STREAM_PATH = "/draft/"
+TIME_LEFT_SUFFIX = "-deadline-ms"
+"""End of the name of the header that has the time left in milliseconds."""
 MISDIRECTED_REQUEST = 421
 """Status for a request that expects another version of the weights."""
 
@@ -38,7 +44,9 @@
     begins a request that ends it. `limit` is the limit that its responses name, "" for none. While
     `pushback` is set, requests are turned away with it as Retry-After. `is_leaving` is set while
     responses say that the replica leaves, whatever the list says. `early_ends` are used in turn by
-    responses to requests that were run, as long as no `fault` but "extra" spoils them.
+    responses to requests that were run, as long as no `fault` but "extra" spoils them. `queue` is
+    "queue" while requests wait for up to `MAX_QUEUE_S`, "backlog" if also those wait and run whose
+    connections are closed, or "". Such a replica stops at the deadline that a request names.
     """
 
     def __init__(
@@ -63,7 +71,7 @@
         self._running = 0
         self._lock = threading.Lock()
         self._previous_request_id = ""
-        self.limit = self.pushback = ""
+        self.limit = self.pushback = self.queue = ""
         self.is_leaving = False
         self.early_ends: tuple[EarlyEnd, ...] = ()
         self._early_numbers = itertools.count()
@@ -87,7 +95,7 @@
         self.version = version
         self.start_count += 1
         self.is_draining = self.is_ended = self.is_leaving = False
-        self.limit = self.pushback = ""
+        self.limit = self.pushback = self.queue = ""
         self._standin = self._standins.ReplicaStandIn(
             f"i-{self.number}", self.service, self._respond
         )
@@ -121,12 +129,22 @@
         return f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n{limit}\r\n".encode()
 
     def _respond(self, request, connection: socket.socket) -> None:
-        start_count = self.start_count
-        self._checker.record_arrival(request.id, self.number, time.monotonic())
+        start_count, read_at, queue = self.start_count, time.monotonic(), self.queue
+        self._checker.record_arrival(request.id, self.number, read_at)
         pushback = self.pushback
         if pushback:
             self._push_back(request, connection, pushback)
             return
+        ends_at = read_at + _find_time_left_s(request) if queue else math.inf
+        if queue:
+            self._wait_in_queue(ends_at)
+            if self.is_ended or self.start_count != start_count:
+                return
+            if queue == "queue" and is_closed(connection):
+                return
+            if time.monotonic() >= ends_at:
+                self._standins.reject(**self._headers)(request, connection)
+                return
         with self._lock:
             is_full = self._running >= SLOTS or self.fault == "full"
             self._running += not is_full
@@ -146,17 +164,24 @@
                 self.number,
                 time.monotonic(),
                 version if request.path.startswith(STREAM_PATH) else None,
+                read_at,
             )
             time.sleep(random.uniform(MIN_WORK_S, MAX_WORK_S))
             harm = self._checker.find_harm(request.id)
             if harm:
                 self.on_end(self, start_count, harm)
                 return
-            self._respond_to_run(request, connection, version)
+            self._respond_to_run(request, connection, version, ends_at)
         finally:
             with self._lock:
                 self._running -= 1
 
+    def _wait_in_queue(self, until: float) -> None:
+        """Wait until a request may begin or its deadline, and while the replica is quiet."""
+        until = min(until, time.monotonic() + random.uniform(0.0, MAX_QUEUE_S))
+        while time.monotonic() < max(until, self.proxy.quiet_until):
+            time.sleep(POLL_INTERVAL_S)
+
     def _push_back(self, request, connection: socket.socket, pushback: str) -> None:
         headers = self._headers | {"Retry_After": pushback}
         if pushback in READABLE_PUSHBACKS:
@@ -164,8 +189,10 @@
             self._checker.record_pushback(request.id, self.number, float(pushback), at)
         self._standins.reject(**headers)(request, connection)
 
-    def _respond_to_run(self, request, connection: socket.socket, version: int) -> None:
-        """Respond to a request that was run, with the current fault."""
+    def _respond_to_run(
+        self, request, connection: socket.socket, version: int, ends_at: float
+    ) -> None:
+        """Respond to a request that was run, with the current fault; cut a stream at a time."""
         is_stream = request.path.startswith(STREAM_PATH)
         body = make_body(request.id, request.body, EVENTS_PER_STREAM if is_stream else 0)
         previous_id, self._previous_request_id = self._previous_request_id, request.id
@@ -200,7 +227,8 @@
                     script = self._standins.respond_with_events(events, version, **self._headers)
                 else:
                     script = self._standins.respond_with_body(body=body, **self._headers)
-                script(request, connection)
+                with _cut_at(connection, ends_at if is_stream else math.inf):
+                    script(request, connection)
                 if fault == "extra":
                     connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 
@@ -221,3 +249,28 @@
             parts,
             lambda sent: self._checker.record_closed(request.id, received + sent),
         )
+
+
+def _find_time_left_s(request) -> float:
+    """Return the time in seconds that a request names as left, or infinity."""
+    values = (v for name, v in request.headers.items() if name.endswith(TIME_LEFT_SUFFIX))
+    return float(next(values, math.inf)) / 1000
+
+
+@contextlib.contextmanager
+def _cut_at(connection: socket.socket, at: float) -> Iterator[None]:
+    """End a connection at a monotonic time, if it is still in use then."""
+
+    def cut() -> None:
+        with contextlib.suppress(OSError):
+            connection.shutdown(socket.SHUT_RDWR)
+
+    if at == math.inf:
+        yield
+        return
+    timer = threading.Timer(max(0.0, at - time.monotonic()), cut)
+    timer.start()
+    try:
+        yield
+    finally:
+        timer.cancel()
--- a/hibiscustray/soak/runs.py
+++ b/hibiscustray/soak/runs.py
@@ -315,10 +315,14 @@
 
     def _disturb_replica(self, replica: SoakReplica, kind: str, duration_s: float) -> None:
         match kind:
-            case "quiet":
+            case "quiet" | "hold":
                 begin = time.monotonic()
                 self.checker.quiet.quiet.add(replica.number, begin, begin + duration_s)
-                replica.proxy.hold(duration_s)
+                replica.proxy.hold(duration_s, is_closed_dropped=kind == "quiet")
+            case "queue" | "backlog":
+                replica.queue = kind
+                time.sleep(duration_s)
+                replica.queue = ""
             case "leave":
                 self._leave(replica, duration_s)
             case "restart":
--- a/hibiscustray/soak/schedule.py
+++ b/hibiscustray/soak/schedule.py
@@ -8,6 +8,7 @@
 
 from hibiscustray.soak.early import EarlyEnd, generate_early_ends
 from hibiscustray.soak.proxy import LinkState
+from hibiscustray.soak.records import MAX_VERSION_AGE_S
 
 MEAN_SERIES_INTERVAL_S = 2.0
 """Mean time between two series of faults; short enough for several faults to overlap."""
@@ -55,6 +56,12 @@
 """Time for which a replica does so."""
 MAX_EARLY_SERIES_GAP_S = 1.5
 """Longest time between the starts of two successive replicas of a group."""
+MEAN_LATE_GAP_S = 6.0
+"""Mean time between two target versions that are set so that replicas begin requests late."""
+MAX_PAST_BOUND_S = 0.6
+"""Longest time from the bound of a version until replicas begin requests in time again."""
+MAX_QUEUEING_S = 4.0
+"""Longest time for which the requests of a replica wait in its queue."""
 MAX_HARMFUL_REQUESTS = 2
 """Largest number of harmful requests of a soak, of different kinds."""
 QUIET_START_S = 1.0
@@ -105,9 +112,10 @@
 
 @dataclass(frozen=True)
 class ReplicaFault:
-    """A replica responds incorrectly, restarts, drains, is quiet, or says that it leaves.
+    """A replica responds incorrectly, restarts, drains, is quiet, leaves, or begins requests late.
 
-    `replica` is the index of the replica, `kind` one of `REPLICA_FAULTS`, "quiet" or "leave".
+    `replica` is the index of the replica, `kind` one of `REPLICA_FAULTS`, "quiet", "leave", "hold"
+    (quiet, and then runs also what was given up), "queue", or "backlog" (a queue of the same kind).
     """
 
     at_s: float
@@ -206,7 +214,7 @@
 OPERATOR_ACTIONS = ("configure", "revoke", "name")
 HARMFUL_KINDS = ("book", "look", "draft", "part")
 """Kinds of harmful requests: those of the callers, and streams with a harmful part."""
-GROUPS = ("quiet", "harm", "limit", "pushback", "early")
+GROUPS = ("quiet", "harm", "limit", "pushback", "early", "late")
 """Groups of steps that a run may leave out; each has a generator of its own."""
 
 
@@ -238,8 +246,11 @@
                 break
         at_s += rng.expovariate(1 / MEAN_SERIES_INTERVAL_S)
     steps += _generate_versions_during_pauses(seed, length_s, entries)
+    quiet = _generate_quiet_replicas(seed, length_s, replicas)
+    if "late" not in without:
+        steps += _generate_late_begins(seed, length_s, replicas, [*steps, *quiet])
     if "quiet" not in without:
-        steps += _generate_quiet_replicas(seed, length_s, replicas)
+        steps += quiet
     if "limit" not in without:
         steps += _generate_limits(seed, length_s, replicas)
     if "pushback" not in without:
@@ -296,6 +307,53 @@
     return steps
 
 
+def _generate_late_begins(
+    seed: int, length_s: float, replicas: int, others: list[Step]
+) -> list[Step]:
+    """Return target versions, and replicas that begin requests late around the bounds of versions.
+
+    A replica is silent and then runs all that it holds, or has a queue, or both. A disturbance of
+    the store begins the time until a bound anew.
+    """
+    rng = random.Random(f"late-{seed}")
+    end_s = length_s - QUIET_END_S
+    at_s = QUIET_START_S + rng.expovariate(1 / MEAN_LATE_GAP_S)
+    steps: list[Step] = []
+    while at_s < end_s - MAX_VERSION_AGE_S:
+        steps.append(OperatorAction(at_s, "name"))
+        at_s += rng.expovariate(1 / MEAN_LATE_GAP_S)
+    store = [(s.at_s, s.at_s + s.duration_s) for s in others if isinstance(s, StoreFault)]
+    versions = [s.at_s for s in (*steps, *others) if getattr(s, "action", "") == "name"]
+    silences = [s for s in others if getattr(s, "kind", "") == "quiet"]
+    queues: list[ReplicaFault] = []
+    for since_s in sorted((*versions, *(end for _, end in store))):
+        bound_s = since_s + MAX_VERSION_AGE_S
+        is_moved = any(begin < bound_s and end > since_s for begin, end in store)
+        if is_moved or bound_s + MAX_PAST_BOUND_S > end_s:
+            continue
+        for kinds, longest_s, taken in (
+            (("hold",), MAX_REPLICA_QUIET_S, silences),
+            (("queue", "backlog"), MAX_QUEUEING_S, queues),
+        ):
+            for replica in rng.sample(range(replicas), rng.randint(0, replicas)):
+                duration_s = rng.uniform(MIN_REPLICA_QUIET_S, longest_s)
+                begin_s = bound_s + rng.uniform(0.0, MAX_PAST_BOUND_S) - duration_s
+                step = ReplicaFault(begin_s, duration_s, replica, rng.choice(kinds))
+                if not any(_do_join(step, other) for other in taken):
+                    taken.append(step)
+                    steps.append(step)
+    return steps
+
+
+def _do_join(step: ReplicaFault, other: ReplicaFault) -> bool:
+    """Return whether the same replica has two faults with less than `MIN_HEARD_S` between them."""
+    return (
+        step.replica == other.replica
+        and step.at_s < other.at_s + other.duration_s + MIN_HEARD_S
+        and other.at_s < step.at_s + step.duration_s + MIN_HEARD_S
+    )
+
+
 def _generate_limits(seed: int, length_s: float, replicas: int) -> list[Step]:
     rng = random.Random(f"limit-{seed}")
     steps: list[Step] = []
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -204,6 +204,17 @@
     assert get_violated_rules(checker) == ["DRAIN"]
 
 
+@pytest.mark.parametrize(("read_at", "is_violation"), [(13.4, False), (13.6, True)])
+def test_a_request_that_waited_in_a_queue_reached_its_replica_when_it_was_read(
+    checker, read_at, is_violation
+):
+    checker.record_drain(4, 10.0)
+    request = dataclasses.replace(REQUEST, id="r2", sent_at=13.0)
+    checker.record_request(request)
+    checker.record_run(request.id, request.path, request.body, 4, 15.0, None, read_at)
+    assert get_violated_rules(checker) == ["DRAIN"] * is_violation
+
+
 @pytest.fixture
 def stream(checker) -> SoakRequest:
     """Return a recorded stream request; versions 2 and 3 are set as the target at 20 s and 30 s."""
@@ -272,6 +283,12 @@
     assert get_violated_rules(checker) == ["VERSION"]
 
 
+def test_a_silence_of_the_replica_does_not_excuse_outdated_weights(checker, stream):
+    checker.quiet.quiet.add(0, 24.0, 25.1)
+    record_run(checker, stream, 25.1, version=1)
+    assert get_violated_rules(checker) == ["VERSION"]
+
+
 def test_a_link_to_a_replica_may_have_held_a_stream_back(checker, stream):
     checker.replica_links.add(0, 21.0, 25.0)
     record_run(checker, stream, 25.1, version=1)
--- a/tests/soak/test_replicas.py
+++ b/tests/soak/test_replicas.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
+import time
 
 import pytest
 
 from hibiscustray.platform import standins
+from hibiscustray.soak import replicas
 from hibiscustray.soak.disturbances import DisturbanceLog
 from hibiscustray.soak.guarantees import GuaranteeChecker
 from hibiscustray.soak.replicas import SoakReplica
@@ -60,3 +63,86 @@
     replica.is_draining = True
     replica.swap(2)
     assert replica.version == 1
+
+
+QUEUE_S = 0.4
+
+
+@pytest.fixture
+def queue(replica, monkeypatch):
+    """Return a replica in whose queue requests wait for 0.4 s, and the times when they begin."""
+    replica, checker = replica
+    monkeypatch.setattr(replicas, "MAX_QUEUE_S", QUEUE_S)
+    monkeypatch.setattr(replicas.random, "uniform", lambda low, high: high)
+    begins: list[float] = []
+    monkeypatch.setattr(checker, "record_run", lambda *arguments: begins.append(arguments[4]))
+    replica.queue = "queue"
+    return replica, begins
+
+
+def open_request(replica: SoakReplica, time_left_s: float = 5.0) -> http.client.HTTPConnection:
+    headers = {
+        standins.ATTEMPT_ID: "r1",
+        "X-Hibiscustray-Deadline-Ms": str(int(time_left_s * 1000)),
+    }
+    connection = http.client.HTTPConnection(replica.proxy.address, timeout=3.0)
+    connection.request("POST", "/draft/1", b"seat", headers)
+    return connection
+
+
+def test_a_request_in_a_queue_begins_late(queue):
+    replica, begins = queue
+    sent_at = time.monotonic()
+    with contextlib.closing(open_request(replica)) as connection:
+        assert connection.getresponse().status == 200
+    assert begins[0] - sent_at >= QUEUE_S
+
+
+def test_a_request_whose_deadline_passes_in_the_queue_is_not_run(queue):
+    replica, begins = queue
+    sent_at = time.monotonic()
+    with contextlib.closing(open_request(replica, QUEUE_S / 2)) as connection:
+        response = connection.getresponse()
+        assert QUEUE_S / 2 <= time.monotonic() - sent_at < QUEUE_S
+        assert (response.status, standins.NOT_RUN in response.headers) == (503, True)
+    assert begins == []
+
+
+def test_a_running_stream_is_cut_at_its_deadline(queue, monkeypatch):
+    replica, begins = queue
+    monkeypatch.setattr(replicas, "EVENTS_PER_STREAM", 200)
+    with contextlib.closing(open_request(replica, QUEUE_S + 0.6)) as connection:
+        response = connection.getresponse()
+        with pytest.raises(http.client.IncompleteRead):
+            response.read()
+    assert len(begins) == 1
+
+
+@pytest.mark.parametrize(("kind", "is_run"), [("queue", False), ("backlog", True)])
+def test_a_request_that_was_given_up_in_the_queue_is_dropped_or_run(queue, kind, is_run):
+    replica, begins = queue
+    replica.queue = kind
+    open_request(replica).close()
+    time.sleep(QUEUE_S + 0.2)
+    assert len(begins) == is_run
+
+
+def test_a_request_in_the_queue_of_a_silent_replica_begins_after_the_silence(queue):
+    replica, begins = queue
+    with contextlib.closing(open_request(replica)) as connection:
+        time.sleep(0.1)
+        silent_until = time.monotonic() + 2 * QUEUE_S
+        replica.proxy.hold(2 * QUEUE_S)
+        assert connection.getresponse().status == 200
+    assert begins[0] >= silent_until
+
+
+def test_a_replica_that_was_restarted_does_not_run_what_waited_in_its_queue(queue):
+    replica, begins = queue
+    with contextlib.closing(open_request(replica)) as connection:
+        time.sleep(0.1)
+        replica.restart(2)
+        with pytest.raises((ConnectionError, http.client.HTTPException)):
+            connection.getresponse()
+        time.sleep(QUEUE_S + 0.2)
+    assert begins == []
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -12,6 +12,7 @@
     ReplicaFault,
     ReplicaLimit,
     ReplicaPushback,
+    StoreFault,
     generate_schedule,
 )
 
@@ -134,6 +135,40 @@
     assert all(count > 20 for count in shared.values()), shared
 
 
+def test_replicas_that_begin_late_do_not_change_the_other_steps_of_a_seed():
+    for without in ((), ("quiet",)):
+        for seed in range(20):
+            steps = generate_schedule(seed, LENGTH_S, 3, 6, without)
+            plain = generate_schedule(seed, LENGTH_S, 3, 6, {*without, "late"})
+            added = [s for s in steps if s not in plain]
+            assert len(plain) + len(added) == len(steps)
+            assert {getattr(s, "kind", "") or s.action for s in added} <= {
+                "hold",
+                "queue",
+                "backlog",
+                "name",
+            }
+
+
+def test_replicas_begin_late_around_bounds_of_versions_and_no_silences_join():
+    bound_s, kinds = 5.0, set()
+    for seed in range(30):
+        steps = generate_schedule(seed, LENGTH_S, 3, 6)
+        late = [s for s in steps if getattr(s, "kind", "") in ("hold", "queue", "backlog")]
+        since = [s.at_s for s in steps if getattr(s, "action", "") == "name"]
+        since += [s.at_s + s.duration_s for s in steps if isinstance(s, StoreFault)]
+        kinds |= {s.kind for s in late}
+        for step in late:
+            end_s = step.at_s + step.duration_s
+            assert any(0.0 <= end_s - s - bound_s <= 0.6 + 1e-9 for s in since)
+        silent = [s for s in steps if getattr(s, "kind", "") in ("hold", "quiet")]
+        assert all(1.0 <= s.duration_s <= 2.0 for s in silent)
+        for replica in range(6):
+            own = [s for s in silent if s.replica == replica]
+            assert all(a.at_s + a.duration_s < b.at_s for a, b in zip(own, own[1:], strict=False))
+    assert kinds == {"hold", "queue", "backlog"}
+
+
 def test_target_versions_are_often_set_while_an_entry_is_paused():
     counts = []
     for seed in range(30):
