--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -75,6 +75,22 @@
     assert report.checks["VERSION"] > 10
 
 
+@pytest.mark.parametrize(
+    ("kind", "begin_s", "duration_s"),
+    [("hold", 4.4, 1.8), ("queue", 3.0, 3.6), ("backlog", 3.0, 3.6)],
+)
+def test_stream_does_not_begin_on_outdated_weights_at_replica_that_begins_late(
+    kind, begin_s, duration_s
+):
+    schedule = (
+        OperatorAction(1.0, "name"),
+        *(ReplicaFault(begin_s, duration_s, replica, kind) for replica in (2, 4)),
+    )
+    report = run_soak(SoakOptions(SEED, 9.0, entries=2, callers=8), standins, schedule)
+    assert report.violations == ()
+    assert report.checks["VERSION"] > 10
+
+
 def test_limit_is_kept_while_an_entry_is_paused_and_the_replica_is_quiet():
     schedule = (
         ReplicaLimit(0.5, 11.0, 0, 1.0),
