--- a/hibiscustray/soak/quiet.py
+++ b/hibiscustray/soak/quiet.py
@@ -18,7 +18,7 @@
 STREAM_KIND = "draft"
 MAX_ANNOUNCED_S = 1.0
 """Time before the bound on outdated weights from which no stream may begin on these."""
-MAX_OUTDATED_S = 9.0
+MAX_OUTDATED_S = 1.6 * MAX_VERSION_AGE_S + 1.0
 """Time after a target version was set by which all replicas hold it."""
 STOP_SERVES_S = 2.5
 """Time after SIGTERM until which an entry certainly reads requests on open connections."""
