--- a/hibiscustray/feeds/relay.py
+++ b/hibiscustray/feeds/relay.py
@@ -26,6 +26,7 @@
     RelaySource,
     TargetVersionSet,
 )
+from hibiscustray.feeds.dating import LIKELY
 from hibiscustray.feeds.follower import FeedFollower, FeedListener
 from hibiscustray.telemetry import Metrics
 
@@ -134,6 +135,7 @@
             self._next_poll_at = float("-inf")
             return
         self._check_era(page)
+        self._record_times(page, called_at)
         self._relay_revision = page.revision
         self._log_target_versions(page, called_at)
         announced = 0
@@ -261,7 +263,7 @@
         metrics: Metrics,
         tuning: RelayReaderTuning,
     ) -> None:
-        super().__init__(source, listener, wait_s, metrics)
+        super().__init__(source, listener, wait_s, metrics, dating=LIKELY)
         self._relay_source = source
         self._tuning = tuning
         self._next_poll_at = read_clock() + tuning.check_interval_s * random.random()
