Takes an entry of the soak that is asked to stop twice as stopping since the first time

Soak on reported QUIET: a lookup's connection ended 0.00 s after it was sent, at an entry that had got SIGTERM 3.06 s before by its log (a connection may end from 2.5 s after it). By the schedule it was asked again 0.75 s after the first time, and the check took whichever time was recorded first. It takes the earlier one now.

test_an_entry_that_is_asked_to_stop_again_has_been_stopping_since_the_first_time failed before.

--- a/hibiscustray/soak/disturbances.py
+++ b/hibiscustray/soak/disturbances.py
@@ -58,16 +58,10 @@
             )
 
     def find_graceful_stop(self, entry: int, begin: float, end: float) -> float | None:
-        """Return when an entry was asked to stop if it was stopping between two times."""
+        """Return when an entry was first asked to stop if it was stopping between two times."""
         with self._lock:
-            return next(
-                (
-                    d.begin
-                    for d in self._disturbances
-                    if d.is_graceful and d.affects(entry, begin, end)
-                ),
-                None,
-            )
+            stops = [d for d in self._disturbances if d.is_graceful]
+        return min((d.begin for d in stops if d.affects(entry, begin, end)), default=None)
 
     def find_begin(self, target: int, begin: float, end: float) -> float:
         """Return the begin of the first disturbance between two times, `end` if there is none."""
--- a/tests/soak/test_quiet.py
+++ b/tests/soak/test_quiet.py
@@ -117,6 +117,14 @@
     assert judge(checker, outcome) == ["QUIET"] * is_violation
 
 
+def test_an_entry_that_is_asked_to_stop_again_has_been_stopping_since_the_first_time(
+    checker, entries
+):
+    for stop_at in (8.5, 7.2):
+        entries.add(0, stop_at, 13.0, is_of_process=True, is_graceful=True)
+    assert judge(checker, dataclasses.replace(FAILED, status=0)) == []
+
+
 @pytest.mark.parametrize(
     ("outcome", "is_violation"),
     [
