--- a/hibiscustray/soak/guarantees.py
+++ b/hibiscustray/soak/guarantees.py
@@ -69,7 +69,7 @@
 BOUND_SLACK_S = 0.5
 """Time added to the bounds above for a machine whose processors are all in use.
 
-It is not added to `MAX_VERSION_AGE_S`, as the entries require a version 0.8 s earlier.
+It is not added to `MAX_VERSION_AGE_S`, as the entries require a version 2.4 s earlier.
 """
 
 
@@ -171,8 +171,12 @@
         replica: int,
         at: float,
         version: int | None = None,
+        read_at: float | None = None,
     ) -> None:
-        """Record that a replica runs a request, for a stream with the version of its weights."""
+        """Record that a replica runs a request, for a stream with the version of its weights.
+
+        `read_at` is when it read the request, if that was before.
+        """
         with self._lock:
             record = self._records.get(request_id)
             self.checks["UNASKED"] += 1
@@ -198,7 +202,7 @@
                 )
             drained_at = self._drained_at.get(replica)
             if drained_at is not None:
-                self._check_drain(request, replica, drained_at, at)
+                self._check_drain(request, replica, drained_at, at if read_at is None else read_at)
             if version is not None:
                 self._check_version(request, replica, version, at)
 
