--- a/hibiscustray/soak/guarantees.py
+++ b/hibiscustray/soak/guarantees.py
@@ -69,7 +69,7 @@
 BOUND_SLACK_S = 0.5
 """Time added to the bounds above for a machine whose processors are all in use.
 
-It is not added to `MAX_VERSION_AGE_S`, as the entries require a version 2.4 s earlier.
+It is not added to `MAX_VERSION_AGE_S`, as the entries require a version `SEND_LEAD_S` earlier.
 """
 
 
--- a/hibiscustray/soak/records.py
+++ b/hibiscustray/soak/records.py
@@ -11,7 +11,7 @@
 MAX_VERSION_AGE_S = 6.5
 """Time within which streams have to stop beginning on outdated weights, set for the entries.
 
-It has to exceed 5.65 s: entries require a version 2.4 s before the bound and are checked from
+It has to exceed 5.45 s: entries require a version 2.2 s before the bound and are checked from
 `CONTACT_S` + 0.25 s after a pause, so otherwise a version dated by the end of a pause passes.
 """
 
