Adds a failing test: the first wave of replicas gets requests until all outdated ones get none

FIRST_WAVE_LEAD_S (2.2 s before the bound) is now later than the last send to outdated weights (SEND_LEAD_S, 2.4 s), so the half that loads first is never left alone.

--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -6,7 +6,7 @@
 
 from hibiscustray.benchmarks.engines import PROFILE
 from hibiscustray.benchmarks.placement import POLICIES, CallerShares, Load, run_load
-from hibiscustray.catalog import ServiceEntry
+from hibiscustray.catalog import SEND_LEAD_S, ServiceEntry
 from hibiscustray.placement import (
     Demand,
     LoadReport,
@@ -229,6 +229,12 @@
     assert {place_before_swap(placer, 2.0) for _ in range(40)} == {"i-1", "i-3"}
 
 
+def test_first_wave_gets_no_requests_while_the_other_old_weights_still_do():
+    placer = make_placer(*(make_record(n) for n in range(4)))
+    left_s = SEND_LEAD_S + 0.2
+    assert {place_before_swap(placer, left_s) for _ in range(40)} == {"i-1", "i-3"}
+
+
 def test_a_replica_with_the_new_weights_or_the_only_replica_still_gets_requests():
     new = make_record(2, models=(ServedModel("m", 2),), layers=LayerSpan(0, 16, 2))
     assert place_before_swap(make_placer(new), 2.0) == "i-2"
