Adds a failing test: a stream that began in time is cut at the bound

The rule is about the begin, but the deadline that a replica gets ends the whole stream 0.15 s before the bound, and one that may not be resumed is truncated.

--- a/tests/platform/test_version_deadlines.py
+++ b/tests/platform/test_version_deadlines.py
@@ -137,3 +137,11 @@
     assert len(site.replicas[0].received) > 1
     late_ms = [int((at - set_at - BOUND_S) * 1000) for at in begins if at > set_at + BOUND_S]
     assert not late_ms, f"{len(late_ms)} of {len(begins)} began {late_ms} ms past the bound"
+
+
+def test_stream_that_began_in_time_is_not_cut_at_the_bound(site):
+    site.add_replica("guide", stream_until_deadline)
+    sleep_until(set_version(site) + SERVICE_S - 0.5)
+    response = call(site, "/draft/plain/1", 1)
+    # It may be refused before it begins.
+    assert response.status == 503 or response.body == b"".join(EVENTS)
