--- a/tests/platform/test_version_deadlines.py
+++ b/tests/platform/test_version_deadlines.py
@@ -145,3 +145,17 @@
     response = call(site, "/draft/plain/1", 1)
     # It may be refused before it begins.
     assert response.status == 503 or response.body == b"".join(EVENTS)
+
+
+def test_streams_that_began_in_time_are_not_cut_together_at_the_bound(site):
+    site.add_replica("guide", stream_until_deadline)
+    set_at = set_version(site)
+    with ThreadPoolExecutor(30) as callers:
+        sleep_until(set_at + SERVICE_S - 0.8)
+        calls = [callers.submit(call, site, f"/draft/{n}", n) for n in range(1, 15)]
+        sleep_until(set_at + SERVICE_S)
+        site.add_replica("guide", stream_until_deadline, **NEW)
+    responses = [done.result() for done in calls]
+    assert [r.status for r in responses] == [200] * len(responses)
+    cut = [r for r in responses if r.body != b"".join(EVENTS)]
+    assert not cut, f"{len(cut)} of {len(responses)} were cut"
