Adds a failing test: a stream without a length that its replica ends at the told time looks complete

The replica ends work at a deadline that is now shorter than the caller's, and closes the connection, which marks the end of such a response.

--- a/tests/platform/test_version_deadlines.py
+++ b/tests/platform/test_version_deadlines.py
@@ -159,3 +159,11 @@
     assert [r.status for r in responses] == [200] * len(responses)
     cut = [r for r in responses if r.body != b"".join(EVENTS)]
     assert not cut, f"{len(cut)} of {len(responses)} were cut"
+
+
+def test_stream_without_length_that_ends_at_the_told_time_does_not_look_complete(site):
+    site.add_replica("guide", stream_until_close)
+    sleep_until(set_version(site) + SERVICE_S - 0.5)
+    response = call(site, "/draft/plain/1", 1)
+    is_whole = response.body == b"".join(EVENTS)
+    assert is_whole or not response.is_ended
