Adds a failing test: a stream does not wait for the new weights of its own replica

The replica whose weights got outdated stays in `excluded`, so the wait for newer weights ends without it (refusal no-replica), though it has them 0.35 s after the cut.

--- a/tests/platform/test_version_deadlines.py
+++ b/tests/platform/test_version_deadlines.py
@@ -167,3 +167,15 @@
     response = call(site, "/draft/plain/1", 1)
     is_whole = response.body == b"".join(EVENTS)
     assert is_whole or not response.is_ended
+
+
+def test_stream_is_resumed_at_its_own_replica_once_that_has_the_new_weights(site):
+    replica = site.add_replica("guide", stream_until_deadline)
+    set_at = set_version(site)
+    with ThreadPoolExecutor(1) as callers:
+        sleep_until(set_at + SERVICE_S - 0.5)
+        called = callers.submit(call, site, "/draft/1", 1)
+        sleep_until(set_at + BOUND_S + 0.2)
+        site.update_replica(replica, **NEW)
+    response = called.result()
+    assert (response.status, response.body) == (200, b"".join(EVENTS))
