Adds a failing test: a queued request is lost 0.3 s before its replica would reject it

The entry closes what has not begun 0.45 s before the bound, and the replica rejects it unrun 0.15 s before it. So the caller of a request that may run once gets 502, though a replica with new weights is there.

--- a/tests/platform/test_version_deadlines.py
+++ b/tests/platform/test_version_deadlines.py
@@ -179,3 +179,19 @@
         site.update_replica(replica, **NEW)
     response = called.result()
     assert (response.status, response.body) == (200, b"".join(EVENTS))
+
+
+def test_request_that_its_replica_rejects_at_the_told_time_is_not_lost(site):
+    def reject_at_deadline(request, connection):
+        sleep_until(find_stop(request))
+        reject(503)(request, connection)
+
+    site.add_replica("guide", reject_at_deadline)
+    set_at = set_version(site)
+    with ThreadPoolExecutor(1) as callers:
+        sleep_until(set_at + SERVICE_S - 0.3)
+        called = callers.submit(call, site, "/draft/plain/1", 1)
+        sleep_until(set_at + SERVICE_S)
+        site.add_replica("guide", stream_until_deadline, **NEW)
+    response = called.result()
+    assert (response.status, response.body) == (200, b"".join(EVENTS))
