Takes an unmarked end at the told time for a loss, and lets a replica be used again with newer weights

Callers could see a stream that looks whole and is not: a replica that is told to stop before the bound of newer weights closes the connection, which marks the end of a response without a length. And a stream that waits for newer weights did not use those of its own replica, which stayed excluded. Now such an end, of a stream or of a buffered response, is a loss, and the replica is no longer excluded. The version is also checked before a trial is used up.

--- a/hibiscustray/gateway/attempts.py
+++ b/hibiscustray/gateway/attempts.py
@@ -242,7 +242,7 @@
         error: UpstreamConnectionLost,
     ) -> Outcome:
         """Record an attempt whose response was lost and return its outcome."""
-        is_own = watch.is_cancelled() or self._is_work_over(context)
+        is_own = watch.is_cancelled() or self.is_work_over(context)
         if not is_own and not isinstance(error, ResponseInvalid | UpstreamSilent):
             self._record_loss(context, placement)
         if context.inbound.is_disconnected():
@@ -255,11 +255,15 @@
         if watch.is_cancelled():
             if self._is_drain_over():
                 return MaybeRun("the entry stops")
-            return WeightsOutdated("newer weights are required")
-        if self._is_work_over(context):
-            return WeightsOutdated("the replica ended its work as newer weights are required")
+            return self._end_with_weights(context, placement, "newer weights are required")
+        if self.is_work_over(context):
+            return self._end_with_weights(context, placement, "the replica was told to stop")
         return MaybeRun(str(error))
 
+    def is_work_over(self, context: RequestContext) -> bool:
+        """Return whether the replica has ended its work because its weights are outdated."""
+        return read_clock() >= context.work_ends_at - WORK_END_TOLERANCE_S
+
     def record_completion(self, context: RequestContext, status: int = 200) -> None:
         """Record that a replica completed a response, so that the request does not end replicas."""
         if status < 300:
@@ -366,9 +370,12 @@
         """Return whether an attempt that has not begun must not begin any more."""
         return self._find_weights_left(context, placement) <= CLOSE_LEAD_S
 
-    def _is_work_over(self, context: RequestContext) -> bool:
-        """Return whether the replica has ended its work because its weights are outdated."""
-        return read_clock() >= context.work_ends_at - WORK_END_TOLERANCE_S
+    def _end_with_weights(
+        self, context: RequestContext, placement: Placement, detail: str
+    ) -> WeightsOutdated:
+        """Return the outcome of an attempt whose replica may be used again with newer weights."""
+        context.excluded.discard(placement.replica.id)
+        return WeightsOutdated(detail)
 
     def _may_back_up(self, context: RequestContext) -> bool:
         budget = self._budgets.get(context.service.name)
@@ -437,6 +444,8 @@
         watch.set_cancel(cancel)
         if watch.is_cancelled():
             raise SendWithdrawn("the attempt was cancelled before it was sent")
+        if self._find_required(context) > placement.version:
+            raise SendWithdrawn("newer weights are required")
         if self._find_quarantine_refusal(context) is not None:
             raise SendWithdrawn("the request or a part of its prompt has been blocked")
         if self._notices.is_draining(placement.replica.boot):
@@ -456,7 +465,7 @@
     def _limit_work(self, context: RequestContext, placement: Placement) -> float:
         """Return the seconds for which the replica of an attempt may work, from now on.
 
-        Raises `SendWithdrawn` if its weights got outdated after the check.
+        Raises `SendWithdrawn` if its weights got outdated since the check.
         """
         if self._find_required(context) > placement.version:
             context.tally.remove_sent()
@@ -510,14 +519,15 @@
             context.tally.remove_sent()
             if response.is_misdirected:
                 self.placer.mark_stale(placement)
-            elif self._is_work_over(context):
+            elif self.is_work_over(context):
                 self.placer.release(placement)
+                context.excluded.discard(placement.replica.id)
             else:
                 self.placer.record_rejection(placement)
             context.record_attempt(placement, f"refused-{response.status}")
             self._metrics.count("attempts_refused_total", {"service": context.service.name})
             return NotRun(response.status, response.is_misdirected)
-        if response.status == GATEWAY_TIMEOUT and self._is_work_over(context):
+        if response.status == GATEWAY_TIMEOUT and self.is_work_over(context):
             raise UpstreamConnectionLost("the replica ended its work")
         if response.status in PROMISE_STATUSES:
             raise ResponseInvalid(f"status {response.status} of a request that may have run")
--- a/hibiscustray/gateway/buffered.py
+++ b/hibiscustray/gateway/buffered.py
@@ -147,6 +147,8 @@
             body = self._read(response, watch)
             if watch.is_cancelled():
                 raise UpstreamConnectionLost("the attempt was cancelled")
+            if not response.framing.is_delimited and self._attempts.is_work_over(context):
+                raise UpstreamConnectionLost("the replica was told to stop")
         except UpstreamConnectionLost as error:
             outcome = self._attempts.classify_loss(context, placement, watch, error)
             if isinstance(outcome, Superseded | WeightsOutdated):
--- a/hibiscustray/gateway/streams.py
+++ b/hibiscustray/gateway/streams.py
@@ -384,6 +384,8 @@
         if self._splitter.has_partial_event:
             return self._handle_loss(UpstreamConnectionLost("the stream ended within an event"))
         is_delimited = self.response.framing.is_delimited
+        if not is_delimited and self._attempts.is_work_over(self.context):
+            return self._handle_loss(UpstreamConnectionLost("the replica was told to stop"))
         if not is_delimited and self._first_event_at is None:
             return self._handle_loss(UpstreamConnectionLost("the stream ended before an event"))
         if not is_delimited and self.position.is_delimited:
