Tells replicas to stop before their attempts are closed, and lets the first wave rest again

A caller of a request that may run once got 502 where its replica would have rejected it unrun 0.3 s later: the entry closed it 0.45 s before the bound, and the replica was told to stop 0.15 s before it. Now the told end is 0.25 s and the close 0.15 s before the bound, as sums in catalog/limits.py. The lead of the first wave of replicas (2.2 s) had no effect since the last send is as early; it is 0.4 s more now. test_request_that_its_replica_rejects_at_the_told_time_is_not_lost and test_first_wave_gets_no_requests_while_the_other_old_weights_still_do failed before.

--- a/hibiscustray/catalog/limits.py
+++ b/hibiscustray/catalog/limits.py
@@ -22,18 +22,22 @@
 """Longest time by which a version counts as set later than it was, in a process that runs and by a
 store that is stable: the shortest time for which one of the responses of the last minute was under
 way (`feeds/dating.py`)."""
-CLOSE_S = 0.4
-"""Time from the check of a running attempt until its replica drops it: the interval of the checks,
-the network, and a pass of the engine."""
+REJECT_S = 0.1
+"""Time in which a replica rejects what is in its queue as its deadline is over, and the entry is
+told."""
+CLOSE_S = 0.1
+"""Time from the check of a running attempt until its replica sees its connection closed: the
+interval of the checks, and the network."""
 
 SEND_LEAD_S = REPLICA_SILENCE_S + BEGIN_S + SEND_S + MAX_DATING_ERROR_S
 """Time before the bound from which replicas with outdated weights get no more requests. One that is
 read after the longest silence begins in time, even at a replica that ignores closed connections."""
-WORK_LEAD_S = SEND_S + MAX_DATING_ERROR_S
-"""Time before the bound at which such a replica has to stop work, by the deadline that it gets with
-the request. What is in its queue then is not run, whether or not its connection is closed."""
 CLOSE_LEAD_S = CLOSE_S + MAX_DATING_ERROR_S
 """Time before the bound at which attempts that have not begun are cancelled."""
+WORK_LEAD_S = REJECT_S + CLOSE_LEAD_S
+"""Time before the bound at which such a replica has to stop work, by the deadline that it gets with
+the request. What is in its queue then is not run, whether or not its connection is closed, and the
+entry is told so before it gives the attempt up. A send takes less than that."""
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/placement/placer.py
+++ b/hibiscustray/placement/placer.py
@@ -15,7 +15,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, replace
 
-from hibiscustray.catalog import EngineProfile, ServiceEntry
+from hibiscustray.catalog import SEND_LEAD_S, EngineProfile, ServiceEntry
 from hibiscustray.placement.load import (
     MAX_REJECTION_BACKOFF_S,
     NO_EXTERNAL_LOAD,
@@ -60,9 +60,9 @@
 """Cost of a full replica compared to an empty one, so that slots fill evenly."""
 FAILURE_COST_S = 1.0
 """Latency that a failed attempt costs a caller; multiplied by a replica's failure rate."""
-FIRST_WAVE_LEAD_S = 2.2
+FIRST_WAVE_LEAD_S = SEND_LEAD_S + 0.4
 """Time before new weights are required at which the first wave of replicas stops getting requests.
-Running requests take up to two seconds to end, and only then are the new weights loaded."""
+Running requests have to end before the new weights are loaded."""
 MIN_TOTAL_CONFIDENCE = 1.5
 """Minimum sum of confidence for averaging load reports; it takes more than one replica."""
 DEFAULT_SLOTS = 8
