--- a/review/7/case.py
+++ b/review/7/case.py
@@ -24,33 +24,33 @@
 
 def run(folder: Path) -> int:
     """Run the case; return its exit status."""
-    site = Deployment(folder, entries=3, servers=5)
+    site = Deployment(folder, entries=4, servers=7)
     try:
         site.start()
-        load = site.begin_load({"book": 2, "look": 1}, threads=12, per_s=9.0)
-        announced, quiet = site.servers[0], site.servers[1]
+        load = site.begin_load({"book": 2, "look": 1}, threads=24, per_s=20.0)
+        announced, *quiet = site.servers[:3]
         site.wait_until(LAST_BEAT_S)
         if TROUBLE:
-            # The heartbeats that both send now get no answer; the store does them later.
-            for server in (announced, quiet):
+            # The heartbeats that they send now get no answer; the store does them later.
+            for server in (announced, *quiet):
                 row = server.make_beat()
                 timer = threading.Timer(LATE_BY_S, site.store.put, ("servers", server.id, row))
                 timer.start()
                 site.note(f"a heartbeat of {server.id} (ready) gets no answer")
         site.wait_until(LEAVES_S)
         leavers = {
-            announced.id: announced.leave(is_announced=True, stays_s=STAYS_S),
-            quiet.id: quiet.leave(is_announced=False, stays_s=STAYS_S),
+            server.id: server.leave(is_announced=server is announced, stays_s=STAYS_S)
+            for server in (announced, *quiet)
         }
         for server, at in leavers.items():
             site.note(f"the store acknowledges that {server} leaves", at)
         late_s = LAST_BEAT_S + LATE_BY_S
         site.wait_until(late_s)
         if TROUBLE:
-            site.note("the store does both heartbeats")
+            site.note("the store does the heartbeats")
         site.wait_until(late_s + SILENCE_S)
-        if site.store.get("servers", quiet.id) is not None:
-            site.store.remove("servers", quiet.id)
+        for server in quiet:
+            site.store.remove("servers", server.id)
         site.wait_until(late_s + SILENCE_S + 1.0)
         sent = load.stop()
         late = site.find_late(sent, leavers, lambda entry, at: False)
