--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -130,10 +131,12 @@
 
 def run_case(run: Callable[[Path], int]) -> None:
     """Run a case in a temporary folder and exit with its status, 2 if it could not run."""
+    # A case that is stopped ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         with tempfile.TemporaryDirectory() as folder:
             code = run(Path(folder))
-    except Exception as error:
+    except (Exception, SystemExit) as error:
         print(f"the case could not run: {error!r}")
         code = 2
     sys.stdout.flush()
