--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER.parent / "6"))
 
 from rig2.deployment import CONTACT_S, TROUBLE, Deployment, judge, run_case  # noqa: E402
 from rig2.server import HEARTBEAT_S  # noqa: E402
