Moves what the adapter decided on manifests to the weights package

`make_version_manifest` and `read_load` have the same checks; a wrong name or version of a manifest and wrong sizes are told apart in the message now.

--- a/hibiscustray/placement/__init__.py
+++ b/hibiscustray/placement/__init__.py
@@ -4,7 +4,7 @@
 from hibiscustray.placement.placer import Placement, Placer, WeightsConstraint
 from hibiscustray.placement.prediction import EngineEstimate, predict_latency
 from hibiscustray.placement.refusal import Refusal, RefusalReason
-from hibiscustray.placement.workload import Demand, InFlightRequest, LoadReport
+from hibiscustray.placement.workload import Demand, InFlightRequest, LoadReport, read_load
 
 __all__ = [
     "Demand",
@@ -18,4 +18,5 @@
     "ReplicaLoad",
     "WeightsConstraint",
     "predict_latency",
+    "read_load",
 ]
--- a/hibiscustray/placement/workload.py
+++ b/hibiscustray/placement/workload.py
@@ -4,6 +4,11 @@
 
 from dataclasses import dataclass
 
+from hibiscustray.web.numbers import read_numbers
+
+MAX_REPORTED_COUNT = 1_000_000
+"""Most requests or slots in a report of a replica's load."""
+
 
 @dataclass(frozen=True)
 class Demand:
@@ -28,6 +33,12 @@
     slots: int
 
 
+def read_load(text: str) -> LoadReport | None:
+    """Parse the running, waiting and slot counts; return None if they are absent or malformed."""
+    counts = read_numbers(text, 3, MAX_REPORTED_COUNT)
+    return None if counts is None else LoadReport(*counts)
+
+
 @dataclass(eq=False)
 class InFlightRequest:
     """A request that this entry has sent to a replica and that has not ended.
--- a/hibiscustray/platform/origin.py
+++ b/hibiscustray/platform/origin.py
@@ -18,14 +18,13 @@
 from hibiscustray.platform.records import ExactNumber
 from hibiscustray.platform.wire import CHUNK_PATH, MANIFEST_PATH
 from hibiscustray.web import ClientResponse, HttpClient
-from hibiscustray.weights import Manifest
+from hibiscustray.weights import Manifest, make_version_manifest
 
 OK = 200
 MISSING_STATUSES = (404, 410)
 CALL_TIMEOUT_S = 3.0
 """A chunk takes tens of milliseconds on an idle link, and several requests share the link."""
 CONNECT_TIMEOUT_S = 0.5
-DIGEST_B = 32
 MAX_MANIFEST_B = 4 * 1024 * 1024
 """Longest manifest: digests of over 60,000 chunks."""
 MAX_ERROR_B = 64 * 1024
@@ -53,16 +52,11 @@
         response = self._get(f"{MANIFEST_PATH}{model}?version={version}", MAX_MANIFEST_B)
         try:
             wire = decode_json(response.body, _Manifest)
-            digests = tuple(bytes.fromhex(text) for text in wire.digests)
-        except (RecordInvalid, ValueError) as error:
+        except RecordInvalid as error:
             raise ManifestInvalid(f"{model} {version}: {error}") from error
-        is_valid = digests and wire.chunk_bytes > 0 and all(len(d) == DIGEST_B for d in digests)
-        if not is_valid or (wire.model, wire.version) != (model, version):
-            raise ManifestInvalid(
-                f"the manifest does not describe {model} {version} or has invalid sizes"
-            )
-        size = wire.chunk_bytes * len(digests)
-        return Manifest(f"{model}?version={version}", size, wire.chunk_bytes, digests)
+        if (wire.model, wire.version) != (model, version):
+            raise ManifestInvalid(f"the manifest does not describe {model} {version}")
+        return make_version_manifest(f"{model}?version={version}", wire.chunk_bytes, wire.digests)
 
     def read_range(self, path: str, start: int, length: int) -> bytes:
         """Return the bytes of one chunk; raise `ObjectMissing` or `OriginUnavailable`.
--- a/hibiscustray/weights/__init__.py
+++ b/hibiscustray/weights/__init__.py
@@ -2,7 +2,12 @@
 
 from hibiscustray.weights.cache import ChunkCache
 from hibiscustray.weights.lookup import ManifestSource, StoredManifests
-from hibiscustray.weights.manifest import Manifest, build_manifest, decode_manifest
+from hibiscustray.weights.manifest import (
+    Manifest,
+    build_manifest,
+    decode_manifest,
+    make_version_manifest,
+)
 from hibiscustray.weights.publishing import manifest_key, publish_weights
 from hibiscustray.weights.rate_limiter import LinkRateLimiter
 from hibiscustray.weights.relay import ChunkRelay
@@ -30,6 +35,7 @@
     "TransferTuning",
     "build_manifest",
     "decode_manifest",
+    "make_version_manifest",
     "manifest_key",
     "publish_weights",
 ]
--- a/hibiscustray/weights/manifest.py
+++ b/hibiscustray/weights/manifest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 import msgspec
@@ -55,6 +55,20 @@
         return hashlib.sha256(self.encode()).hexdigest()
 
 
+def make_version_manifest(path: str, chunk_b: int, digests: Iterable[str]) -> Manifest:
+    """Return the manifest of a version whose chunks all have `chunk_b` bytes.
+
+    `digests` are SHA-256 digests as hexadecimal text. Raises `ManifestInvalid`.
+    """
+    try:
+        chunks = tuple(bytes.fromhex(text) for text in digests)
+    except ValueError as error:
+        raise ManifestInvalid(f"{path}: {error}") from error
+    if chunk_b <= 0 or not chunks or any(len(digest) != DIGEST_B for digest in chunks):
+        raise ManifestInvalid(f"the manifest of {path} has invalid sizes")
+    return Manifest(path, chunk_b * len(chunks), chunk_b, chunks)
+
+
 def decode_manifest(body: bytes, digest: str) -> Manifest:
     """Decode a manifest and check its digest and the consistency of its sizes."""
     if hashlib.sha256(body).hexdigest() != digest:
