--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -58,7 +58,13 @@
     ReplicaFeed,
 )
 from hibiscustray.quarantine import PartQuarantine, ReportPublisher
-from hibiscustray.replicas import ReplicaDirectory, ReplicaNotices
+from hibiscustray.replicas import (
+    HealthReport,
+    PresenceVerifier,
+    ReplicaDirectory,
+    ReplicaNotices,
+    ReplicaRecord,
+)
 from hibiscustray.rollout import OrderGate
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.settings import HostedSettings
@@ -87,6 +93,10 @@
 """A configuration of 1,900 routes occupies an 11.5 Mbit/s link between regions for 0.36 s for each
 entry, one of about a hundred routes for 30 ms. Checks every 1.8 s leave one second of the bound of
 three seconds for a configuration to become active."""
+HEALTH_CHECK_TIMEOUT_S = 1.0
+"""Timeout of a health check, which waits for a slot like a request."""
+DEFAULT_HEALTH_PATH = "/health"
+"""Path of health checks at replicas of a service whose configuration names none."""
 MIN_CHECK_INTERVAL_S = 6.0
 """Shortest interval at which an agent asks the operator's table itself."""
 AGENT_READ_DELAYS_S = (4.0, 10.0)
@@ -139,7 +149,11 @@
         limits,
         metrics,
         partial(_build_relay_writer, is_announcer=partial(_is_announcer, roster)),
+        has_verifier=True,
     )
+    client = PlatformReplicaClient()
+    check = partial(_check_health, feed_state.catalogs, client)
+    verifier = PresenceVerifier(feed_state.directory, notices, check, metrics)
     placer = Placer(feed_state.directory, notices, zone, settings.regions, settings.process.id)
     bounds = settings.bounds
     budgets = RetryBudgets(*find_retry_limits(bounds))
@@ -161,7 +175,7 @@
         placer,
         quarantine,
         notices,
-        PlatformReplicaClient(),
+        client,
         budgets,
         watchdog,
         reporter,
@@ -180,6 +194,7 @@
         ReportPublisher(entry_id, quarantine, roster, reports),
         feed_state.catalogs,
         feed_state.directory,
+        verifier,
         forwarder,
         budgets,
         watchdog,
@@ -267,8 +282,10 @@
     metrics: Metrics,
     build_operator: Callable[..., FeedFollower],
     on_version: Callable[[], object] = lambda: None,
+    has_verifier: bool = False,
 ) -> _FeedState:
-    catalogs, versions, directory = CatalogHolder(), TargetVersions(), ReplicaDirectory()
+    catalogs, versions = CatalogHolder(), TargetVersions()
+    directory = ReplicaDirectory(has_verifier)
     store = PlatformStore(settings.store.address, limits.call_s)
     operator = build_operator(
         store, OperatorListener(catalogs, versions, on_version), limits.wait_s, metrics
@@ -285,6 +302,15 @@
     return _FeedState(catalogs, versions, directory, (operator, replicas))
 
 
+def _check_health(
+    catalogs: CatalogHolder, client: PlatformReplicaClient, replica: ReplicaRecord
+) -> HealthReport:
+    services = catalogs.current.services if catalogs.current is not None else {}
+    service = services.get(replica.service)
+    path = service.health_path if service is not None else ""
+    return client.check(replica, path or DEFAULT_HEALTH_PATH, HEALTH_CHECK_TIMEOUT_S)
+
+
 def _list_entry_addresses(settings: HostedSettings) -> frozenset[str]:
     """Return the addresses of an entry's servers; an agent sends nothing to those of replicas."""
     entry, process = settings.entry, settings.process
--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -107,8 +107,7 @@
         self._directory.record_recovery()
 
     def record_restore(self) -> None:
-        """Keep replicas out that are known to leave or to have left."""
-        self._directory.record_restore()
+        """Keep the replicas; rows of those that have left are told as at any other time."""
 
 
 class EntryListener:
--- a/hibiscustray/gateway/process.py
+++ b/hibiscustray/gateway/process.py
@@ -13,7 +13,7 @@
 from hibiscustray.gateway.drain import DrainWindow
 from hibiscustray.gateway.forwarder import RequestForwarder
 from hibiscustray.quarantine import ReportPublisher
-from hibiscustray.replicas import ReplicaDirectory
+from hibiscustray.replicas import PresenceVerifier, ReplicaDirectory
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.settings import HostedBounds, HostedSettings
 from hibiscustray.web import HttpServer
@@ -46,6 +46,7 @@
         publisher: ReportPublisher,
         catalogs: CatalogHolder,
         directory: ReplicaDirectory,
+        verifier: PresenceVerifier,
         forwarder: RequestForwarder,
         budgets: RetryBudgets,
         watchdog: Watchdog,
@@ -57,6 +58,7 @@
         self._publisher = publisher
         self._catalogs = catalogs
         self._directory = directory
+        self._verifier = verifier
         self._forwarder = forwarder
         self._budgets = budgets
         self._watchdog = watchdog
@@ -73,6 +75,7 @@
     def start(self) -> None:
         """Start the watchdog, the followers and the servers."""
         self._watchdog.start()
+        self._verifier.start()
         for follower in self._followers:
             follower.start()
         self._publisher.start()
@@ -119,6 +122,7 @@
         self._caller_server.stop()
         for follower in self._followers:
             follower.stop()
+        self._verifier.stop()
         self._forwarder.stop()
         self._publisher.stop()
         self._readiness.stop()
--- a/hibiscustray/platform/replica.py
+++ b/hibiscustray/platform/replica.py
@@ -5,8 +5,7 @@
 from collections.abc import Callable
 
 from hibiscustray.gateway.interface import Headers, OutboundRequest
-from hibiscustray.placement import LoadReport
-from hibiscustray.platform.records import MAX_COUNT
+from hibiscustray.placement import read_load
 from hibiscustray.platform.wire import (
     ATTEMPT_ID,
     EXPECTED_REPLICA,
@@ -15,6 +14,7 @@
     MS_PER_S,
     NOT_RUN,
     RATE_LIMIT,
+    REPLICA_ID,
     REPLICA_LOAD,
     RETRY_AFTER,
     SERVER_LEAVING,
@@ -24,10 +24,10 @@
     URGENCY,
     WEIGHT_VERSIONS,
 )
-from hibiscustray.replicas import read_notice
+from hibiscustray.replicas import HealthReport, ReplicaRecord, read_notice
 from hibiscustray.web import HttpClient, HttpStream
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
-from hibiscustray.web.numbers import read_number, read_numbers
+from hibiscustray.web.numbers import read_number
 
 MISDIRECTED_REQUEST, SERVICE_UNAVAILABLE = 421, 503
 
@@ -48,7 +48,8 @@
         pushback = retry_after if self.status == SERVICE_UNAVAILABLE else None
         limit, draining = headers.get(RATE_LIMIT.lower()), headers.get(SERVER_LEAVING.lower())
         self.notice = read_notice(limit, pushback, draining)
-        self.load = _read_load(headers.get(REPLICA_LOAD.lower(), ""))
+        self.load = read_load(headers.get(REPLICA_LOAD.lower(), ""))
+        self.replica_id = headers.get(REPLICA_ID.lower(), "")
         self.version = read_number(headers.get(WEIGHT_VERSIONS.lower(), "")) or 0
         passed_on = (pair for pair in headers.items() if pair[0] not in HOP_BY_HOP_HEADERS)
         self.headers: Headers = tuple(passed_on)
@@ -88,6 +89,16 @@
         )
         return PlatformReplicaResponse(stream)
 
+    def check(self, replica: ReplicaRecord, path: str, timeout_s: float) -> HealthReport:
+        """Send a health check; raise `UpstreamError` without a response within `timeout_s`."""
+        client = HttpClient(f"http://{replica.address}", timeout_s, max_idle_connections=0)
+        headers = {EXPECTED_REPLICA: replica.id, TIME_LEFT_MS: str(int(timeout_s * MS_PER_S))}
+        stream = client.open("GET", path, headers=headers, connect_timeout_s=timeout_s / 2)
+        response = PlatformReplicaResponse(stream)
+        response.close()
+        facts = response.status, response.notice, response.replica_id, response.is_misdirected
+        return HealthReport(*facts)
+
 
 def _make_headers(outbound: OutboundRequest) -> dict[str, str]:
     headers = dict(outbound.inbound.headers)
@@ -103,9 +114,3 @@
     if outbound.resume_after:
         headers[LAST_EVENT_ID] = outbound.resume_after
     return headers
-
-
-def _read_load(text: str) -> LoadReport | None:
-    """Parse the running, waiting and slot counts; return None if they are absent or malformed."""
-    counts = read_numbers(text, 3, MAX_COUNT)
-    return None if counts is None else LoadReport(*counts)
--- a/hibiscustray/replicas/departures.py
+++ b/hibiscustray/replicas/departures.py
@@ -1,51 +1,35 @@
-"""Replicas that are known to leave or to have left, for a list that may go back in time."""
+"""The starts of replicas that are known to be draining or to have left."""
 
 from __future__ import annotations
 
-import time
+from collections import OrderedDict
 
-from hibiscustray.replicas.record import ReplicaRecord, ReplicaState
+from hibiscustray.replicas.record import ReplicaRecord
 
-LIFETIME_S = 120.0
-"""Time for which a departure is remembered, many times the age of a copy of the list."""
+MAX_REPLICAS = 4096
+"""Replicas whose departures are kept; the earliest departure is forgotten first."""
 
 
 class Departures:
-    """Tells which rows are older than a departure, once the list may have gone back in time.
+    """The last row of each replica that is draining or was removed from the list; not thread-safe.
 
-    Rows of one start are in the order of their `sequence`. Not thread-safe.
+    An id has one departure, that of its latest start.
     """
 
     def __init__(self) -> None:
-        self._known: dict[str, tuple[ReplicaRecord, float]] = {}
-        self._last_rows: dict[str, int] = {}
+        self._last_rows: OrderedDict[str, ReplicaRecord] = OrderedDict()
 
     def record(self, record: ReplicaRecord) -> None:
         """Record that a start of a replica is draining, or has been removed from the list."""
-        if record.born_ms:
-            self._known.pop(record.boot, None)
-            self._known[record.boot] = record, time.monotonic()
-        self._expire()
-
-    def record_restore(self) -> None:
-        """Record that rows read from now on may be older than what is known."""
-        self._expire()
-        self._last_rows = {boot: record.sequence for boot, (record, _) in self._known.items()}
-
-    def find_state(self, record: ReplicaRecord) -> ReplicaState | None:
-        """Return the state that a row gives its replica, None if the replica has left."""
-        if record.sequence > self._last_rows.get(record.boot, -1):
-            return record.state
-        known = self._known.get(record.boot)
-        if known is None:
-            return record.state
-        return ReplicaState.DRAINING if known[0].state is ReplicaState.DRAINING else None
-
-    def _expire(self) -> None:
-        oldest_at = time.monotonic() - LIFETIME_S
-        while self._known:
-            boot = next(iter(self._known))
-            if self._known[boot][1] >= oldest_at:
-                return
-            del self._known[boot]
-            self._last_rows.pop(boot, None)
+        self._last_rows[record.id] = record
+        self._last_rows.move_to_end(record.id)
+        if len(self._last_rows) > MAX_REPLICAS:
+            self._last_rows.popitem(last=False)
+
+    def forget(self, replica_id: str) -> None:
+        """Forget a departure, as the replica is serving or has started again."""
+        self._last_rows.pop(replica_id, None)
+
+    def find(self, replica_id: str) -> ReplicaRecord | None:
+        """Return the last row before a replica's departure, None if it has not left."""
+        return self._last_rows.get(replica_id)
--- a/hibiscustray/replicas/directory.py
+++ b/hibiscustray/replicas/directory.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from hibiscustray.replicas.departures import Departures
+from hibiscustray.replicas.health import Presence
 from hibiscustray.replicas.record import ReplicaRecord, ReplicaState
 
 log = logging.getLogger(__name__)
@@ -22,10 +23,16 @@
 
     The platform unlists replicas whose heartbeats could not be stored, so a removal during an
     outage or shortly after it may concern a live replica.
+
+    A row of a start that has left may be a late write, or that of a live replica that had lost its
+    row. Neither the row nor its `sequence` tells which. With `has_verifier`, such a row is not
+    verified until `resolve` is called; without, a higher `sequence` counts as a live replica.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, has_verifier: bool = False) -> None:
+        self._has_verifier = has_verifier
         self._records: dict[str, ReplicaRecord] = {}
+        self._unverified: dict[str, ReplicaRecord] = {}
         self._deferred_removals: dict[str, float] = {}
         self._is_list_unavailable = False
         self._grace_until = float("-inf")
@@ -62,6 +69,11 @@
             self._apply_deferred_removals()
             return tuple(r for r in self._records.values() if r.service == service)
 
+    def list_unverified(self) -> tuple[ReplicaRecord, ...]:
+        """Return the rows that do not tell whether their replicas have left."""
+        with self._lock:
+            return tuple(self._unverified.values())
+
     def get(self, replica_id: str) -> ReplicaRecord | None:
         """Return a replica's record, None if there is none."""
         with self._lock:
@@ -71,7 +83,7 @@
         """Replace all records by a complete list."""
         listed = {record.id: record for record in records}
         with self._lock:
-            for replica_id in set(self._records) - set(listed):
+            for replica_id in {*self._records, *self._unverified} - set(listed):
                 self._remove(replica_id)
             for record in listed.values():
                 self._store(record)
@@ -102,22 +114,60 @@
                 self._is_list_unavailable = False
                 self._grace_until = time.monotonic() + RELISTING_GRACE_S
 
-    def record_restore(self) -> None:
-        """Record that the list may come back as it was earlier, with replicas that have left."""
+    def resolve(self, record: ReplicaRecord, presence: Presence) -> None:
+        """Apply what the replica of an unverified row has said, unless the row has changed."""
         with self._lock:
-            self._departures.record_restore()
+            if self._unverified.get(record.id) is not record:
+                return
+            if presence is Presence.SERVING:
+                self._list(record)
+            elif presence is Presence.LEAVING:
+                self._list(replace(record, state=ReplicaState.DRAINING))
+        self._notify_listeners()
 
     def _store(self, record: ReplicaRecord) -> None:
-        state = self._departures.find_state(record)
-        if state is None:
-            log.info("row of a replica that has left ignored", extra={"replica": record.id})
-            self._delete(record.id, "left before the list was restored")
+        departure = self._departures.find(record.id)
+        if record.born_ms < self._find_latest_start(record.id):
+            log.info("row of an earlier start ignored", extra={"replica": record.boot})
             return
-        record = replace(record, state=state)
-        if state is ReplicaState.DRAINING:
+        is_same_start = departure is not None and departure.born_ms == record.born_ms
+        if is_same_start and departure.state is ReplicaState.DRAINING:
+            # A start never takes back that it is draining.
+            record = replace(record, state=ReplicaState.DRAINING)
+        is_ready = record.state is ReplicaState.READY
+        if is_ready and (is_same_start or self._is_removal_deferred(record)):
+            self._store_returned(record, departure)
+        else:
+            self._list(record)
+
+    def _store_returned(self, record: ReplicaRecord, departure: ReplicaRecord | None) -> None:
+        """Handle a row of a start whose removal is known, or deferred if there is no departure."""
+        if self._has_verifier:
+            if record.id not in self._unverified:
+                log.info("replica listed again, not verified", extra={"replica": record.boot})
+            self._unverified[record.id] = record
+        elif departure is None or record.sequence > departure.sequence:
+            self._list(record)
+        else:
+            log.info("row of a replica that has left ignored", extra={"replica": record.boot})
+
+    def _find_latest_start(self, replica_id: str) -> int:
+        """Return when the latest known start of a replica was, 0 if there is none."""
+        known = self._records.get(replica_id), self._departures.find(replica_id)
+        return max((record.born_ms for record in known if record is not None), default=0)
+
+    def _is_removal_deferred(self, record: ReplicaRecord) -> bool:
+        is_deferred = record.id in self._deferred_removals
+        return is_deferred and self._records[record.id].born_ms == record.born_ms
+
+    def _list(self, record: ReplicaRecord) -> None:
+        if record.state is ReplicaState.DRAINING:
             self._departures.record(record)
+        else:
+            self._departures.forget(record.id)
         previous = self._records.get(record.id)
         self._deferred_removals.pop(record.id, None)
+        self._unverified.pop(record.id, None)
         self._records[record.id] = record
         self._ready.clear()
         is_changed = (
@@ -139,6 +189,7 @@
             )
 
     def _remove(self, replica_id: str) -> None:
+        self._unverified.pop(replica_id, None)
         if replica_id not in self._records:
             return
         now = time.monotonic()
@@ -160,6 +211,8 @@
         ):
             return
         for replica_id in list(self._deferred_removals):
+            if self._has_verifier:
+                self._departures.record(self._records[replica_id])
             self._delete(replica_id, "not listed again after an outage")
 
     def _delete(self, replica_id: str, reason: str) -> None:
