--- a/hibiscustray/feeds/listeners.py
+++ b/hibiscustray/feeds/listeners.py
@@ -73,8 +73,9 @@
 class ReplicaListener:
     """Applies the replica list.
 
-    Rows with one of `own_addresses`, those of this process, count as rejected: a request that is
-    sent there would come back.
+    A row that cannot be decoded changes nothing about the replica that it is stored under. Rows
+    with one of `own_addresses`, those of this process, list no replica: a request that is sent
+    there would come back.
     """
 
     def __init__(
@@ -86,7 +87,10 @@
     def replace(self, changes: tuple[Change, ...], earliest_at: float) -> None:
         """Replace the whole replica list."""
         records = [c.record for c in changes if isinstance(c, ReplicaListed)]
-        self._directory.replace(r for r in records if r.address not in self._own_addresses)
+        rejected = {c.key for c in changes if isinstance(c, RowRejected)}
+        self._directory.replace(
+            (r for r in records if r.address not in self._own_addresses), rejected
+        )
 
     def apply(self, change: Change, earliest_at: float) -> None:
         """Apply the change of one row."""
@@ -95,7 +99,7 @@
                 self._directory.remove(record.id)
             case ReplicaListed(record=record):
                 self._directory.update(record)
-            case ReplicaUnlisted(replica_id=replica_id) | RowRejected(key=replica_id):
+            case ReplicaUnlisted(replica_id=replica_id):
                 self._directory.remove(replica_id)
 
     def record_outage(self) -> None:
--- a/hibiscustray/platform/records.py
+++ b/hibiscustray/platform/records.py
@@ -156,14 +156,16 @@
 class _ReplicaRow(_WireRecord, frozen=True):
     service: str
     addr: str
+    zone: str
+    # Version of the replica's software, in any form.
+    version: str | int
+    slots: Count
     state: Literal["ready", "draining"]
-    zone: str = ""
-    slots: Count = 0
-    warmup_left_ms: WarmupMs = 0.0
+    warmup_left_ms: WarmupMs
+    sequence: ExactNumber
+    born: ExactNumber
     models: tuple[WireModel, ...] = ()
     layers: WireLayers | None = None
-    born: ExactNumber = 0
-    sequence: ExactNumber = 0
 
 
 def decode_catalog(body: bytes) -> Catalog:
--- a/hibiscustray/platform/standins.py
+++ b/hibiscustray/platform/standins.py
@@ -254,6 +254,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": self.zone,
+            "version": "v1",
             "slots": 16,
             "state": "ready",
             "warmupLeftMs": 0,
--- a/hibiscustray/platform/store.py
+++ b/hibiscustray/platform/store.py
@@ -366,6 +366,4 @@
 
 
 def _read_replica_row(key: str, value: bytes | None) -> Change:
-    if value is None:
-        return ReplicaUnlisted(key)
-    return ReplicaListed(decode_replica(key, value))
+    return ReplicaUnlisted(key) if value is None else ReplicaListed(decode_replica(key, value))
--- a/hibiscustray/replicas/directory.py
+++ b/hibiscustray/replicas/directory.py
@@ -5,7 +5,7 @@
 import logging
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 
 from hibiscustray.replicas.departures import Departures
@@ -79,11 +79,11 @@
         with self._lock:
             return self._records.get(replica_id)
 
-    def replace(self, records: Iterable[ReplicaRecord]) -> None:
-        """Replace all records by a complete list."""
+    def replace(self, records: Iterable[ReplicaRecord], kept: Collection[str] = ()) -> None:
+        """Replace all records by a complete list, except those of the ids in `kept`."""
         listed = {record.id: record for record in records}
         with self._lock:
-            for replica_id in {*self._records, *self._unverified} - set(listed):
+            for replica_id in {*self._records, *self._unverified} - {*listed, *kept}:
                 self._remove(replica_id)
             for record in listed.values():
                 self._store(record)
--- a/tests/replicas/test_departure_table.py
+++ b/tests/replicas/test_departure_table.py
@@ -192,6 +192,28 @@
     assert not listed.is_served_within(0.05)
 
 
+# Guards against a departure that is forgotten with a row that names no replica.
+@pytest.mark.parametrize("later", LATE)
+@pytest.mark.parametrize("departure", DEPARTURES)
+@pytest.mark.parametrize("answer", ["leaving", "serving"])
+def test_row_without_a_sequence_brings_no_requests_after(listed, departure, later, answer):
+    DEPARTURES[departure](listed)
+    listed.answer = SERVING if answer == "serving" else LEAVING
+    LATE[later](listed, None)
+    assert not listed.is_served_within(0.05)
+    assert not listed.checks
+
+
+# Guards against a start that another writer's row makes up, or hides.
+@pytest.mark.parametrize("departure", DEPARTURES)
+def test_row_of_a_new_start_without_a_sequence_brings_no_requests(listed, departure):
+    DEPARTURES[departure](listed)
+    listed.read(decode(born=2_000, sequence=None))
+    assert not listed.is_served_within(0.05)
+    listed.read(decode(born=2_000, sequence=1))
+    assert listed.is_served()
+
+
 # Guards against live replicas that stay without requests, as their rows had expired.
 @pytest.mark.parametrize("sequence", SEQUENCES)
 @pytest.mark.parametrize("later", [name for name in LATE if "missing" not in name])
