--- a/hibiscustray/benchmarks/placement.py
+++ b/hibiscustray/benchmarks/placement.py
@@ -5,6 +5,7 @@
 import heapq
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
@@ -212,6 +213,8 @@
             [] for _ in range(entries)
         ]
         self._last_placement: tuple[int, Placement] | None = None
+        self._ready: list[str] = []
+        self._starts: Counter[str] = Counter()
 
     def choose(self, site: SimulatedSite, demand: Demand, number: int) -> str | float:
         """Return the id from a random entry's placer, or the retry time of its refusal."""
@@ -239,9 +242,11 @@
         self._placers[entry].record_rejection(placement)
 
     def set_ready_replicas(self, ready: list[str]) -> None:
-        """Replace the replica list of every entry."""
+        """Replace the replica list of every entry; a replica that was not in it starts anew."""
+        self._starts.update(replica for replica in ready if replica not in self._ready)
+        self._ready = list(ready)
         for directory in self._directories:
-            directory.replace(_make_record(replica) for replica in ready)
+            directory.replace(_make_record(replica, self._starts[replica]) for replica in ready)
 
     def _record_progress(self, site: SimulatedSite, entry: int) -> None:
         placer = self._placers[entry]
@@ -385,7 +390,7 @@
     )
 
 
-def _make_record(replica: str) -> ReplicaRecord:
+def _make_record(replica: str, start: int) -> ReplicaRecord:
     return ReplicaRecord(
         replica,
         SERVICE.name,
@@ -395,4 +400,5 @@
         ReplicaState.READY,
         models=(ServedModel(MODEL, 1),),
         layers=LayerSpan(0, PROFILE.layers, 1),
+        born_ms=start,
     )
