--- a/hibiscustray/peers/messages.py
+++ b/hibiscustray/peers/messages.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from hibiscustray.deployments.revisions import Revision
@@ -16,6 +18,9 @@
 DEAD = "dead"
 BUSY = "busy"
 
+FinalStatus = Annotated[int, msgspec.Meta(ge=200, le=599)]
+"""HTTP status of a response that is not interim."""
+
 
 class Message(msgspec.Struct, frozen=True):
     """Base of all messages; unknown fields of later versions are ignored."""
@@ -247,7 +252,7 @@
 
     count: int
     digest: str
-    status: int = 200
+    status: FinalStatus = 200
     content_type: str = "application/json"
     load: int = 0
     waiting: int = 0
--- a/hibiscustray/web/bounded.py
+++ b/hibiscustray/web/bounded.py
@@ -16,7 +16,8 @@
 """Longest line with the size of a chunk."""
 TRAILER_TIMEOUT_S = 0.1
 """Time for what follows the last chunk. If nothing does, the body is whole all the same."""
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: [^\0\r\n]*)?\r?\n")
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\0\r\n]*)?\r?\n")
+"""A status outside 100 to 599 is invalid (RFC 9110, 15)."""
 ANY_LINE = re.compile(rb"[^\n]*\n")
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,12}")
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -12,7 +12,7 @@
 from hibiscustray.exceptions import MessageInvalid
 from hibiscustray.peers import ExchangeMessage, MemberRecord, PeerPool, PeerServer
 from hibiscustray.peers.codec import EXCHANGE, METHODS, encode_message, find_codec, make_decoder
-from hibiscustray.peers.messages import PushRequest
+from hibiscustray.peers.messages import End, PushRequest
 from hibiscustray.peers.packing import DEFLATED_HEADER, MAX_INFLATED_B, PACKED, PLAIN, WINDOW_BITS
 
 text = st.text(max_size=20)
@@ -63,6 +63,18 @@
         make_decoder(ExchangeMessage)(DEFLATED_HEADER + bomb)
 
 
+# Guards against an entry that passes on the invalid status of an agent's upstream (MIXED).
+@pytest.mark.parametrize("status", [-1, 0, 100, 199, 600, 777, 999])
+def test_end_of_a_response_with_an_invalid_status_is_rejected(status):
+    with pytest.raises(MessageInvalid):
+        make_decoder(End)(encode_message(End(0, "", status)))
+
+
+@pytest.mark.parametrize("status", [200, 404, 599])
+def test_end_of_a_response_has_any_valid_status(status):
+    assert make_decoder(End)(encode_message(End(0, "", status))).status == status
+
+
 def test_heartbeat_is_three_times_smaller_in_version_2():
     sender = MemberRecord("a", "agent", "akl", "akl-a", "10.0.0.1:1", "http://10.0.0.1:2", 1)
     message = ExchangeMessage(sender, (sender,) * 8)
