--- a/hibiscustray/commands/hosting.py
+++ b/hibiscustray/commands/hosting.py
@@ -5,11 +5,10 @@
 import dataclasses
 import logging
 import signal
-import threading
 from pathlib import Path
 from typing import Literal
 
-from hibiscustray.clock import read_clock
+from hibiscustray.commands.signals import SignalWaiter
 from hibiscustray.composition import build_hosted_agent, build_hosted_entry
 from hibiscustray.exceptions import SettingsError
 from hibiscustray.platform import SETTINGS_VARIABLE
@@ -34,43 +33,16 @@
     _run_until_signal(path, "agent", build_hosted_agent)
 
 
-class _Signals:
-    """The signals of a hosted process: SIGTERM and SIGINT to stop, SIGHUP to reload the settings.
-
-    Those that come while the process starts take effect once it has started. The grace period
-    begins with the first SIGTERM or SIGINT; another one does not change it.
-    """
-
-    def __init__(self) -> None:
-        self._stop_requested_at: float | None = None
-        self._wake_up = threading.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._stop)
-        signal.signal(signal.SIGHUP, lambda *_: self._wake_up.set())
-
-    @property
-    def is_stop_requested(self) -> bool:
-        """Return whether the process has to stop."""
-        return self._stop_requested_at is not None
-
-    def find_time_left(self, grace_s: float) -> float:
-        """Return the rest of a grace period that began with the request to stop, in seconds."""
-        assert self._stop_requested_at is not None
-        return max(0.0, grace_s - (read_clock() - self._stop_requested_at))
-
-    def wait(self, timeout_s: float) -> None:
-        """Wait for a signal, also for one that came since the last call."""
-        self._wake_up.wait(timeout_s)
-        self._wake_up.clear()
-
-    def _stop(self, *_: object) -> None:
-        if self._stop_requested_at is None:
-            self._stop_requested_at = read_clock()
-        self._wake_up.set()
+def _run_until_signal(path: Path | None, role: Role, build) -> None:
+    # Signals that come while the process starts take effect once it has started.
+    signals = SignalWaiter([signal.SIGHUP])
+    try:
+        _run(path, role, build, signals)
+    finally:
+        signals.close()
 
 
-def _run_until_signal(path: Path | None, role: Role, build) -> None:
-    signals = _Signals()
+def _run(path: Path | None, role: Role, build, signals: SignalWaiter) -> None:
     path = path or find_settings_path(SETTINGS_VARIABLE)
     settings = load_hosted_settings(path, role)
     identity = settings.process
@@ -94,7 +66,7 @@
 
 
 def _reload_until_stopped(
-    path: Path, role: Role, settings: HostedSettings, process, signals: _Signals
+    path: Path, role: Role, settings: HostedSettings, process, signals: SignalWaiter
 ) -> HostedSettings:
     """Reload the settings at each interval, and at once on SIGHUP, until SIGTERM or SIGINT.
 
--- a/hibiscustray/commands/serving.py
+++ b/hibiscustray/commands/serving.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from pathlib import Path
 
+from hibiscustray.commands.signals import SignalWaiter
 from hibiscustray.composition import build_agent, build_entry
 from hibiscustray.settings import Settings, load_settings
 from hibiscustray.telemetry import configure_logs
@@ -25,10 +24,11 @@
 
 def wait_for_signal(timeout_s: float | None = None) -> None:
     """Block until SIGTERM, SIGINT or a timeout; None waits without a timeout."""
-    stop_requested = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop_requested.set())
-    stop_requested.wait(timeout_s)
+    signals = SignalWaiter()
+    try:
+        signals.wait(timeout_s)
+    finally:
+        signals.close()
 
 
 def _load_settings(path: Path, role: str) -> Settings:
