--- a/hibiscustray/composition/hosted.py
+++ b/hibiscustray/composition/hosted.py
@@ -69,7 +69,7 @@
 from hibiscustray.routing import RetryBudgets
 from hibiscustray.settings import HostedSettings
 from hibiscustray.telemetry import Metrics, PauseDetector
-from hibiscustray.web import HttpServer
+from hibiscustray.web import BodyBudget, HttpServer
 from hibiscustray.web.status import StatusApplication
 from hibiscustray.weights import (
     ChunkCache,
@@ -93,6 +93,10 @@
 """A configuration of 1,900 routes occupies an 11.5 Mbit/s link between regions for 0.36 s for each
 entry, one of about a hundred routes for 30 ms. Checks every 1.8 s leave one second of the bound of
 three seconds for a configuration to become active."""
+BYTES_PER_MB = 1e6
+BODY_MEMORY_SHARE = 0.3
+"""Share of an entry's memory for the bodies of requests, each of which is held twice for a moment
+while it is handed over."""
 HEALTH_CHECK_TIMEOUT_S = 1.0
 """Timeout of a health check, which waits for a slot like a request."""
 DEFAULT_HEALTH_PATH = "/health"
@@ -187,7 +191,12 @@
     readiness = DeferredApplication()
     entry = settings.entry
     process = GatewayProcess(
-        _build_hosted_http(entry.callers, GatewayApplication(forwarder), entry.threads),
+        _build_hosted_http(
+            entry.callers,
+            GatewayApplication(forwarder),
+            entry.threads,
+            BodyBudget(entry.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE),
+        ),
         _build_hosted_http(entry.readiness, readiness, HOSTED_STATUS_THREADS),
         _build_hosted_metrics(settings, metrics),
         (*feed_state.followers, entries),
@@ -357,9 +366,11 @@
     return origin.address if origin is not None else None
 
 
-def _build_hosted_http(address: str, app, threads: int) -> HttpServer:
+def _build_hosted_http(
+    address: str, app, threads: int, bodies: BodyBudget | None = None
+) -> HttpServer:
     host, _, port = address.rpartition(":")
-    return HttpServer(app, host, int(port), threads)
+    return HttpServer(app, host, int(port), threads, bodies=bodies)
 
 
 def _build_hosted_metrics(settings: HostedSettings, metrics: Metrics) -> HttpServer:
--- a/hibiscustray/platform/wsgi.py
+++ b/hibiscustray/platform/wsgi.py
@@ -31,7 +31,7 @@
 )
 from hibiscustray.web.headers import HOP_BY_HOP_HEADERS
 from hibiscustray.web.numbers import read_number, read_numbers
-from hibiscustray.web.server import END_WITH_CONNECTION, REASON_PHRASES, RECEIVED_AT
+from hibiscustray.web.server import END_WITH_CONNECTION, REASON_PHRASES, RECEIVED_AT, read_body
 
 REPLACED_HEADERS = frozenset(
     name.lower()
@@ -88,7 +88,7 @@
         path=target.partition("?")[0],
         target=target,
         headers=forwarded,
-        body=environ["wsgi.input"].read(),
+        body=read_body(environ),
         received_at=environ[RECEIVED_AT],
         time_left_s=_read_time_left(headers.get(TIME_LEFT_MS.lower(), "")),
         key=_read_key(headers.get(AUTHORIZATION.lower(), "")),
--- a/hibiscustray/settings/hosted.py
+++ b/hibiscustray/settings/hosted.py
@@ -28,11 +28,15 @@
 
 @dataclass(frozen=True)
 class HostedEntry:
-    """Addresses for callers and for the load balancer's readiness probe, as IP:port."""
+    """Addresses for callers and for the load balancer's readiness probe, as IP:port.
+
+    `memory_mb` is the memory that the process may use, in megabytes of 10^6 bytes.
+    """
 
     callers: str
     readiness: str
     threads: PositiveInt = 160
+    memory_mb: PositiveFloat = 300.0
 
 
 @dataclass(frozen=True)
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -25,6 +25,7 @@
 
 from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import SettingsError
+from hibiscustray.web.bodies import BodiesExceeded, BodyBudget
 from hibiscustray.web.client import RESET_ON_CLOSE
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.tls import TlsTerminator
@@ -48,6 +49,11 @@
 END_WITH_CONNECTION = "hibiscustray.end_with_connection"
 """Key in the WSGI environment of a function, to be called before the response is started, after
 which only the end of the connection marks the end of the response's body."""
+CHUNKED_STEP_B = 64 * 1024
+"""Step in which a body without a length is counted."""
+LINGER_S = 1.0
+"""Time for which bytes of a rejected body are discarded: the reset that follows bytes which nobody
+has read may reach the caller before it has read the response."""
 MAX_BUFFER_B = 1 << 40
 """Larger than any body, so that waitress never writes a buffer to a temporary file."""
 REASON_PHRASES = {
@@ -216,14 +222,44 @@
     """Rejects requests whose body has no certain end, which allows request smuggling."""
 
     received_at: float | None = None
+    _counted_b = 0
 
     def received(self, data: bytes) -> int:
-        """Process received bytes and record when the request is complete."""
+        """Process received bytes and record when the request is complete.
+
+        A request whose body exceeds the budget of all bodies is complete with an error, and its
+        bytes are discarded.
+        """
         size_b = super().received(data)
+        if self.error is None and not self._count_body():
+            self.close()
+            self.error = BodiesExceeded("bodies exceed their memory")
+            self.completed, self.expect_continue = True, False
+            size_b = len(data)
         if self.completed and self.received_at is None:
             self.received_at = read_clock()
         return size_b
 
+    def _count_body(self) -> bool:
+        """Count a body as soon as its head is known, or step by step if it has no length."""
+        total_b = self.content_length
+        if self.chunked:
+            total_b = math.ceil(self.body_bytes_received / CHUNKED_STEP_B) * CHUNKED_STEP_B
+        added_b = total_b - self._counted_b
+        if added_b <= 0:
+            return True
+        if not self.adj.bodies.take(added_b, total_b):
+            return False
+        self._counted_b = total_b
+        return True
+
+    def close(self) -> None:
+        """Release the body."""
+        super().close()
+        counted_b, self._counted_b = self._counted_b, 0
+        if counted_b:
+            self.adj.bodies.release(counted_b)
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the headers of a request."""
         try:
@@ -248,10 +284,20 @@
     incomplete_since: float | None = None
     is_response_finished = False
     _is_reset_set = False
+    _is_rejected = False
+    _lingers_until: float | None = None
 
     def received(self, data: bytes) -> bool:
-        """Process received bytes and record since when a request has been incomplete."""
+        """Process received bytes and record since when a request has been incomplete.
+
+        Nothing is read behind a request whose body was rejected.
+        """
+        if self._is_rejected:
+            if self.is_lingering_over():
+                self.handle_close()
+            return False
         is_accepted = super().received(data)
+        self._is_rejected = any(isinstance(r.error, BodiesExceeded) for r in self.requests)
         if self.request is None:
             self.incomplete_since = None
         elif self.incomplete_since is None:
@@ -268,14 +314,33 @@
         self._is_reset_set = True
 
     def handle_close(self) -> None:
-        """Close the connection."""
+        """Close the connection, after a while if a body was rejected that is still being sent."""
+        if self._is_rejected and self._lingers_until is None and self.connected:
+            self._lingers_until = time.monotonic() + LINGER_S
+            self.will_close = self.close_when_flushed = False
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_WR)
+            return
         self._clear_reset()
         super().handle_close()
+        self._release_bodies()
 
     def close(self) -> None:
         """Close the connection when the server stops."""
         self._clear_reset()
         super().close()
+        self._release_bodies()
+
+    def is_lingering_over(self) -> bool:
+        """Return whether bytes of a rejected body have been discarded for long enough."""
+        return self._lingers_until is not None and time.monotonic() > self._lingers_until
+
+    def _release_bodies(self) -> None:
+        """Release bodies that no task will; the first request has a task that does."""
+        with self.requests_lock:
+            for request in [self.request, *self.requests[1:]]:
+                if request is not None:
+                    request.close()
 
     def _clear_reset(self) -> None:
         if self._is_reset_set and self.is_response_finished and not self.total_outbufs_len:
@@ -311,6 +376,8 @@
             if not channel.requests and channel.exceeds_header_timeout(self.header_timeout_s):
                 late += not channel.will_close
                 channel.will_close = True
+            elif channel.is_lingering_over():
+                channel.will_close = True
         if idle or late:
             log.info(
                 "connections closed",
@@ -358,11 +425,13 @@
         threads: int,
         max_body_b: int = 1 << 30,
         context: ssl.SSLContext | None = None,
+        bodies: BodyBudget | None = None,
     ) -> None:
         self._map: dict[int, Any] = {}
         self._server = _make_listener(
             app, _bind_socket(address, port), self._map, threads, max_body_b
         )
+        self._server.adj.bodies = bodies or BodyBudget()
         if context is not None:
             self._server.terminator = TlsTerminator(context, self._server.add_connection)
         self._scheme = "https" if context is not None else "http"
@@ -494,6 +563,14 @@
     return sock
 
 
+def read_body(environ: dict[str, Any]) -> bytes:
+    """Return the body of a request, whose buffer is freed."""
+    stream = environ["wsgi.input"]
+    body = stream.read()
+    stream.close()
+    return body
+
+
 def _read_request(environ: dict[str, Any], path_parameters: dict[str, str]) -> Request:
     headers = {
         key[5:].replace("_", "-").lower(): value
@@ -505,7 +582,7 @@
         path=environ["PATH_INFO"],
         query=environ.get("QUERY_STRING", ""),
         headers=headers,
-        body=environ["wsgi.input"].read(),
+        body=read_body(environ),
         path_parameters=path_parameters,
         is_disconnected=environ.get("waitress.client_disconnected", lambda: False),
     )
--- a/tests/settings/test_hosted.py
+++ b/tests/settings/test_hosted.py
@@ -21,7 +21,7 @@
     "zones": {"akl-a": "akl", "wlg-a": "wlg"},
     "listen": {"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002"},
     "internalPorts": [7700, 7715],
-    "limits": {"linkMbps": 3.65},
+    "limits": {"linkMbps": 3.65, "memoryMb": 300},
     "parameters": {"version_ms": 8000, "contactMs": 4000, "graceS": 8, "drainMs": 2000}
     | {"budgetRatio": 0.2, "retrySlack": 100},
     "platform": {"addr": "10.200.1.7:8007"},
