Releases shares of the budget of bodies without the lock of the requests

With a connection that was lost while an interim response was sent to it stopped the whole server: waitress closes such a channel while it holds the lock of its requests, and the release of its bodies waited for that lock. Found on reading the change; the new test does not end on (stopped after 60 s), and passes now.

The share of a body is released under the lock of the budget, any number of times. A channel also learns of a rejection from the task that writes it, so that a caller which is still sending isn't reset by a race.

--- a/hibiscustray/web/bodies.py
+++ b/hibiscustray/web/bodies.py
@@ -6,6 +6,7 @@
 import math
 import threading
 import time
+from dataclasses import dataclass
 
 from waitress.utilities import Error
 
@@ -32,6 +33,13 @@
         return status, [*headers, ("Retry-After", f"{RETRY_AFTER_S:.2f}")], body
 
 
+@dataclass(eq=False)
+class BodyShare:
+    """The bytes of one body that are counted."""
+
+    size_b: int = 0
+
+
 class BodyBudget:
     """Counts the bytes of all bodies that are expected or held; thread-safe."""
 
@@ -42,12 +50,13 @@
         self._logged_at = float("-inf")
         self._lock = threading.Lock()
 
-    def take(self, size_b: int, total_b: int) -> bool:
-        """Count `size_b` more bytes of a body of `total_b` so far; return False if they exceed."""
-        limit_b = self._limit_b * (1.0 if total_b <= SHORT_B else 1 - SHORT_SHARE)
+    def extend(self, share: BodyShare, size_b: int) -> bool:
+        """Count a body as `size_b` bytes long; return False, without counting, if they exceed."""
+        limit_b = self._limit_b * (1.0 if size_b <= SHORT_B else 1 - SHORT_SHARE)
         with self._lock:
-            if self._held_b + size_b <= limit_b:
-                self._held_b += size_b
+            if self._held_b - share.size_b + size_b <= limit_b:
+                self._held_b += size_b - share.size_b
+                share.size_b = size_b
                 return True
             self._rejected += 1
             rejected, now = self._rejected, time.monotonic()
@@ -57,11 +66,12 @@
             held_b = self._held_b
         log.warning(
             "bodies exceed their memory",
-            extra={"held_b": held_b, "body_b": total_b, "rejected": rejected},
+            extra={"held_b": held_b, "body_b": size_b, "rejected": rejected},
         )
         return False
 
-    def release(self, size_b: int) -> None:
-        """Count bytes as no longer held."""
+    def release(self, share: BodyShare) -> None:
+        """Count a body as no longer held; a second call does nothing."""
         with self._lock:
-            self._held_b -= size_b
+            self._held_b -= share.size_b
+            share.size_b = 0
--- a/hibiscustray/web/server.py
+++ b/hibiscustray/web/server.py
@@ -25,7 +25,7 @@
 
 from hibiscustray.clock import read_clock
 from hibiscustray.exceptions import SettingsError
-from hibiscustray.web.bodies import BodiesExceeded, BodyBudget
+from hibiscustray.web.bodies import BodiesExceeded, BodyBudget, BodyShare
 from hibiscustray.web.client import RESET_ON_CLOSE
 from hibiscustray.web.problem import PROBLEM_JSON, make_problem
 from hibiscustray.web.tls import TlsTerminator
@@ -154,6 +154,7 @@
 
     def execute(self) -> None:
         """Write the response and close the connection."""
+        self.channel.is_body_rejected |= isinstance(self.request.error, BodiesExceeded)
         status, headers, _ = self.request.error.to_response(None)
         code, reason = status.split(" ", 1)
         body = make_problem(int(code), reason)
@@ -222,7 +223,10 @@
     """Rejects requests whose body has no certain end, which allows request smuggling."""
 
     received_at: float | None = None
-    _counted_b = 0
+
+    def __init__(self, adjustments: Adjustments) -> None:
+        super().__init__(adjustments)
+        self._share = BodyShare()
 
     def received(self, data: bytes) -> int:
         """Process received bytes and record when the request is complete.
@@ -233,7 +237,7 @@
         size_b = super().received(data)
         if self.error is None and not self._count_body():
             self.close()
-            self.error = BodiesExceeded("bodies exceed their memory")
+            self.error = BodiesExceeded("the request was not read")
             self.completed, self.expect_continue = True, False
             size_b = len(data)
         if self.completed and self.received_at is None:
@@ -242,23 +246,19 @@
 
     def _count_body(self) -> bool:
         """Count a body as soon as its head is known, or step by step if it has no length."""
-        total_b = self.content_length
+        size_b = self.content_length
         if self.chunked:
-            total_b = math.ceil(self.body_bytes_received / CHUNKED_STEP_B) * CHUNKED_STEP_B
-        added_b = total_b - self._counted_b
-        if added_b <= 0:
-            return True
-        if not self.adj.bodies.take(added_b, total_b):
-            return False
-        self._counted_b = total_b
-        return True
+            size_b = math.ceil(self.body_bytes_received / CHUNKED_STEP_B) * CHUNKED_STEP_B
+        return size_b <= self._share.size_b or self.adj.bodies.extend(self._share, size_b)
 
     def close(self) -> None:
         """Release the body."""
         super().close()
-        counted_b, self._counted_b = self._counted_b, 0
-        if counted_b:
-            self.adj.bodies.release(counted_b)
+        self.release_share()
+
+    def release_share(self) -> None:
+        """Count the body as no longer held; may be called from any thread."""
+        self.adj.bodies.release(self._share)
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the headers of a request."""
@@ -284,7 +284,7 @@
     incomplete_since: float | None = None
     is_response_finished = False
     _is_reset_set = False
-    _is_rejected = False
+    is_body_rejected = False
     _lingers_until: float | None = None
 
     def received(self, data: bytes) -> bool:
@@ -292,12 +292,11 @@
 
         Nothing is read behind a request whose body was rejected.
         """
-        if self._is_rejected:
+        if self.is_body_rejected:
             if self.is_lingering_over():
                 self.handle_close()
             return False
         is_accepted = super().received(data)
-        self._is_rejected = any(isinstance(r.error, BodiesExceeded) for r in self.requests)
         if self.request is None:
             self.incomplete_since = None
         elif self.incomplete_since is None:
@@ -315,7 +314,7 @@
 
     def handle_close(self) -> None:
         """Close the connection, after a while if a body was rejected that is still being sent."""
-        if self._is_rejected and self._lingers_until is None and self.connected:
+        if self.is_body_rejected and self._lingers_until is None and self.connected:
             self._lingers_until = time.monotonic() + LINGER_S
             self.will_close = self.close_when_flushed = False
             with contextlib.suppress(OSError):
@@ -323,24 +322,27 @@
             return
         self._clear_reset()
         super().handle_close()
-        self._release_bodies()
+        self._release_shares()
 
     def close(self) -> None:
         """Close the connection when the server stops."""
         self._clear_reset()
         super().close()
-        self._release_bodies()
+        self._release_shares()
 
     def is_lingering_over(self) -> bool:
         """Return whether bytes of a rejected body have been discarded for long enough."""
         return self._lingers_until is not None and time.monotonic() > self._lingers_until
 
-    def _release_bodies(self) -> None:
-        """Release bodies that no task will; the first request has a task that does."""
-        with self.requests_lock:
-            for request in [self.request, *self.requests[1:]]:
-                if request is not None:
-                    request.close()
+    def _release_shares(self) -> None:
+        """Release the shares of requests that have no task; the first one's task does it.
+
+        The lock of the requests is not taken: waitress closes a channel that is lost while it holds
+        that lock.
+        """
+        for request in [self.request, *self.requests[1:]]:
+            if request is not None:
+                request.release_share()
 
     def _clear_reset(self) -> None:
         if self._is_reset_set and self.is_response_finished and not self.total_outbufs_len:
--- a/tests/platform/test_long_bodies.py
+++ b/tests/platform/test_long_bodies.py
@@ -27,7 +27,10 @@
     respond_with_body,
 )
 from hibiscustray.soak.programs import EntryProgram
-from hibiscustray.web import BodyBudget
+from hibiscustray.web import BodyBudget, HttpClient, HttpServer
+from hibiscustray.web.bodies import BodyShare
+from hibiscustray.web.server import ServerChannel
+from hibiscustray.web.status import StatusApplication
 from tests.waiting import wait_until
 
 LONG_B = 4_190_000
@@ -205,10 +208,34 @@
         assert not any(replica.received for replica in replicas)
 
 
+# Guards against a server that waits for its own lock, as a connection is lost in the middle.
+def test_connection_that_is_lost_while_its_request_is_read_does_not_stop_the_server(monkeypatch):
+    def lose_connection(channel) -> None:
+        channel.handle_close()
+
+    app = StatusApplication("/ready", lambda: True, lambda: "")
+    server = HttpServer(app, "127.0.0.1", 0, 2, bodies=BodyBudget(1_000_000))
+    server.start()
+    try:
+        with monkeypatch.context() as changed:
+            changed.setattr(ServerChannel, "send_continue", lose_connection)
+            with socket.create_connection(("127.0.0.1", server.port), timeout=5.0) as connection:
+                connection.sendall(encode_head(700_000, Expect="100-continue"))
+                with contextlib.suppress(ConnectionError):
+                    assert connection.recv(1) == b""
+        assert HttpClient(server.url, 2.0).call("GET", "/ready").status == 200
+        assert server._server.adj.bodies.extend(BodyShare(), 700_000), "the share is still counted"
+    finally:
+        server.stop()
+
+
 def test_short_bodies_have_a_part_of_the_budget_of_their_own():
-    bodies = BodyBudget(1_000_000)
-    assert bodies.take(700_000, 700_000)
-    assert not bodies.take(150_000, 150_000)
-    assert bodies.take(60_000, 60_000)
-    bodies.release(700_000)
-    assert bodies.take(150_000, 150_000)
+    bodies, first, second = BodyBudget(1_000_000), BodyShare(), BodyShare()
+    assert bodies.extend(first, 700_000)
+    assert not bodies.extend(second, 150_000)
+    assert bodies.extend(second, 60_000)
+    bodies.release(first)
+    bodies.release(first)
+    assert bodies.extend(second, 150_000)
+    assert bodies.extend(first, 650_000)
+    assert not bodies.extend(first, 650_001)
