--- a/review/14/run.py
+++ b/review/14/run.py
@@ -91,6 +91,9 @@
     site.record(f"sound requests {len(outcomes['sound'])}, answered with 200: {answered}")
     site.record(f"requests with the part: {len(outcomes['bad'])}, at replicas: {len(arrivals)}")
     site.record(f"crashes: {len(crashes)}; ended by themselves: {ended}")
+    begun = {x["id"] for x in lines if x["event"] == "run"}
+    lost = sum(o.id in begun and o.body.count(b"\n\n") < EVENTS for o in outcomes["sound"])
+    site.record(f"sound requests that had begun and were not answered whole: {lost}")
     if not outcomes["sound"] or answered < 20:
         return 2
     if len(crashes) < 5:
--- a/review/common-3/replica.py
+++ b/review/common-3/replica.py
@@ -54,9 +54,15 @@
     def register(self, state: str = "ready") -> None:
         self.row_sequence += 1
         row = {
-            "service": self.o.service, "addr": self.o.address, "zone": self.o.zone,
-            "version": "v1", "slots": self.o.slots, "state": state, "warmupLeftMs": 0,
-            "sequence": self.row_sequence, "born": self.born,
+            "service": self.o.service,
+            "addr": self.o.address,
+            "zone": self.o.zone,
+            "version": "v1",
+            "slots": self.o.slots,
+            "state": state,
+            "warmupLeftMs": 0,
+            "sequence": self.row_sequence,
+            "born": self.born,
         }
         if self.o.engine:
             row |= {"models": self.models(), "layers": self.layers()}
@@ -104,7 +110,7 @@
             return False
         method, target, _ = first.decode().split(" ")
         headers = {}
-        while (line := file.readline().strip()):
+        while line := file.readline().strip():
             name, _, value = line.decode("latin-1").partition(":")
             headers[name.lower()] = value.strip()
         body = file.read(int(headers.get("content-length", 0)))
@@ -129,9 +135,16 @@
 
     def report(self) -> dict:
         return {
-            "stage": "colocated", "models": self.models(), "layers": self.layers(),
-            "busy": self.busy, "sequence": self.sequence, "waiting": self.waiting,
-            "running": self.running, "kvUsed": 0, "kvTotal": 1180000, "handles": 0,
+            "stage": "colocated",
+            "models": self.models(),
+            "layers": self.layers(),
+            "busy": self.busy,
+            "sequence": self.sequence,
+            "waiting": self.waiting,
+            "running": self.running,
+            "kvUsed": 0,
+            "kvTotal": 1180000,
+            "handles": 0,
             "born": self.born,
         }
 
--- a/review/common-3/site_3.py
+++ b/review/common-3/site_3.py
@@ -12,6 +12,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -31,8 +32,12 @@
 from hibiscustray.platform.standins import StoreStandIn  # noqa: E402
 
 PARAMETERS = {
-    "version_ms": 8000, "contactMs": 3000, "graceS": 8, "drainMs": 2000,
-    "budgetRatio": 0.2, "retrySlack": 100,
+    "version_ms": 8000,
+    "contactMs": 3000,
+    "graceS": 8,
+    "drainMs": 2000,
+    "budgetRatio": 0.2,
+    "retrySlack": 100,
 }
 CONTACT_S = 3.0
 HOST = "guide.example"
@@ -57,6 +62,7 @@
         self.record_path = folder / "record.txt"
         self.record_path.write_text("")
         self.started_at = time.time()
+        self.lock = threading.Lock()
         self.processes: dict[str, subprocess.Popen] = {}
         self.store = StoreStandIn()
         self.store_port = int(self.store.address.rpartition(":")[2])
@@ -64,13 +70,11 @@
         self.entries: list[dict] = []
         self.replicas: dict[str, dict] = {}
         self.origin = self._start_origin()
-        self.lock = threading.Lock()
         self.is_ending = False
 
     def record(self, text: str) -> None:
-        with self.lock if hasattr(self, "lock") else threading.Lock():
-            with self.record_path.open("a") as file:
-                file.write(f"{time.time() - self.started_at:8.3f} {text}\n")
+        with self.lock, self.record_path.open("a") as file:
+            file.write(f"{time.time() - self.started_at:8.3f} {text}\n")
 
     def _choose_net(self) -> str:
         for _ in range(50):
@@ -99,8 +103,13 @@
                         hashlib.sha256(make_chunk(version, n)).hexdigest() for n in range(CHUNKS)
                     ]
                     body = json.dumps(
-                        {"model": "m", "version": version, "chunkBytes": CHUNK_B, "layers": 16,
-                         "digests": digests}
+                        {
+                            "model": "m",
+                            "version": version,
+                            "chunkBytes": CHUNK_B,
+                            "layers": 16,
+                            "digests": digests,
+                        }
                     ).encode()
                 else:
                     body = make_chunk(version, int(query["num"]))
@@ -121,34 +130,82 @@
         """Write a config like that of SYSTEM.md's first deployment."""
         common = {"host": HOST}
         engine = {
-            "slots": 16, "kvTokens": 1180000, "stride": 5, "models": [{"name": "m"}],
-            "step_ms": 8.87, "per_seq_ms": 0.0388, "context_per_k": 0.0227,
-            "read_per_s": 19100.0, "pairs_per_m": 1.47, "chunk": 2048,
-            "usual": {"prompt": 977, "answer": 94}, "layers": 16, "report_lag_ms": 300,
+            "slots": 16,
+            "kvTokens": 1180000,
+            "stride": 5,
+            "models": [{"name": "m"}],
+            "step_ms": 8.87,
+            "per_seq_ms": 0.0388,
+            "context_per_k": 0.0227,
+            "read_per_s": 19100.0,
+            "pairs_per_m": 1.47,
+            "chunk": 2048,
+            "usual": {"prompt": 977, "answer": 94},
+            "layers": 16,
+            "report_lag_ms": 300,
         }
         value = {
             "version": version,
             "routes": [
-                common | {"name": "notice", "prefix": "/hucu512/", "kind": "streaming",
-                          "service": "guide-llm", "attempts": 2, "streamResume": False,
-                          "affinity": True, "gapTargetMs": 400, "timeoutMs": 6000,
-                          "targetLatencyMs": 400, "priority": 1},
-                common | {"name": "book", "prefix": "/filo73/", "kind": "non_idempotent",
-                          "service": "booking", "attempts": 1, "timeoutMs": 1000,
-                          "targetLatencyMs": 150, "priority": 2},
-                common | {"name": "look", "prefix": "/look73/", "kind": "idempotent",
-                          "service": "booking", "attempts": 2, "timeoutMs": 1000,
-                          "targetLatencyMs": 150, "priority": 2},
+                common
+                | {
+                    "name": "notice",
+                    "prefix": "/hucu512/",
+                    "kind": "streaming",
+                    "service": "guide-llm",
+                    "attempts": 2,
+                    "streamResume": False,
+                    "affinity": True,
+                    "gapTargetMs": 400,
+                    "timeoutMs": 6000,
+                    "targetLatencyMs": 400,
+                    "priority": 1,
+                },
+                common
+                | {
+                    "name": "book",
+                    "prefix": "/filo73/",
+                    "kind": "non_idempotent",
+                    "service": "booking",
+                    "attempts": 1,
+                    "timeoutMs": 1000,
+                    "targetLatencyMs": 150,
+                    "priority": 2,
+                },
+                common
+                | {
+                    "name": "look",
+                    "prefix": "/look73/",
+                    "kind": "idempotent",
+                    "service": "booking",
+                    "attempts": 2,
+                    "timeoutMs": 1000,
+                    "targetLatencyMs": 150,
+                    "priority": 2,
+                },
             ],
             "services": [
-                {"name": "guide-llm", "maxConnections": 354, "engine": engine,
-                 "healthPath": "/health"},
+                {
+                    "name": "guide-llm",
+                    "maxConnections": 354,
+                    "engine": engine,
+                    "healthPath": "/health",
+                },
                 {"name": "booking", "maxConnections": 96, "healthPath": "/health"},
-                {"name": "roster", "origin": self.origin, "zone": "wlg-a", "linkMbps": 7.3,
-                 "maxConnections": 48},
+                {
+                    "name": "roster",
+                    "origin": self.origin,
+                    "zone": "wlg-a",
+                    "linkMbps": 7.3,
+                    "maxConnections": 48,
+                },
             ],
-            "limits": {"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000,
-                       "idleTimeoutMs": 15000},
+            "limits": {
+                "headerBytes": 16384,
+                "bodyBytes": 4194304,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
             "tenants": [{"name": "bozi300", "keys": [KEY]}],
         }
         self.store.put("op", "config", value | changes)
@@ -173,24 +230,33 @@
 
     def run_program(self, name: str, role: str) -> None:
         environment = {
-            "PATH": os.environ["PATH"], "HOME": os.environ.get("HOME", "/"),
-            "PYTHONPATH": str(ROOT / "target" / "deps"), "PYTHONDONTWRITEBYTECODE": "1",
+            "PATH": os.environ["PATH"],
+            "HOME": os.environ.get("HOME", "/"),
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
             "HIBISCUSTRAY_BOOT": str(self.temp / f"{name}.ini"),
         }
         with (self.temp / f"{name}.log").open("ab") as log:
             # The command of deploy/system.toml.
             self.processes[name] = subprocess.Popen(
                 ["python3", "-m", "hibiscustray", "host", role],
-                cwd=ROOT, env=environment, stdout=log, stderr=log,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
     def _fields(self, name: str, ip: str, zone: str) -> dict:
         return {
-            "node": name, "zone": zone, "region": ZONES[zone], "ip": ip,
+            "node": name,
+            "zone": zone,
+            "region": ZONES[zone],
+            "ip": ip,
             "internalPorts": [7700, 7713],
             "listen": {"front": f"{ip}:8005", "ready": f"{ip}:8002"},
             "limits": {"memoryMb": 300, "linkMbps": 1000.0},
-            "platform": {"addr": self.store.address}, "parameters": PARAMETERS,
+            "platform": {"addr": self.store.address},
+            "parameters": PARAMETERS,
         }
 
     def add_entry(self) -> dict:
@@ -213,9 +279,17 @@
             for n in range(CHUNKS):
                 (staged / str(n)).write_bytes(make_chunk(1, n))
         replica = {
-            "id": f"i-{uuid.uuid4().hex[:8]}", "number": number, "service": service, "ip": ip,
-            "zone": zone, "address": f"{ip}:9000", "options": options, "staged": staged,
-            "log": self.temp / f"replica-{number}.log", "engine": is_engine, "starts": 0,
+            "id": f"i-{uuid.uuid4().hex[:8]}",
+            "number": number,
+            "service": service,
+            "ip": ip,
+            "zone": zone,
+            "address": f"{ip}:9000",
+            "options": options,
+            "staged": staged,
+            "log": self.temp / f"replica-{number}.log",
+            "engine": is_engine,
+            "starts": 0,
         }
         self.replicas[f"replica-{number}"] = replica
         self.start_replica(replica, is_first=True)
@@ -234,11 +308,27 @@
             options += ["--engine", f"--version={1 if is_first else 0}"]
         with (self.temp / "replicas.err").open("ab") as log:
             self.processes[f"replica-{replica['number']}"] = subprocess.Popen(
-                [sys.executable, str(HERE / "replica.py"), "--id", replica["id"],
-                 "--address", replica["address"], "--store", self.store.address,
-                 "--service", replica["service"], "--zone", replica["zone"],
-                 "--log", str(replica["log"]), "--staged", str(replica["staged"]), *options],
-                stdout=log, stderr=log,
+                [
+                    sys.executable,
+                    str(HERE / "replica.py"),
+                    "--id",
+                    replica["id"],
+                    "--address",
+                    replica["address"],
+                    "--store",
+                    self.store.address,
+                    "--service",
+                    replica["service"],
+                    "--zone",
+                    replica["zone"],
+                    "--log",
+                    str(replica["log"]),
+                    "--staged",
+                    str(replica["staged"]),
+                    *options,
+                ],
+                stdout=log,
+                stderr=log,
             )
 
     def supervise(self, down_s: float) -> None:
@@ -309,11 +399,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        keep = os.environ.get("KEEP_LOGS")
-        if keep:
-            import shutil
+        if keep := os.environ.get("KEEP_LOGS"):
             shutil.copytree(self.temp, keep, dirs_exist_ok=True)
-        import shutil
         shutil.rmtree(self.temp, ignore_errors=True)
 
 
@@ -340,15 +427,23 @@
 
 
 def call(
-    entry: dict, method: str, path: str, body: bytes = b"", deadline_ms: int = 1000,
-    prompt: str = "", key: str = KEY, rid: str = "",
+    entry: dict,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    deadline_ms: int = 1000,
+    prompt: str = "",
+    key: str = KEY,
+    rid: str = "",
 ) -> Outcome:
     """Send one requester attempt on a new channel and read the answer to its end."""
     out = Outcome(rid or uuid.uuid4().hex[:16], time.time())
     host, _, port = entry["front"].rpartition(":")
     lines = [
-        f"{method} {path} HTTP/1.1", f"Host: {HOST}",
-        f"X-Hibiscustray-Attempt-Id: {out.id}", f"X-Hibiscustray-Deadline-Ms: {deadline_ms}",
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Hibiscustray-Attempt-Id: {out.id}",
+        f"X-Hibiscustray-Deadline-Ms: {deadline_ms}",
         f"Authorization: Bearer {key}",
     ]
     if prompt:
