--- a/review/14/run.py
+++ b/review/14/run.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common-3"))
+sys.path.insert(0, str(HERE.parent / "11" / "rig3"))
 import site_3  # noqa: E402
 from site_3 import CONTACT_S, TROUBLE, Site, call  # noqa: E402
 
@@ -29,7 +29,7 @@
 
 
 def main() -> int:
-    site = Site(HERE)
+    site = Site(HERE / "record.txt")
     try:
         return play(site)
     except site_3.CannotRun as error:
